--- /dev/null
+++ b/internal/dialer/dialer.go
@@ -0,0 +1,106 @@
+package dialer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+const (
+	// dialTimeout bounds a connection attempt to a peer in the same region.
+	dialTimeout = time.Second
+	// idleTimeout closes connections that have not been used.
+	idleTimeout = time.Minute
+	// keepAlive detects connections that a middlebox has dropped silently.
+	keepAlive = 5 * time.Second
+	// connections that are kept open per peer.
+	keptPerPeer = 16
+)
+
+// Config configures a Dialer.
+type Config struct {
+	// Addresses are the peer addresses by instance name.
+	Addresses map[string]string
+	// TLS is used for connections if it isn't nil.
+	TLS *tls.Config
+	// Dial replaces the TCP dialer if it isn't nil.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Dialer keeps a pool of connections per peer. A connection carries one call
+// at a time. It is safe for concurrent use.
+type Dialer struct {
+	cfg  Config
+	mu   sync.Mutex
+	pool *drpcpool.Pool[string, *drpcconn.Conn]
+}
+
+// New returns a dialer without open connections.
+func New(cfg Config) *Dialer {
+	if cfg.Dial == nil {
+		d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Dialer{cfg: cfg, pool: newPool()}
+}
+
+// Conn returns a connection to the named instance, which is dialed on the
+// first call. Calls to an unknown name fail with fault.Missing.
+func (d *Dialer) Conn(name string) drpcpool.Conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Get(context.Background(), name, d.dial)
+}
+
+// Renew closes the kept connections, so that the next calls dial anew. It is
+// used when a connection of the pool has proved dead.
+func (d *Dialer) Renew() {
+	d.mu.Lock()
+	old := d.pool
+	d.pool = newPool()
+	d.mu.Unlock()
+	_ = old.Close()
+}
+
+// Close closes all kept connections.
+func (d *Dialer) Close() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return eris.Wrap(d.pool.Close(), "close connections")
+}
+
+func (d *Dialer) dial(ctx context.Context, name string) (*drpcconn.Conn, error) {
+	address, ok := d.cfg.Addresses[name]
+	if !ok {
+		return nil, eris.Wrapf(fault.Missing, "peer %s", name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := d.cfg.Dial(ctx, address)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Unavailable, "peer %s: %v", name, err)
+	}
+	if d.cfg.TLS != nil {
+		secure := tls.Client(conn, d.cfg.TLS)
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, eris.Wrapf(fault.Unauthorized, "peer %s: %v", name, err)
+		}
+		conn = secure
+	}
+	return drpcconn.New(conn), nil
+}
+
+func newPool() *drpcpool.Pool[string, *drpcconn.Conn] {
+	return drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: keptPerPeer})
+}
