Add the entry path: registry, membership, routing, dispatch and gateway

Cause: a request needs a way from a caller to a target and back. Ruled out: the transport of net/http with kept connections for non-idempotent calls, since it resends a request that carries an Idempotency-Key when a kept connection turns out to be closed. Change: registry, blocker, member, publisher, subscriber, estimator, router, dispatcher and gateway; the error kind "crashed".

--- /dev/null
+++ b/internal/blocker/blocker.go
@@ -0,0 +1,145 @@
+package blocker
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	// Limit is the number of distinct targets that may crash while running
+	// the same content before the content is blocked.
+	Limit = 2
+	// Retention is the time for which a content stays suspect or blocked.
+	Retention = 10 * time.Minute
+	// capacity bounds the table; the entry that ends first is dropped.
+	capacity = 4096
+)
+
+// Config configures a Blocker.
+type Config struct {
+	// Now returns the current time.
+	Now func() time.Time
+}
+
+// Blocker counts the distinct targets that crashed under each content. It is
+// safe for concurrent use.
+//
+// A crash blames every request that was running on the target. An innocent
+// request is cleared when any target answers it whole, and its retries run on
+// other targets, so it doesn't reach the limit unless it crashes them itself.
+type Blocker struct {
+	cfg     Config
+	mu      sync.Mutex
+	entries map[string]*wire.Poison
+	fresh   map[string]bool
+}
+
+// New returns an empty blocker.
+func New(cfg Config) *Blocker {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Blocker{cfg: cfg, entries: map[string]*wire.Poison{}, fresh: map[string]bool{}}
+}
+
+// IsBlocked tells whether the content has reached the limit.
+func (b *Blocker) IsBlocked(digest []byte) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.entries[string(digest)]
+	return p != nil && p.Until > b.cfg.Now().UnixNano() && len(p.Targets) >= Limit
+}
+
+// Blame records that a target crashed while it ran the content. Target names
+// an incarnation of a target, so that one target that crashes twice counts
+// twice.
+func (b *Blocker) Blame(digest []byte, target string) {
+	b.Merge([]*wire.Poison{{Digest: digest, Targets: []string{target}, Until: b.cfg.Now().Add(Retention).UnixNano()}})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fresh[string(digest)] = true
+}
+
+// Clear forgets a content that a target has answered whole.
+func (b *Blocker) Clear(digest []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.entries[string(digest)]; p != nil && len(p.Targets) < Limit {
+		delete(b.entries, string(digest))
+		delete(b.fresh, string(digest))
+	}
+}
+
+// Merge takes what other instances have recorded.
+func (b *Blocker) Merge(poisons []*wire.Poison) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range poisons {
+		own := b.entries[string(p.Digest)]
+		if own == nil {
+			b.makeRoom()
+			own = &wire.Poison{Digest: p.Digest}
+			b.entries[string(p.Digest)] = own
+		}
+		targets := slices.Clone(own.Targets)
+		for _, t := range p.Targets {
+			if !slices.Contains(targets, t) {
+				targets = append(targets, t)
+				b.fresh[string(p.Digest)] = true
+			}
+		}
+		b.entries[string(p.Digest)] = &wire.Poison{Digest: p.Digest, Targets: targets, Until: max(own.Until, p.Until)}
+	}
+}
+
+// Fresh returns what has changed since the last call, for the next message to
+// the holder.
+func (b *Blocker) Fresh() []*wire.Poison {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ps []*wire.Poison
+	for digest := range b.fresh {
+		if p := b.entries[digest]; p != nil {
+			ps = append(ps, p)
+		}
+	}
+	clear(b.fresh)
+	return ps
+}
+
+// All returns all entries that have not ended.
+func (b *Blocker) All() []*wire.Poison {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.cfg.Now().UnixNano()
+	var ps []*wire.Poison
+	for _, p := range b.entries {
+		if p.Until > now {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+func (b *Blocker) makeRoom() {
+	if len(b.entries) < capacity {
+		return
+	}
+	now := b.cfg.Now().UnixNano()
+	first := ""
+	for digest, p := range b.entries {
+		if p.Until <= now {
+			delete(b.entries, digest)
+			continue
+		}
+		if first == "" || p.Until < b.entries[first].Until {
+			first = digest
+		}
+	}
+	if len(b.entries) >= capacity {
+		delete(b.entries, first)
+	}
+}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -32,6 +32,8 @@
 	Closed
 	// Poison is a request whose content has crashed several targets.
 	Poison
+	// Crashed is a request that has just crashed several targets.
+	Crashed
 	// Overloaded is a queue that is full or a wait that would be too long.
 	Overloaded
 	// Draining is an instance that is stopping.
@@ -86,6 +88,7 @@
 	Exhausted:    {"exhausted", "the prepaid budget is too small for the request", http.StatusPaymentRequired, runNo, 6, zapcore.InfoLevel, 0},
 	Closed:       {"closed", "the venture is not open", http.StatusForbidden, runNo, 6, zapcore.InfoLevel, 0},
 	Poison:       {"poison", "the same content crashed several targets", http.StatusUnprocessableEntity, runNo, 6, zapcore.WarnLevel, 0},
+	Crashed:      {"crashed", "the request crashed the targets that ran it", http.StatusUnprocessableEntity, runMaybe, 6, zapcore.WarnLevel, 0},
 	Overloaded:   {"overloaded", "too many requests are waiting", http.StatusTooManyRequests, runNo, 7, zapcore.InfoLevel, time.Second},
 	Draining:     {"draining", "the instance is stopping", http.StatusServiceUnavailable, runNo, 7, zapcore.InfoLevel, time.Second},
 	Unavailable:  {"unavailable", "no target or ledger is ready", http.StatusServiceUnavailable, runNo, 7, zapcore.WarnLevel, time.Second},
--- /dev/null
+++ b/internal/gateway/other.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// models serves GET /v1/models: the models that the account may use.
+func (g *Gateway) models(s *session) error {
+	type entry struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+		Ready  bool   `json:"ready"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []entry `json:"data"`
+	}{Object: "list", Data: []entry{}}
+	for _, name := range s.account.Models {
+		list.Data = append(list.Data, entry{ID: name, Object: "model", Ready: len(g.cfg.Ready("", name, "")) > 0})
+	}
+	return writeJSON(s, list)
+}
+
+// request serves GET /v1/requests/{key}: what is known of an identity.
+func (g *Gateway) request(s *session) error {
+	key := mux.Vars(s.request)["key"]
+	found := struct {
+		Request string `json:"request"`
+		Run     string `json:"run"`
+		Billed  int64  `json:"billed"`
+		Status  int32  `json:"status,omitempty"`
+	}{Request: key, Run: "no"}
+	reply, err := g.cfg.Find(s.request.Context(), &wire.FindRequest{Account: s.account.Name, Request: key})
+	if err == nil && reply.Known {
+		found.Run, found.Billed, found.Status = "yes", reply.Bill.Amount, reply.Bill.Status
+		return writeJSON(s, found)
+	}
+	state, stateErr := g.cfg.Read(s.request.Context(), &wire.ReadRequest{Account: s.account.Name, Request: key})
+	switch {
+	case err != nil || stateErr != nil:
+		found.Run = "maybe"
+	case state.Claim != nil && state.Claim.Resolved && state.Claim.Outcome.GetRan():
+		found.Run, found.Status = "yes", state.Claim.Outcome.Status
+	case state.Claim != nil && !state.Claim.Resolved:
+		found.Run = "maybe"
+	}
+	return writeJSON(s, found)
+}
+
+// announce serves POST /v1/targets. The key must be that of the group that
+// the name of the target belongs to.
+func (g *Gateway) announce(w http.ResponseWriter, r *http.Request) {
+	s := &session{ResponseWriter: w, request: r, identity: newIdentity()}
+	if err := g.takeAnnouncement(s); err != nil {
+		g.refuse(s, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (g *Gateway) takeAnnouncement(s *session) error {
+	config := g.cfg.Current()
+	if config == nil {
+		return eris.Wrap(fault.Unavailable, "no configuration yet")
+	}
+	raw, err := readBody(s.request)
+	if err != nil {
+		return err
+	}
+	var t wire.Target
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(raw, &t); err != nil {
+		return eris.Wrapf(fault.Malformed, "target: %v", err)
+	}
+	if t.Name == "" || t.Zone == "" || t.Address == "" || t.State != "ready" && t.State != "leaving" {
+		return eris.Wrap(fault.Malformed, "target: name, zone, address and state (ready or leaving) are required")
+	}
+	owner, err := g.cfg.Group(bearer(s.request))
+	if err != nil {
+		return err
+	}
+	group, ok := config.Group(t.Name)
+	if !ok || group.Name != owner {
+		return eris.Wrapf(fault.Forbidden, "target %s is not in group %s", t.Name, owner)
+	}
+	t.Time = g.cfg.Now().UnixNano()
+	if err := g.cfg.Announce(s.request.Context(), &t); err != nil {
+		g.cfg.Logger.Debug("No holder took the announcement.", zap.String("target", t.Name), zap.Error(err))
+	}
+	return nil
+}
+
+func writeJSON(s *session, v any) error {
+	s.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(s).Encode(v); err != nil {
+		return eris.Wrap(err, "write answer")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/member/check.go
@@ -0,0 +1,92 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// checkInterval is the time between two checks of the peers for silence.
+const checkInterval = 250 * time.Millisecond
+
+// checkLoop finds silent peers until ctx ends.
+func (m *Member) checkLoop(ctx context.Context) {
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			for _, p := range m.silent() {
+				m.probe(ctx, p)
+			}
+		}
+	}
+}
+
+// silent marks peers that missed heartbeats as suspect and returns those that
+// have been silent for deadAfter and are not fenced yet.
+func (m *Member) silent() []*wire.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.cfg.Now()
+	var found []*wire.Peer
+	for _, p := range m.peers {
+		if !p.local || p.info.Incarnation <= p.fenced {
+			continue
+		}
+		age := now.Sub(p.seen)
+		if age > suspectAfter && p.info.State == Alive {
+			p.info.State = Suspect
+		}
+		if age > deadAfter {
+			found = append(found, p.report(now))
+		}
+	}
+	return found
+}
+
+// probe calls a silent peer to tell a slow one from a dead one and from one
+// that is cut off. A slow peer gets twice the time before it is fenced.
+func (m *Member) probe(ctx context.Context, found *wire.Peer) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	_, err := m.cfg.Beat(ctx, found.Name, &wire.BeatRequest{Instance: m.cfg.Self.Name, Zone: m.cfg.Self.Zone, Incarnation: m.incarnation.Load(), Version: m.cfg.Version()})
+	state := Cut
+	switch {
+	case err == nil:
+		state = Slow
+	case m.cfg.Refused(err):
+		state = Dead
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.find(found.Name)
+	silence := m.cfg.Now().Sub(p.seen)
+	if p.info.Incarnation != found.Incarnation || silence <= deadAfter {
+		return
+	}
+	p.info.State = state
+	if state == Slow && silence <= 2*deadAfter {
+		return
+	}
+	m.fence(p)
+}
+
+// fence tells the ledger that the incarnation is dead. A failure is tried
+// again at the next check.
+func (m *Member) fence(p *peer) {
+	if m.cfg.Fence == nil || p.info.Incarnation <= p.fenced {
+		return
+	}
+	if err := m.cfg.Fence(p.info.Name, p.info.Incarnation); err != nil {
+		m.cfg.Logger.Error("Fencing failed.", zap.String("instance", p.info.Name), zap.Error(err))
+		return
+	}
+	p.fenced = p.info.Incarnation
+	m.cfg.Logger.Warn("Instance is silent. Incarnation fenced.", zap.String("instance", p.info.Name), zap.String("state", p.info.State), zap.Uint64("incarnation", p.info.Incarnation))
+}
--- /dev/null
+++ b/internal/publisher/publisher.go
@@ -0,0 +1,166 @@
+package publisher
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/blocker"
+	"github.com/papayapond/papayapond/internal/configuration"
+	"github.com/papayapond/papayapond/internal/registry"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	// keepalive is the longest time between two updates on a stream. Watchers
+	// take a stream without an update for three times as long for dead.
+	keepalive = time.Second
+	// coalesce is the least time between two updates.
+	coalesce = 50 * time.Millisecond
+	// kept is the number of former configurations from which a watcher gets
+	// changed sections instead of the whole document.
+	kept = 64
+)
+
+// Config configures a Publisher.
+type Config struct {
+	Registry *registry.Registry
+	Blocker  *blocker.Blocker
+	// Read reads the state of the local controller.
+	Read func(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error)
+	// Changed returns a channel that is closed at the next change of the
+	// configuration or the phase.
+	Changed func() <-chan struct{}
+	// Quorum tells whether the local control member hears a leader.
+	Quorum func() bool
+	// Now returns the current time.
+	Now func() time.Time
+	// Logger takes the log of this part.
+	Logger *zap.Logger
+}
+
+// Publisher serves the watch streams of a holder.
+type Publisher struct {
+	cfg Config
+
+	mu      sync.Mutex
+	history []*configuration.Configuration
+}
+
+// New returns a publisher.
+func New(cfg Config) *Publisher {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Publisher{cfg: cfg}
+}
+
+// Announce takes the state of a target that an entry instance passes on.
+func (p *Publisher) Announce(_ context.Context, r *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
+	if r.Target != nil {
+		p.cfg.Registry.Announce(r.Target)
+	}
+	p.cfg.Blocker.Merge(r.Poisons)
+	return &wire.AnnounceReply{}, nil
+}
+
+// Watch streams updates until the stream ends.
+func (p *Publisher) Watch(r *wire.WatchRequest, stream wire.DRPCFleet_WatchStream) error {
+	ctx := stream.Context()
+	w := &watcher{version: r.Version, first: true}
+	tick := time.NewTicker(keepalive)
+	defer tick.Stop()
+	for {
+		changed := p.cfg.Changed()
+		update, targets, err := p.update(ctx, w)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(update); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-targets:
+		case <-tick.C:
+		}
+		time.Sleep(coalesce)
+	}
+}
+
+// watcher is the progress of one stream.
+type watcher struct {
+	version  uint64
+	sequence uint64
+	first    bool
+	poisons  int
+}
+
+// update returns what has changed for a watcher, and a channel that is closed
+// at the next change of a target.
+func (p *Publisher) update(ctx context.Context, w *watcher) (*wire.Update, <-chan struct{}, error) {
+	state, err := p.cfg.Read(ctx, &wire.ReadRequest{Stale: true, Document: true})
+	if err != nil {
+		return nil, nil, err
+	}
+	u := &wire.Update{Version: state.Version, Phase: state.Phase, Time: p.cfg.Now().UnixNano(), Quorum: p.cfg.Quorum()}
+	if state.Version > w.version && len(state.Document) > 0 {
+		if err := p.fill(u, w.version, state); err != nil {
+			return nil, nil, err
+		}
+		w.version = state.Version
+	}
+	targets, sequence, changed := p.cfg.Registry.Since("", w.sequence)
+	if w.first {
+		targets = slices.DeleteFunc(targets, func(t *wire.Target) bool { return t.State == registry.Gone })
+		u.Snapshot = true
+		w.first = false
+	}
+	u.Targets = targets
+	w.sequence = sequence
+	if all := p.cfg.Blocker.All(); len(all) != w.poisons {
+		u.Poisons = all
+		w.poisons = len(all)
+	}
+	return u, changed, nil
+}
+
+// fill adds the configuration: the changed sections if the version that the
+// watcher has is still known here, else the whole document.
+func (p *Publisher) fill(u *wire.Update, held uint64, state *wire.ReadReply) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	current, err := p.current(state)
+	if err != nil {
+		return err
+	}
+	for _, old := range p.history {
+		if old.Version() == held {
+			u.Replaces = held
+			u.Sections = current.Changes(old)
+			return nil
+		}
+	}
+	u.Document = state.Document
+	return nil
+}
+
+func (p *Publisher) current(state *wire.ReadReply) (*configuration.Configuration, error) {
+	if n := len(p.history); n > 0 && p.history[n-1].Version() == state.Version {
+		return p.history[n-1], nil
+	}
+	c, err := configuration.Parse(state.Document)
+	if err != nil {
+		return nil, err
+	}
+	p.history = append(p.history, c)
+	if len(p.history) > kept {
+		p.history = p.history[1:]
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/registry/doc.go
@@ -0,0 +1,5 @@
+// Package registry holds the targets that are known to an instance. Targets
+// announce themselves every second; an announcement that arrived directly
+// expires after TTL, one that a holder passed on stays until the holder says
+// that the target is gone.
+package registry
--- /dev/null
+++ b/internal/router/doc.go
@@ -0,0 +1,2 @@
+// Package router chooses the target for a request.
+package router
--- /dev/null
+++ b/internal/subscriber/subscriber.go
@@ -0,0 +1,292 @@
+package subscriber
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/blocker"
+	"github.com/papayapond/papayapond/internal/configuration"
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/registry"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	// silence is the time without an update after which a stream is dead. The
+	// publisher sends one at least every second.
+	silence = 3 * time.Second
+	// homeInterval is the time after which a stream to a holder of another
+	// zone is ended to try the nearest one again.
+	homeInterval = 5 * time.Second
+	// retryDelay is the pause after all holders have failed.
+	retryDelay = 200 * time.Millisecond
+	// staleAfter is the age of the last word from a holder with a quorum after
+	// which this instance counts as stale.
+	staleAfter = 10 * time.Second
+	fileName   = "configuration.toml"
+)
+
+// Config configures a Subscriber.
+type Config struct {
+	// Name and Zone are those of this instance.
+	Name, Zone string
+	// Path is the data folder, or empty if the instance has no disk.
+	Path string
+	// Holders are the names of all holders, the nearest first.
+	Holders []string
+	// Watch opens a stream to a holder.
+	Watch func(ctx context.Context, holder string, request *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error)
+	// Announce passes the state of a target on to a holder.
+	Announce func(ctx context.Context, holder string, request *wire.AnnounceRequest) (*wire.AnnounceReply, error)
+	// Silent is called when a stream has gone silent.
+	Silent   func()
+	Registry *registry.Registry
+	Blocker  *blocker.Blocker
+	Now      func() time.Time
+	Logger   *zap.Logger
+}
+
+// Subscriber holds the configuration in force on this instance. It is safe
+// for concurrent use.
+type Subscriber struct {
+	cfg     Config
+	current atomic.Pointer[configuration.Configuration]
+	phase   atomic.Pointer[string]
+	quorum  atomic.Int64 // time of the last update from a holder with a quorum
+
+	mu       sync.Mutex
+	attached string
+	changed  chan struct{}
+}
+
+// New returns a subscriber with the configuration that was stored last, if
+// there is one.
+func New(cfg Config) (*Subscriber, error) {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	s := &Subscriber{cfg: cfg, changed: make(chan struct{})}
+	phase := ""
+	s.phase.Store(&phase)
+	if cfg.Path == "" {
+		return s, nil
+	}
+	text, err := os.ReadFile(filepath.Join(cfg.Path, fileName))
+	if os.IsNotExist(err) {
+		return s, nil
+	}
+	if err != nil {
+		return nil, eris.Wrapf(fault.Corrupt, "stored configuration: %v", err)
+	}
+	c, err := configuration.Parse(text)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Corrupt, "stored configuration: %v", err)
+	}
+	s.current.Store(c)
+	return s, nil
+}
+
+// Current returns the configuration in force here, or nil before the first.
+func (s *Subscriber) Current() *configuration.Configuration { return s.current.Load() }
+
+// Version returns the version of the configuration in force here, or 0.
+func (s *Subscriber) Version() uint64 {
+	if c := s.current.Load(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+// Phase returns the phase of the venture: open, dissolving, closed, or empty
+// if no holder has told it since the start.
+func (s *Subscriber) Phase() string { return *s.phase.Load() }
+
+// IsStale tells whether no holder with a quorum has been heard lately.
+func (s *Subscriber) IsStale() bool {
+	return s.cfg.Now().Sub(time.Unix(0, s.quorum.Load())) > staleAfter
+}
+
+// Changed returns a channel that is closed at the next configuration.
+func (s *Subscriber) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Holders returns the names of the holders, the one that is being watched
+// first and the others in order of distance.
+func (s *Subscriber) Holders() []string {
+	s.mu.Lock()
+	attached := s.attached
+	s.mu.Unlock()
+	if attached == "" || attached == s.cfg.Holders[0] {
+		return s.cfg.Holders
+	}
+	names := []string{attached}
+	for _, h := range s.cfg.Holders {
+		if h != attached {
+			names = append(names, h)
+		}
+	}
+	return names
+}
+
+// Announce records the state of a target here and passes it on to the holder,
+// together with newly blocked contents. Without a target it passes on the
+// blocked contents alone.
+func (s *Subscriber) Announce(ctx context.Context, t *wire.Target) error {
+	if t != nil {
+		s.cfg.Registry.Announce(t)
+	}
+	request := &wire.AnnounceRequest{Target: t, Instance: s.cfg.Name, Poisons: s.cfg.Blocker.Fresh()}
+	var err error
+	for _, holder := range s.Holders() {
+		if _, err = s.cfg.Announce(ctx, holder, request); err == nil {
+			return nil
+		}
+	}
+	s.cfg.Blocker.Merge(request.Poisons)
+	return eris.Wrapf(err, "announce target %s", t.GetName())
+}
+
+// Run watches holders until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for i, holder := range s.cfg.Holders {
+			if s.watch(ctx, holder, i == 0) {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryDelay):
+		}
+	}
+}
+
+// watch follows one stream until it ends, and reports whether the holder has
+// sent at least one update.
+func (s *Subscriber) watch(ctx context.Context, holder string, home bool) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !home {
+		stop := time.AfterFunc(homeInterval, cancel)
+		defer stop.Stop()
+	}
+	timer := time.AfterFunc(silence, func() {
+		s.cfg.Logger.Warn("Stream went silent.", zap.String("holder", holder))
+		s.cfg.Silent()
+		cancel()
+	})
+	defer timer.Stop()
+	stream, err := s.cfg.Watch(ctx, holder, &wire.WatchRequest{Instance: s.cfg.Name, Zone: s.cfg.Zone, Version: s.Version()})
+	if err != nil {
+		return false
+	}
+	defer stream.Close()
+	received := false
+	for {
+		update, err := stream.Recv()
+		if err != nil {
+			return received
+		}
+		timer.Reset(silence)
+		if !received {
+			s.attach(holder)
+			received = true
+		}
+		if err := s.apply(update); err != nil {
+			s.cfg.Logger.Error("Update can't be applied.", zap.String("holder", holder), zap.Error(err))
+			return received
+		}
+	}
+}
+
+func (s *Subscriber) attach(holder string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attached != holder {
+		s.cfg.Logger.Info("Watching holder.", zap.String("holder", holder))
+	}
+	s.attached = holder
+}
+
+func (s *Subscriber) apply(u *wire.Update) error {
+	if u.Quorum {
+		s.quorum.Store(s.cfg.Now().UnixNano())
+	}
+	if u.Phase != "" {
+		phase := u.Phase
+		s.phase.Store(&phase)
+	}
+	for _, t := range u.Targets {
+		s.cfg.Registry.Pass(t)
+	}
+	s.cfg.Blocker.Merge(u.Poisons)
+	if u.Version <= s.Version() || len(u.Document) == 0 && len(u.Sections) == 0 {
+		return nil
+	}
+	return s.install(u)
+}
+
+// install makes the configuration of an update durable, if there is a disk,
+// and then puts it in force.
+func (s *Subscriber) install(u *wire.Update) error {
+	var next *configuration.Configuration
+	var err error
+	if len(u.Document) > 0 {
+		next, err = configuration.Parse(u.Document)
+	} else {
+		next, err = s.Current().With(u.Sections, u.Version)
+	}
+	if err != nil {
+		return err
+	}
+	if s.cfg.Path != "" {
+		if err := writeFile(s.cfg.Path, next.Text()); err != nil {
+			return eris.Wrapf(fault.Corrupt, "store configuration: %v", err)
+		}
+	}
+	s.current.Store(next)
+	s.cfg.Logger.Info("Configuration in force.", zap.Uint64("version", next.Version()))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+// writeFile replaces the stored configuration atomically and syncs it.
+func writeFile(dir string, text []byte) error {
+	path := filepath.Join(dir, fileName)
+	f, err := os.CreateTemp(dir, fileName)
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	if _, err := f.Write(text); err != nil {
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := os.Rename(f.Name(), path); err != nil {
+		return err
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
