--- /dev/null
+++ b/internal/configuration/difference.go
@@ -0,0 +1,124 @@
+package configuration
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/account"
+)
+
+// Difference returns what is different in other, one line per difference.
+// Hashes of keys are not shown.
+func (c *Configuration) Difference(other *Configuration) []string {
+	before := map[string]*wire.Section{}
+	for _, s := range c.Sections() {
+		before[s.Kind+" "+s.Name] = s
+	}
+	var lines []string
+	for _, s := range other.Changes(c) {
+		id := strings.TrimSpace(s.Kind + " " + s.Name)
+		old, ok := before[s.Kind+" "+s.Name]
+		switch {
+		case len(s.Text) == 0:
+			lines = append(lines, id+": removed")
+		case !ok:
+			lines = append(lines, id+": added")
+		default:
+			for _, d := range compare(old.Text, s.Text) {
+				lines = append(lines, id+": "+d)
+			}
+		}
+	}
+	return lines
+}
+
+// compare returns the differences between two texts of one part.
+func compare(old, text []byte) []string {
+	oldKeys, oldValues := flatten(old)
+	keys, values := flatten(text)
+	var lines []string
+	for _, k := range keys {
+		was, ok := oldValues[k]
+		switch {
+		case ok && was == values[k]:
+		case k == "key" || k == "keys":
+			lines = append(lines, k+": changed")
+		case !ok:
+			lines = append(lines, fmt.Sprintf("%s: added %s", k, values[k]))
+		default:
+			lines = append(lines, fmt.Sprintf("%s: %s -> %s", k, was, values[k]))
+		}
+	}
+	for _, k := range oldKeys {
+		if _, ok := values[k]; !ok {
+			lines = append(lines, fmt.Sprintf("%s: removed %s", k, oldValues[k]))
+		}
+	}
+	return lines
+}
+
+// flatten returns the keys of a printed part in order and their values. The
+// tables of a list are one value each, under the value of their first key.
+func flatten(text []byte) ([]string, map[string]string) {
+	var keys []string
+	values := map[string]string{}
+	for i, table := range bytes.Split(text, []byte("\n\n")) {
+		lines := strings.Split(strings.TrimSpace(string(table)), "\n")
+		if i == 0 {
+			for _, l := range lines {
+				if k, v, ok := strings.Cut(l, " = "); ok {
+					keys = append(keys, k)
+					values[k] = v
+				}
+			}
+			continue
+		}
+		_, list, _ := strings.Cut(strings.Trim(lines[0], "[]"), ".")
+		fields := make([]string, 0, len(lines))
+		for _, l := range lines[1:] {
+			_, v, _ := strings.Cut(l, " = ")
+			fields = append(fields, strings.Trim(v, `"`))
+		}
+		split := len(fields) - 1 // the last field is the value, the others name it
+		k := list + " " + strings.Join(fields[:split], " ")
+		keys = append(keys, k)
+		values[k] = fields[split]
+	}
+	return keys, values
+}
+
+// Follow checks that this configuration may replace a previous one: the name
+// of the venture stays, budgets never fall, and top-ups never change or
+// vanish. An account may be removed as a whole; its tokens stay in the books.
+// Follow returns one line per problem.
+func (c *Configuration) Follow(previous *Configuration) []string {
+	var problems []string
+	report := func(format string, args ...any) {
+		problems = append(problems, fmt.Sprintf(format, args...))
+	}
+	if c.venture.Name != previous.venture.Name {
+		report("name: %q, expected %q as before", c.venture.Name, previous.venture.Name)
+	}
+	if c.venture.Version <= previous.venture.Version {
+		report("version: %d, expected a number above %d", c.venture.Version, previous.venture.Version)
+	}
+	for i := range c.venture.Accounts {
+		a := &c.venture.Accounts[i]
+		old, ok := previous.accounts[a.Name]
+		if !ok {
+			continue
+		}
+		if a.Budget < old.Budget {
+			report("account %s: budget %d, expected %d or more as before", a.Name, a.Budget, old.Budget)
+		}
+		for _, t := range old.Topups {
+			if !slices.Contains(a.Topups, account.Topup{Name: t.Name, Tokens: t.Tokens}) {
+				report("account %s: top-up %s of %d tokens was accepted and is missing or changed", a.Name, t.Name, t.Tokens)
+			}
+		}
+	}
+	return problems
+}
--- /dev/null
+++ b/internal/configuration/section.go
@@ -0,0 +1,151 @@
+package configuration
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/account"
+	"github.com/papayapond/papayapond/pkg/group"
+	"github.com/papayapond/papayapond/pkg/model"
+	"github.com/papayapond/papayapond/pkg/printer"
+	"github.com/papayapond/papayapond/pkg/service"
+	"github.com/papayapond/papayapond/pkg/venture"
+)
+
+// Kinds of sections. There is one section of headKind, with an empty name.
+const (
+	headKind      = "venture"
+	operatorKind  = "operator"
+	modelKind     = "model"
+	serviceKind   = "service"
+	groupKind     = "group"
+	accountKind   = "account"
+	objectiveKind = "objective"
+)
+
+// Sections returns all parts as sections, without the version.
+func (c *Configuration) Sections() []*wire.Section {
+	v := c.venture
+	s := []*wire.Section{{Kind: headKind, Text: printer.Head(v)}}
+	s = list(s, operatorKind, v.Operators, func(o *venture.Operator) string { return o.Name }, printer.Operator)
+	s = list(s, modelKind, v.Models, func(m *model.Model) string { return m.Name }, printer.Model)
+	s = list(s, serviceKind, v.Services, func(s *service.Service) string { return s.Name }, printer.Service)
+	s = list(s, groupKind, v.Groups, func(g *group.Group) string { return g.Name }, printer.Group)
+	s = list(s, accountKind, v.Accounts, func(a *account.Account) string { return a.Name }, printer.Account)
+	return list(s, objectiveKind, v.Objectives, func(o *venture.Objective) string { return o.Name }, printer.Objective)
+}
+
+// Changes returns the sections that lead from an earlier configuration to
+// this one. A section without text is removed.
+func (c *Configuration) Changes(from *Configuration) []*wire.Section {
+	before := map[string]*wire.Section{}
+	for _, s := range from.Sections() {
+		before[s.Kind+" "+s.Name] = s
+	}
+	var changes []*wire.Section
+	for _, s := range c.Sections() {
+		id := s.Kind + " " + s.Name
+		if old, ok := before[id]; !ok || !bytes.Equal(old.Text, s.Text) {
+			changes = append(changes, s)
+		}
+		delete(before, id)
+	}
+	for _, s := range from.Sections() {
+		if _, ok := before[s.Kind+" "+s.Name]; ok {
+			changes = append(changes, &wire.Section{Kind: s.Kind, Name: s.Name})
+		}
+	}
+	return changes
+}
+
+// With returns the configuration after the given sections have replaced or
+// removed theirs, under a new version that replaces this one. The error wraps
+// fault.Malformed and lists every problem.
+func (c *Configuration) With(sections []*wire.Section, version uint64) (*Configuration, error) {
+	v := c.venture
+	v.Version, v.Replaces = version, c.venture.Version
+	var problems []problem
+	for _, s := range sections {
+		problems = append(problems, apply(&v, s)...)
+	}
+	for _, p := range check(v) {
+		problems = append(problems, problem{text: p.text})
+	}
+	if len(problems) > 0 {
+		return nil, malformed(problems)
+	}
+	normalise(&v)
+	return index(v), nil
+}
+
+// apply changes v by one section. It returns the problems of the section.
+func apply(v *venture.Venture, s *wire.Section) []problem {
+	part := venture.Venture{Reserve: v.Reserve}
+	d := newDecoder(s.Text)
+	d.decode(&part)
+	if len(d.problems) > 0 {
+		for i, p := range d.problems {
+			d.problems[i] = problem{text: fmt.Sprintf("%s %s, line %d: %s", s.Kind, s.Name, p.line, p.text)}
+		}
+		return d.problems
+	}
+	normalise(&part)
+	var ok bool
+	switch s.Kind {
+	case headKind:
+		ok = len(s.Text) > 0
+		v.Name, v.Start, v.End, v.Reserve = part.Name, part.Start, part.End, part.Reserve
+	case operatorKind:
+		ok = replace(&v.Operators, part.Operators, s, func(o *venture.Operator) string { return o.Name })
+	case modelKind:
+		ok = replace(&v.Models, part.Models, s, func(m *model.Model) string { return m.Name })
+	case serviceKind:
+		ok = replace(&v.Services, part.Services, s, func(s *service.Service) string { return s.Name })
+	case groupKind:
+		ok = replace(&v.Groups, part.Groups, s, func(g *group.Group) string { return g.Name })
+	case accountKind:
+		ok = replace(&v.Accounts, part.Accounts, s, func(a *account.Account) string { return a.Name })
+	case objectiveKind:
+		ok = replace(&v.Objectives, part.Objectives, s, func(o *venture.Objective) string { return o.Name })
+	default:
+		return []problem{{text: fmt.Sprintf("%q: unknown kind of section", s.Kind)}}
+	}
+	if !ok {
+		return []problem{{text: fmt.Sprintf("%s %q: the section doesn't hold exactly this part", s.Kind, s.Name)}}
+	}
+	return nil
+}
+
+// replace puts the part of a section into the sorted parts, which it copies.
+// It returns false if the section holds another number of parts or a part of
+// another name.
+func replace[T any](parts *[]T, given []T, s *wire.Section, name func(*T) string) bool {
+	i, found := slices.BinarySearchFunc(*parts, s.Name, func(p T, n string) int {
+		return strings.Compare(name(&p), n)
+	})
+	switch {
+	case len(s.Text) == 0:
+		if found {
+			*parts = slices.Concat((*parts)[:i], (*parts)[i+1:])
+		}
+		return true
+	case len(given) != 1 || name(&given[0]) != s.Name:
+		return false
+	case found:
+		*parts = slices.Clone(*parts)
+		(*parts)[i] = given[0]
+	default:
+		*parts = slices.Concat((*parts)[:i], given, (*parts)[i:])
+	}
+	return true
+}
+
+func list[T any](s []*wire.Section, kind string, parts []T, name func(*T) string, lines func(T) []byte) []*wire.Section {
+	for i := range parts {
+		s = append(s, &wire.Section{Kind: kind, Name: name(&parts[i]), Text: lines(parts[i])})
+	}
+	return s
+}
