--- /dev/null
+++ b/cmd/papayapond/main.go
@@ -0,0 +1,52 @@
+// Command papayapond runs an instance of the fleet and is the operators'
+// command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+type arguments struct {
+	Serve     *serveCommand     `arg:"subcommand:serve" help:"run an instance of the fleet"`
+	Demo      *demoCommand      `arg:"subcommand:demo" help:"run a small fleet with stand-in targets in one process"`
+	Sample    *sampleCommand    `arg:"subcommand:sample" help:"write settings and a configuration for a sample fleet"`
+	Check     *checkCommand     `arg:"subcommand:check" help:"check a settings or configuration file"`
+	Apply     *applyCommand     `arg:"subcommand:apply" help:"submit a configuration and wait until it is in force"`
+	Topup     *topupCommand     `arg:"subcommand:topup" help:"add prepaid tokens to a client account"`
+	Fleet     *fleetCommand     `arg:"subcommand:fleet" help:"show instances, targets and the control members"`
+	Statement *statementCommand `arg:"subcommand:statement" help:"show the books of one client account"`
+	Books     *booksCommand     `arg:"subcommand:books" help:"show the books of the venture"`
+	Dissolve  *dissolveCommand  `arg:"subcommand:dissolve" help:"dissolve the venture and close its books"`
+}
+
+// Description is printed by --help.
+func (arguments) Description() string {
+	return "papayapond routes requests of client accounts with prepaid token budgets to model engines and services.\n" +
+		"Start with: papayapond demo"
+}
+
+// runner is one subcommand.
+type runner interface {
+	run(ctx context.Context) error
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	command, ok := parser.Subcommand().(runner)
+	if !ok {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(fault.Malformed.Exit())
+	}
+	if err := command.run(context.Background()); err != nil && !errors.Is(err, context.Canceled) {
+		fmt.Fprintln(os.Stderr, "papayapond:", err)
+		os.Exit(fault.Of(err).Exit())
+	}
+}
--- /dev/null
+++ b/cmd/papayapond/serve.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/daemon"
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/settings"
+)
+
+type serveCommand struct {
+	Settings string `arg:"positional,required" help:"settings file (TOML)"`
+}
+
+func (c *serveCommand) run(ctx context.Context) error {
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(s.Level)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = logger.Sync() }()
+	d, err := daemon.New(daemon.Config{Settings: s, Logger: logger.With(zap.String("instance", s.Name))})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	logger.Info("Instance started.", zap.String("instance", s.Name), zap.String("zone", s.Zone), zap.String("public", s.Public))
+	<-signals
+	logger.Info("Instance is draining.", zap.String("instance", s.Name))
+	go func() {
+		<-signals
+		fmt.Fprintln(os.Stderr, "papayapond: second signal, stopping at once")
+		os.Exit(fault.Draining.Exit())
+	}()
+	stop, cancel := context.WithTimeout(ctx, s.DrainTime())
+	defer cancel()
+	if err := d.Stop(stop); err != nil {
+		return err
+	}
+	logger.Info("Instance stopped.", zap.String("instance", s.Name))
+	return nil
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	l, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Malformed, "log level: %v", err)
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = l
+	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
+	cfg.Sampling = nil
+	logger, err := cfg.Build()
+	return logger, eris.Wrap(err, "logger")
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,81 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+// Config configures a Client.
+type Config struct {
+	// Address is the operators' address of an instance, host:port.
+	Address string
+	// Key is the key of an operator.
+	Key string
+	// HTTP is used for the calls if it isn't nil.
+	HTTP *http.Client
+}
+
+// Client calls one instance. Its errors wrap the kind that the instance
+// answered with, or fault.Unavailable if it can't be reached.
+type Client struct {
+	cfg Config
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.HTTP == nil {
+		cfg.HTTP = http.DefaultClient
+	}
+	return &Client{cfg: cfg}
+}
+
+// Call sends a request and returns the body of the answer. A body of type
+// []byte is sent as it is, any other one as JSON.
+func (c *Client) Call(ctx context.Context, method, path string, body any) ([]byte, error) {
+	var reader io.Reader
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		reader = bytes.NewReader(b)
+	default:
+		text, err := json.Marshal(b)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode request")
+		}
+		reader = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, reader)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Malformed, "%v", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	response, err := c.cfg.HTTP.Do(request)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Unavailable, "%v", err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Unavailable, "%v", err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return answer, nil
+	}
+	var refusal struct {
+		Error struct {
+			Code    string `json:"code"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(answer, &refusal); err != nil || refusal.Error.Code == "" {
+		return nil, eris.Wrapf(fault.Internal, "status %d: %s", response.StatusCode, answer)
+	}
+	return nil, eris.Wrap(fault.Parse(refusal.Error.Code), refusal.Error.Message)
+}
--- /dev/null
+++ b/internal/client/doc.go
@@ -0,0 +1,2 @@
+// Package client calls the operators' API of an instance.
+package client
--- /dev/null
+++ b/internal/daemon/part_books.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"github.com/papayapond/papayapond/internal/controller"
+	"github.com/papayapond/papayapond/internal/holder"
+	"github.com/papayapond/papayapond/internal/kernel"
+	"github.com/papayapond/papayapond/internal/member"
+	"github.com/papayapond/papayapond/internal/reserver"
+	"github.com/papayapond/papayapond/internal/subscriber"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+func (b *builder) holder() fx.Option {
+	return kernel.Part(nameHolder, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		c, err := kernel.Find[*controller.Controller](k, nameController)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		h, err := holder.New(holder.Config{
+			Name: b.settings.Name, Zone: b.settings.Zone, Path: b.settings.Data,
+			Others:    b.others(),
+			Instances: b.zoneInstances,
+			Reserve: func() float64 {
+				if v := s.Current(); v != nil {
+					return v.Venture().Reserve
+				}
+				return 1
+			},
+			Propose: b.peers.propose(b.holders()),
+			Read:    func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
+			Copy: func(ctx context.Context, name string, q *wire.CopyRequest) (*wire.CopyReply, error) {
+				return b.peers.books(name).Copy(ctx, q)
+			},
+			Fetch: func(ctx context.Context, name string, q *wire.FetchRequest) (*wire.FetchReply, error) {
+				return b.peers.books(name).Fetch(ctx, q)
+			},
+			Release: func(ctx context.Context, name string, q *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+				return b.peers.books(name).Release(ctx, q)
+			},
+			Tally: func(ctx context.Context, name string, q *wire.TallyRequest) (*wire.TallyReply, error) {
+				return b.peers.books(name).Tally(ctx, q)
+			},
+			Logger: k.Logger(nameHolder),
+		})
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		return h, kernel.Hook(h.Run), wire.DRPCRegisterBooks(b.mux, h)
+	})
+}
+
+// zoneInstances returns the names of the instances of this zone.
+func (b *builder) zoneInstances() []string {
+	var names []string
+	for _, p := range b.settings.Peers {
+		if p.Zone == b.settings.Zone {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+func (b *builder) reserver() fx.Option {
+	return kernel.Part(nameReserver, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		m, err := kernel.Find[*member.Member](k, nameMember)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		r := reserver.New(reserver.Config{
+			Holding: m.Holding,
+			Holders: s.Holders,
+			Draw: func(ctx context.Context, name string, q *wire.DrawRequest) (*wire.DrawReply, error) {
+				return b.peers.books(name).Draw(ctx, q)
+			},
+			Return: func(ctx context.Context, name string, q *wire.ReturnRequest) (*wire.ReturnReply, error) {
+				return b.peers.books(name).Return(ctx, q)
+			},
+			Settle: func(ctx context.Context, name string, q *wire.SettleRequest) (*wire.SettleReply, error) {
+				return b.peers.books(name).Settle(ctx, q)
+			},
+			Logger: k.Logger(nameReserver),
+		})
+		return r, kernel.Hook(r.Run), nil
+	})
+}
--- /dev/null
+++ b/internal/daemon/part_control.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"context"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/papayapond/papayapond/internal/controller"
+	"github.com/papayapond/papayapond/internal/dissolver"
+	"github.com/papayapond/papayapond/internal/kernel"
+	"github.com/papayapond/papayapond/internal/replicator"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// transferTimeout bounds the transfer of the leadership at a planned stop.
+const transferTimeout = 2 * time.Second
+
+// controller and replicator need each other: the controller is built first
+// and calls the replicator through this holder of the pointer.
+type link struct {
+	log *replicator.Replicator
+}
+
+func (b *builder) controller() fx.Option {
+	return kernel.Part(nameController, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		l := &link{}
+		c := controller.New(controller.Config{
+			Replicate: func(ctx context.Context, command []byte) (uint64, []byte, error) { return l.log.Propose(ctx, command) },
+			Barrier:   func(ctx context.Context) error { return l.log.Barrier(ctx) },
+			Leader:    func() string { return l.log.Leader() },
+			Forward: func(ctx context.Context, leader string, request *wire.ProposeRequest) (*wire.ProposeReply, error) {
+				return b.peers.control(leader).Propose(ctx, request)
+			},
+			Logger: k.Logger(nameController),
+		})
+		b.link = l
+		return c, fx.Hook{}, wire.DRPCRegisterControl(b.mux, c)
+	})
+}
+
+func (b *builder) replicator() fx.Option {
+	return kernel.Part(nameReplicator, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		c, err := kernel.Find[*controller.Controller](k, nameController)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		r, err := replicator.New(replicator.Config{
+			Name:     b.settings.Name,
+			Members:  b.settings.Holders(),
+			Path:     filepath.Join(b.settings.Data, "log"),
+			Apply:    c.Apply,
+			Snapshot: c.Snapshot,
+			Restore:  c.Restore,
+			Vote: func(ctx context.Context, peer string, q *wire.VoteRequest) (*wire.VoteReply, error) {
+				return b.peers.log(peer).Vote(ctx, q)
+			},
+			Append: func(ctx context.Context, peer string, q *wire.AppendRequest) (*wire.AppendReply, error) {
+				return b.peers.log(peer).Append(ctx, q)
+			},
+			Install: func(ctx context.Context, peer string, q *wire.InstallRequest) (*wire.InstallReply, error) {
+				return b.peers.log(peer).Install(ctx, q)
+			},
+			Logger: k.Logger(nameReplicator),
+		})
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		b.link.log = r
+		hook := kernel.Hook(r.Run)
+		stop := hook.OnStop
+		hook.OnStop = func(ctx context.Context) error {
+			transfer, cancel := context.WithTimeout(ctx, transferTimeout)
+			defer cancel()
+			if r.Leader() == b.settings.Name {
+				_ = r.Transfer(transfer)
+			}
+			return stop(ctx)
+		}
+		return r, hook, wire.DRPCRegisterLog(b.mux, r)
+	})
+}
+
+func (b *builder) dissolver() fx.Option {
+	return kernel.Part("dissolver", func(k *kernel.Kernel) (any, fx.Hook, error) {
+		c, err := kernel.Find[*controller.Controller](k, nameController)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		d := dissolver.New(dissolver.Config{
+			Leader:  func() bool { return b.link.log.Leader() == b.settings.Name },
+			Read:    func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
+			Propose: b.peers.propose(b.holders()),
+			Holders: b.holdersByZone(),
+			Release: func(ctx context.Context, holder string, q *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+				ctx, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
+				return unwrap(b.peers.books(holder).Release(ctx, q))
+			},
+			Tally: func(ctx context.Context, holder string, q *wire.TallyRequest) (*wire.TallyReply, error) {
+				ctx, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
+				return unwrap(b.peers.books(holder).Tally(ctx, q))
+			},
+			Logger: k.Logger("dissolver"),
+		})
+		return d, kernel.Hook(d.Run), nil
+	})
+}
--- /dev/null
+++ b/internal/daemon/part_entry.go
@@ -0,0 +1,174 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/fx"
+
+	"github.com/papayapond/papayapond/internal/authenticator"
+	"github.com/papayapond/papayapond/internal/blocker"
+	"github.com/papayapond/papayapond/internal/dispatcher"
+	"github.com/papayapond/papayapond/internal/gateway"
+	"github.com/papayapond/papayapond/internal/kernel"
+	"github.com/papayapond/papayapond/internal/member"
+	"github.com/papayapond/papayapond/internal/operator"
+	"github.com/papayapond/papayapond/internal/registry"
+	"github.com/papayapond/papayapond/internal/reporter"
+	"github.com/papayapond/papayapond/internal/reserver"
+	"github.com/papayapond/papayapond/internal/router"
+	"github.com/papayapond/papayapond/internal/subscriber"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+func (b *builder) authenticator() fx.Option {
+	return kernel.Part(nameAuthenticator, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		return authenticator.New(authenticator.Config{Current: s.Current, Bootstrap: b.settings.Bootstrap}), fx.Hook{}, nil
+	})
+}
+
+func (b *builder) router() fx.Option {
+	return kernel.Part(nameRouter, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		return router.New(router.Config{Zone: b.settings.Zone, Ready: targets.Ready}), fx.Hook{}, nil
+	})
+}
+
+func (b *builder) dispatcher() fx.Option {
+	return kernel.Part(nameDispatcher, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		r, err := kernel.Find[*router.Router](k, nameRouter)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		blocked, err := kernel.Find[*blocker.Blocker](k, nameBlocker)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		d := dispatcher.New(dispatcher.Config{
+			Pick: r.Pick, Done: r.Done,
+			Blocked: blocked.IsBlocked,
+			Blame: func(digest []byte, target string) {
+				blocked.Blame(digest, target)
+				// The holder must know before the caller can retry elsewhere.
+				_ = s.Announce(context.Background(), nil)
+			},
+			Clear:  blocked.Clear,
+			Logger: k.Logger(nameDispatcher),
+		})
+		return d, fx.Hook{OnStop: func(context.Context) error { d.Close(); return nil }}, nil
+	})
+}
+
+func (b *builder) gateway() fx.Option {
+	return kernel.Part(nameGateway, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		cfg := gateway.Config{
+			Zone: b.settings.Zone,
+			Find: func(ctx context.Context, q *wire.FindRequest) (*wire.FindReply, error) {
+				return first(ctx, b.holders(), callTimeout, func(ctx context.Context, name string) (*wire.FindReply, error) {
+					return b.peers.books(name).Find(ctx, q)
+				})
+			},
+			Propose: b.peers.propose(b.holders()),
+			Read:    b.peers.read(b.holders()),
+			Admit: func(context.Context, string, int64, string) (func(), error) {
+				return func() {}, nil
+			},
+			Logger: k.Logger(nameGateway),
+		}
+		m, err := b.fillGateway(k, &cfg)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		g := gateway.New(cfg)
+		flight := g.Flight
+		b.inFlight.Store(&flight)
+		hook := b.httpServer(nameGateway, b.settings.Public, g)
+		shutdown := hook.OnStop
+		hook.OnStop = func(ctx context.Context) error {
+			m.Drain()
+			if err := g.Drain(ctx); err != nil {
+				return err
+			}
+			return shutdown(ctx)
+		}
+		return g, hook, nil
+	})
+}
+
+// fillGateway connects the gateway to the other parts of the instance.
+func (b *builder) fillGateway(k *kernel.Kernel, cfg *gateway.Config) (*member.Member, error) {
+	s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
+	if err != nil {
+		return nil, err
+	}
+	m, err := kernel.Find[*member.Member](k, nameMember)
+	if err != nil {
+		return nil, err
+	}
+	a, err := kernel.Find[*authenticator.Authenticator](k, nameAuthenticator)
+	if err != nil {
+		return nil, err
+	}
+	r, err := kernel.Find[*reserver.Reserver](k, nameReserver)
+	if err != nil {
+		return nil, err
+	}
+	d, err := kernel.Find[*dispatcher.Dispatcher](k, nameDispatcher)
+	if err != nil {
+		return nil, err
+	}
+	targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+	if err != nil {
+		return nil, err
+	}
+	report, err := kernel.Find[*reporter.Reporter](k, nameReporter)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Current, cfg.Phase, cfg.Announce = s.Current, s.Phase, s.Announce
+	cfg.Skew, cfg.Holding = m.Skew, m.Holding
+	cfg.Account, cfg.Group = a.Account, a.Group
+	cfg.Reserve, cfg.Settle, cfg.Cancel = r.Reserve, r.Settle, r.Cancel
+	cfg.Do = d.Do
+	cfg.Observe = report.Observe
+	cfg.Ready = targets.Ready
+	return m, nil
+}
+
+func (b *builder) operator() fx.Option {
+	return kernel.Part("operator", func(k *kernel.Kernel) (any, fx.Hook, error) {
+		a, err := kernel.Find[*authenticator.Authenticator](k, nameAuthenticator)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		holders := b.holdersByZone()
+		cfg := operator.Config{
+			Operator: a.Operator,
+			Propose:  b.peers.propose(b.holders()),
+			Read:     b.peers.read(b.holders()),
+			Tally:    b.peers.tally(holders),
+			List: func(ctx context.Context) (*wire.ListReply, error) {
+				return first(ctx, b.holders(), callTimeout, func(ctx context.Context, name string) (*wire.ListReply, error) {
+					return b.peers.fleet(name).List(ctx, &wire.ListRequest{})
+				})
+			},
+			Logger: k.Logger("operator"),
+		}
+		for zone := range holders {
+			cfg.Zones = append(cfg.Zones, zone)
+		}
+		var handler http.Handler = operator.New(cfg)
+		return handler, b.httpServer("operator", b.settings.Operator, handler), nil
+	})
+}
--- /dev/null
+++ b/internal/daemon/part_fleet.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"github.com/papayapond/papayapond/internal/blocker"
+	"github.com/papayapond/papayapond/internal/controller"
+	"github.com/papayapond/papayapond/internal/holder"
+	"github.com/papayapond/papayapond/internal/kernel"
+	"github.com/papayapond/papayapond/internal/member"
+	"github.com/papayapond/papayapond/internal/publisher"
+	"github.com/papayapond/papayapond/internal/registry"
+	"github.com/papayapond/papayapond/internal/subscriber"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+func (b *builder) subscriber() fx.Option {
+	return kernel.Part(nameSubscriber, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		blocked, err := kernel.Find[*blocker.Blocker](k, nameBlocker)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		cfg := subscriber.Config{
+			Name: b.settings.Name, Zone: b.settings.Zone, Holders: b.holders(),
+			Watch: func(ctx context.Context, name string, q *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error) {
+				return b.peers.fleet(name).Watch(ctx, q)
+			},
+			Announce: func(ctx context.Context, name string, q *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
+				ctx, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
+				return unwrap(b.peers.fleet(name).Announce(ctx, q))
+			},
+			Silent:   b.peers.dialer.Renew,
+			Registry: targets, Blocker: blocked, Logger: k.Logger(nameSubscriber),
+		}
+		if b.settings.Disk {
+			cfg.Path = b.settings.Data
+		}
+		s, err := subscriber.New(cfg)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		return s, kernel.Hook(s.Run), nil
+	})
+}
+
+func (b *builder) member() fx.Option {
+	return kernel.Part(nameMember, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		m := member.New(member.Config{
+			Self:    &wire.Peer{Name: b.settings.Name, Zone: b.settings.Zone, Address: b.settings.Peer, Public: b.settings.Public},
+			Holder:  b.settings.Disk,
+			Holders: b.holders,
+			Beat: func(ctx context.Context, name string, q *wire.BeatRequest) (*wire.BeatReply, error) {
+				return b.peers.fleet(name).Beat(ctx, q)
+			},
+			Refused: isRefused,
+			Version: s.Version,
+			Flight:  b.flight,
+			Fence:   b.fence(k),
+			Logger:  k.Logger(nameMember),
+		})
+		return m, kernel.Hook(m.Run), nil
+	})
+}
+
+// fence returns the function that fences an incarnation in the ledger of this
+// instance. The holder is built after the member, so it is found when needed.
+func (b *builder) fence(k *kernel.Kernel) func(string, uint64) error {
+	if !b.settings.Disk {
+		return nil
+	}
+	return func(instance string, incarnation uint64) error {
+		h, err := kernel.Find[*holder.Holder](k, nameHolder)
+		if err != nil {
+			return err
+		}
+		l := h.Ledger()
+		if l == nil {
+			return nil
+		}
+		return l.Fence(instance, incarnation)
+	}
+}
+
+func (b *builder) publisher() fx.Option {
+	return kernel.Part(namePublisher, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		blocked, err := kernel.Find[*blocker.Blocker](k, nameBlocker)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		c, err := kernel.Find[*controller.Controller](k, nameController)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		m, err := kernel.Find[*member.Member](k, nameMember)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		p := publisher.New(publisher.Config{
+			Registry: targets, Blocker: blocked,
+			Read:    func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
+			Changed: c.Changed,
+			Peers:   m.Peers,
+			Quorum:  func() bool { return b.link.log.Leader() != "" },
+			Logger:  k.Logger(namePublisher),
+		})
+		return p, fx.Hook{}, nil
+	})
+}
+
+// fleetServer serves the drpc service Fleet. An instance without a disk only
+// answers heartbeats, so that it can be probed.
+type fleetServer struct {
+	*publisher.Publisher
+	member *member.Member
+}
+
+// Beat takes the heartbeat of another instance.
+func (f *fleetServer) Beat(ctx context.Context, q *wire.BeatRequest) (*wire.BeatReply, error) {
+	return f.member.Beat(ctx, q)
+}
+
+// beatServer is the service of an instance without a disk.
+type beatServer struct {
+	wire.DRPCFleetUnimplementedServer
+	member *member.Member
+}
+
+// Beat answers a probe.
+func (f *beatServer) Beat(ctx context.Context, q *wire.BeatRequest) (*wire.BeatReply, error) {
+	return f.member.Beat(ctx, q)
+}
+
+func (b *builder) fleet() fx.Option {
+	return kernel.Part("fleet", func(k *kernel.Kernel) (any, fx.Hook, error) {
+		m, err := kernel.Find[*member.Member](k, nameMember)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		if !b.settings.Disk {
+			return m, fx.Hook{}, wire.DRPCRegisterFleet(b.mux, &beatServer{member: m})
+		}
+		p, err := kernel.Find[*publisher.Publisher](k, namePublisher)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		return m, fx.Hook{}, wire.DRPCRegisterFleet(b.mux, &fleetServer{Publisher: p, member: m})
+	})
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,206 @@
+package operator
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/papayapond/papayapond/internal/configuration"
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// maxBody bounds a configuration, in bytes.
+const maxBody = 64 << 20
+
+// Config configures an Operator.
+type Config struct {
+	// Operator finds the owner of an operator's key.
+	Operator func(key string) (string, error)
+	// Propose sends a command to the control members, Read reads their state.
+	Propose func(ctx context.Context, command *wire.Command) (*wire.ProposeReply, error)
+	Read    func(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error)
+	// Tally asks the ledger of each zone; zones that don't answer are missing
+	// in the result.
+	Tally func(ctx context.Context, request *wire.TallyRequest) map[string]*wire.TallyReply
+	// List asks a holder for all instances and targets.
+	List func(ctx context.Context) (*wire.ListReply, error)
+	// Zones are the zones that have a holder.
+	Zones  []string
+	Logger *zap.Logger
+}
+
+// Operator is the HTTP handler for operators.
+type Operator struct {
+	cfg Config
+	mux *mux.Router
+}
+
+// New returns the handler.
+func New(cfg Config) *Operator {
+	o := &Operator{cfg: cfg, mux: mux.NewRouter()}
+	o.mux.HandleFunc("/v1/configuration", o.serve(o.submit)).Methods(http.MethodPut)
+	o.mux.HandleFunc("/v1/configuration", o.serve(o.configuration)).Methods(http.MethodGet)
+	o.mux.HandleFunc("/v1/topups", o.serve(o.topup)).Methods(http.MethodPost)
+	o.mux.HandleFunc("/v1/fleet", o.serve(o.fleet)).Methods(http.MethodGet)
+	o.mux.HandleFunc("/v1/accounts/{name}/statement", o.serve(o.statement)).Methods(http.MethodGet)
+	o.mux.HandleFunc("/v1/books", o.serve(o.books)).Methods(http.MethodGet)
+	o.mux.HandleFunc("/v1/dissolution", o.serve(o.dissolve)).Methods(http.MethodPost)
+	o.mux.HandleFunc("/v1/orders", o.serve(o.order)).Methods(http.MethodPost)
+	return o
+}
+
+// ServeHTTP serves one request.
+func (o *Operator) ServeHTTP(w http.ResponseWriter, r *http.Request) { o.mux.ServeHTTP(w, r) }
+
+// call is one authenticated request of an operator.
+type call struct {
+	http.ResponseWriter
+	request  *http.Request
+	operator string
+}
+
+func (o *Operator) serve(handle func(*call) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		name, err := o.cfg.Operator(key)
+		if err == nil {
+			err = handle(&call{w, r, name})
+		}
+		if err == nil {
+			return
+		}
+		kind := fault.Of(err)
+		o.cfg.Logger.Info("Call refused.", zap.String("operator", name), zap.String("path", r.URL.Path), zap.String("code", kind.Code()), zap.String("cause", err.Error()))
+		type detail struct {
+			Code    string `json:"code"`
+			Message string `json:"message"`
+		}
+		write(w, kind.HTTP(), struct {
+			Error detail `json:"error"`
+		}{detail{kind.Code(), err.Error()}})
+	}
+}
+
+func (o *Operator) submit(c *call) error {
+	text, err := io.ReadAll(io.LimitReader(c.request.Body, maxBody))
+	if err != nil {
+		return eris.Wrapf(fault.Malformed, "body: %v", err)
+	}
+	parsed, err := configuration.Parse(text)
+	if err != nil {
+		return err
+	}
+	command := &wire.Command{Change: &wire.Command_Configure{Configure: &wire.Configure{
+		Document: text, Version: parsed.Version(), Replaces: parsed.Replaces(), Operator: c.operator,
+	}}}
+	if _, err := o.propose(c, command); err != nil {
+		return err
+	}
+	write(c, http.StatusOK, struct {
+		Version uint64 `json:"version"`
+		Digest  string `json:"digest"`
+	}{parsed.Version(), hex.EncodeToString(parsed.Digest())})
+	return nil
+}
+
+func (o *Operator) configuration(c *call) error {
+	state, err := o.cfg.Read(c.request.Context(), &wire.ReadRequest{Document: true})
+	if err != nil {
+		return err
+	}
+	if len(state.Document) == 0 {
+		return eris.Wrap(fault.Missing, "no configuration has been accepted yet")
+	}
+	c.Header().Set("Content-Type", "application/toml")
+	_, err = c.Write(state.Document)
+	return eris.Wrap(err, "write answer")
+}
+
+func (o *Operator) topup(c *call) error {
+	var body struct {
+		Name    string `json:"name"`
+		Account string `json:"account"`
+		Tokens  int64  `json:"tokens"`
+	}
+	if err := decode(c, &body); err != nil {
+		return err
+	}
+	if body.Name == "" || body.Account == "" || body.Tokens <= 0 {
+		return eris.Wrap(fault.Malformed, "name, account and tokens (greater than 0) are required")
+	}
+	_, err := o.propose(c, &wire.Command{Change: &wire.Command_Topup{Topup: &wire.Topup{Name: body.Name, Account: body.Account, Tokens: body.Tokens, Operator: c.operator}}})
+	if err != nil {
+		return err
+	}
+	write(c, http.StatusOK, body)
+	return nil
+}
+
+func (o *Operator) dissolve(c *call) error {
+	if _, err := o.propose(c, &wire.Command{Change: &wire.Command_Dissolve{Dissolve: &wire.Dissolve{Operator: c.operator}}}); err != nil {
+		return err
+	}
+	return o.books(c)
+}
+
+// order issues an order to a target with the next fencing number.
+func (o *Operator) order(c *call) error {
+	var body struct {
+		Target  string `json:"target"`
+		Verb    string `json:"verb"`
+		Subject string `json:"subject"`
+		Request string `json:"request"`
+	}
+	if err := decode(c, &body); err != nil {
+		return err
+	}
+	reply, err := o.propose(c, &wire.Command{Change: &wire.Command_Order{Order: &wire.Order{Target: body.Target, Verb: body.Verb, Subject: body.Subject, Request: body.Request}}})
+	if err != nil {
+		return err
+	}
+	var result wire.OrderResult
+	if err := proto.Unmarshal(reply.Result, &result); err != nil {
+		return eris.Wrap(err, "order")
+	}
+	write(c, http.StatusOK, struct {
+		Fence uint64 `json:"fence"`
+	}{result.Fence})
+	return nil
+}
+
+func (o *Operator) propose(c *call, command *wire.Command) (*wire.ProposeReply, error) {
+	reply, err := o.cfg.Propose(c.request.Context(), command)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Fault != nil {
+		return nil, eris.Wrap(fault.Parse(reply.Fault.Code), reply.Fault.Text)
+	}
+	return reply, nil
+}
+
+func decode(c *call, body any) error {
+	d := json.NewDecoder(io.LimitReader(c.request.Body, maxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(body); err != nil {
+		return eris.Wrapf(fault.Malformed, "body: %v", err)
+	}
+	return nil
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(body)
+}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -34,6 +34,8 @@
 	// Changed returns a channel that is closed at the next change of the
 	// configuration or the phase.
 	Changed func() <-chan struct{}
+	// Peers returns the known instances.
+	Peers func() []*wire.Peer
 	// Quorum tells whether the local control member hears a leader.
 	Quorum func() bool
 	// Now returns the current time.
@@ -164,3 +166,9 @@
 	}
 	return c, nil
 }
+
+// List returns the instances and the targets that this holder knows.
+func (p *Publisher) List(context.Context, *wire.ListRequest) (*wire.ListReply, error) {
+	targets, _, _ := p.cfg.Registry.Since("", 0)
+	return &wire.ListReply{Peers: p.cfg.Peers(), Targets: targets}, nil
+}
--- /dev/null
+++ b/internal/reporter/doc.go
@@ -0,0 +1,3 @@
+// Package reporter counts what callers see and serves the figures of an
+// instance in the Prometheus format.
+package reporter
--- /dev/null
+++ b/test/fleet/fleet_test.go
@@ -0,0 +1,342 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/client"
+	"github.com/papayapond/papayapond/internal/sampler"
+)
+
+// patience bounds the wait for a state that the fleet must reach. It is far
+// above the expected times, so that a busy machine doesn't fail a test.
+const patience = 30 * time.Second
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "papayapond")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// fleet is a set of processes on free loopback ports.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	sampler *sampler.Sampler
+	names   []string
+	ports   []string
+	procs   map[string]*process
+	relays  map[[2]int]*relay
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan error
+	log  string
+}
+
+// start starts the instances of a fleet with the given numbers per zone and
+// submits the sample configuration. If cuttable is set, connections between
+// zones run through relays.
+func start(t *testing.T, zones []int, budget int64, cuttable bool) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), procs: map[string]*process{}, relays: map[[2]int]*relay{}}
+	total := 0
+	for _, n := range zones {
+		total += n
+	}
+	f.ports = freeAddresses(t, total*4)
+	now := time.Now().UTC()
+	cfg := sampler.Config{
+		Zones: zones, Data: filepath.Join(f.dir, "data"), Budget: budget,
+		Address: func(i, server int) string { return f.ports[i*4+server] },
+		Start:   now.AddDate(0, 0, -1), End: now.AddDate(0, 0, 1),
+	}
+	if cuttable {
+		cfg.Peer = f.relayed(zones)
+	}
+	f.sampler = sampler.New(cfg)
+	f.names = f.sampler.Names()
+	t.Cleanup(f.stop)
+	for i := range f.names {
+		f.serve(i)
+	}
+	f.eventually("accept the configuration", func() error {
+		_, err := f.client(0).Call(t.Context(), http.MethodPut, "/v1/configuration", f.sampler.Configuration())
+		return err
+	})
+	for i := range f.names {
+		f.eventually("be ready", func() error { return f.ready(i) })
+	}
+	return f
+}
+
+// relayed returns the addresses of peers: direct inside a zone, through a
+// relay between zones.
+func (f *fleet) relayed(zones []int) func(from, to int) string {
+	var zoneOf []int
+	for z, n := range zones {
+		for range n {
+			zoneOf = append(zoneOf, z)
+		}
+	}
+	for from := range zoneOf {
+		for to := range zoneOf {
+			if zoneOf[from] != zoneOf[to] {
+				f.relays[[2]int{from, to}] = newRelay(f.t, f.ports[to*4+2])
+			}
+		}
+	}
+	return func(from, to int) string {
+		if r := f.relays[[2]int{from, to}]; r != nil {
+			return r.address()
+		}
+		return f.ports[to*4+2]
+	}
+}
+
+// cut separates the instances for which side is true from the others, or
+// joins them again.
+func (f *fleet) cut(side func(i int) bool, on bool) {
+	for pair, r := range f.relays {
+		if side(pair[0]) != side(pair[1]) {
+			r.cut(on)
+		}
+	}
+}
+
+func (f *fleet) serve(i int) {
+	f.t.Helper()
+	path := filepath.Join(f.dir, f.names[i]+".toml")
+	if err := os.WriteFile(path, f.sampler.Settings(i), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.spawn(f.names[i], "papayapond", "serve", path)
+}
+
+// engine starts a stand-in engine that announces itself to the given
+// instances, and waits until each of them routes to it.
+func (f *fleet) engine(name, zone string, entries []int, args ...string) {
+	f.t.Helper()
+	all := []string{"--name", name, "--zone", zone, "--address", "127.0.0.1:0", "--model", sampler.Model, "--key", sampler.EngineKey, "--output", "64", "--shortest", "1"}
+	for _, i := range entries {
+		all = append(all, "--entry", f.public(i))
+	}
+	f.spawn(name, "papayaengine", append(all, args...)...)
+}
+
+func (f *fleet) orders(name, zone string, entries []int, args ...string) {
+	f.t.Helper()
+	all := []string{"--name", name, "--zone", zone, "--address", "127.0.0.1:0", "--key", sampler.OrderKey}
+	for _, i := range entries {
+		all = append(all, "--entry", f.public(i))
+	}
+	f.spawn(name, "papayaorder", append(all, args...)...)
+}
+
+func (f *fleet) spawn(name, program string, args ...string) {
+	f.t.Helper()
+	log := filepath.Join(f.dir, name+".log")
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer out.Close()
+	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	p := &process{cmd: cmd, done: make(chan error, 1), log: log}
+	go func() { p.done <- cmd.Wait() }()
+	f.procs[name] = p
+}
+
+func (f *fleet) signal(name string, s syscall.Signal) {
+	f.t.Helper()
+	if err := f.procs[name].cmd.Process.Signal(s); err != nil {
+		f.t.Fatalf("signal %s: %v", name, err)
+	}
+}
+
+// kill ends a process at once and waits for its end.
+func (f *fleet) kill(name string) {
+	f.t.Helper()
+	f.signal(name, syscall.SIGKILL)
+	<-f.procs[name].done
+	delete(f.procs, name)
+}
+
+func (f *fleet) stop() {
+	for _, p := range f.procs {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	for _, r := range f.relays {
+		r.close()
+	}
+	if !f.t.Failed() {
+		return
+	}
+	for name := range f.procs {
+		text, _ := os.ReadFile(filepath.Join(f.dir, name+".log"))
+		lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+		f.t.Logf("last lines of %s:\n%s", name, strings.Join(lines[max(0, len(lines)-15):], "\n"))
+	}
+}
+
+func (f *fleet) public(i int) string { return f.ports[i*4] }
+
+func (f *fleet) client(i int) *client.Client {
+	return client.New(client.Config{Address: f.ports[i*4+1], Key: sampler.OperatorKey})
+}
+
+// eventually repeats an attempt until it succeeds.
+func (f *fleet) eventually(what string, attempt func() error) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := attempt()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("did not %s within %v: %v", what, patience, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (f *fleet) ready(i int) error {
+	r, err := http.Get("http://" + f.public(i) + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s is not ready", f.names[i])
+	}
+	return nil
+}
+
+// routes waits until an instance has a target for the sample model.
+func (f *fleet) routes(i int) {
+	f.t.Helper()
+	f.eventually("route", func() error {
+		a := f.call(i, http.MethodGet, "/v1/models", "", "", sampler.WondimuKey)
+		if !strings.Contains(a.body, `"ready":true`) {
+			return fmt.Errorf("%s has no target: %s", f.names[i], a.body)
+		}
+		return nil
+	})
+}
+
+// answer is what a caller got. Err is set if the connection broke.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+// code returns the code and the run value of a refusal.
+func (a answer) code() (code, run string) {
+	text := a.body
+	if i := strings.Index(text, "event: error\ndata: "); i >= 0 {
+		text = text[i+len("event: error\ndata: "):]
+	}
+	var r struct {
+		Error struct{ Code, Run string }
+	}
+	_ = json.NewDecoder(strings.NewReader(text)).Decode(&r)
+	return r.Error.Code, r.Error.Run
+}
+
+func (f *fleet) call(i int, method, path, body, identity, key string) answer {
+	ctx, cancel := context.WithTimeout(f.t.Context(), patience)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+f.public(i)+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return answer{err: err}
+	}
+	q.Header.Set("Authorization", "Bearer "+key)
+	if identity != "" {
+		q.Header.Set("Idempotency-Key", identity)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	return answer{status: r.StatusCode, body: string(text), header: r.Header, err: err}
+}
+
+// chat sends a completion as the account wondimu.
+func (f *fleet) chat(i int, prompt string, tokens int, stream bool, identity string) answer {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":%v,"messages":[{"role":"user","content":%q}]}`, sampler.Model, tokens, stream, prompt)
+	return f.call(i, http.MethodPost, "/v1/chat/completions", body, identity, sampler.WondimuKey)
+}
+
+// statement is the part of a statement that the tests look at.
+type statement struct {
+	Prepaid, Topups, Unassigned, Assigned, Free, Allowances, Billed, Stranded, Refundable int64
+	Requests                                                                              uint64
+	Missing                                                                               []string
+	Bills                                                                                 []struct {
+		Request string
+		Amount  int64
+		Zone    string
+	}
+}
+
+func (f *fleet) statement(i int, account string) (statement, error) {
+	var s statement
+	text, err := f.client(i).Call(f.t.Context(), http.MethodGet, "/v1/accounts/"+account+"/statement", nil)
+	if err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal(text, &s)
+}
+
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var listeners []net.Listener
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	return addresses
+}
