--- /dev/null
+++ b/internal/journal/compact.go
@@ -0,0 +1,189 @@
+package journal
+
+import (
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+// Truncate drops the records from the position on. The error wraps
+// fault.Missing if the position lies before First or after Next.
+func (j *Journal) Truncate(position uint64) error {
+	j.writing.Lock()
+	defer j.writing.Unlock()
+	if err := j.check(position); err != nil {
+		return err
+	}
+	records, err := j.readAll(j.First(), position)
+	if err != nil {
+		return err
+	}
+	return j.rewrite(j.First(), records)
+}
+
+// Compact stores the snapshot of the state before the position and drops the
+// records before it. Appends wait until it returns. After a write error (for example a full disk) the journal is as before; after a
+// failed sync or rename it refuses all changes.
+func (j *Journal) Compact(snapshot []byte, position uint64) error {
+	j.writing.Lock()
+	defer j.writing.Unlock()
+	if err := j.check(position); err != nil {
+		return err
+	}
+	if err := j.replaceSnapshot(snapshot, position, j.generation); err != nil {
+		return err
+	}
+	records, err := j.readAll(position, j.Next())
+	if err != nil {
+		return err
+	}
+	return j.rewrite(position, records)
+}
+
+// Reset replaces the snapshot and all records by a snapshot of the state
+// before the position.
+func (j *Journal) Reset(snapshot []byte, position uint64) error {
+	j.writing.Lock()
+	defer j.writing.Unlock()
+	if err := j.refusal(); err != nil {
+		return err
+	}
+	if err := j.replaceSnapshot(snapshot, position, j.generation+1); err != nil {
+		return err
+	}
+	if err := j.rewrite(position, nil); err != nil {
+		// The files are of two generations, the old log must not grow.
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		return j.fail(err)
+	}
+	return nil
+}
+
+func (j *Journal) refusal() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.failed
+}
+
+func (j *Journal) check(position uint64) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.failed != nil {
+		return j.failed
+	}
+	if position < j.first || position > j.next {
+		return eris.Wrapf(fault.Missing, "position %d, journal has %d to %d", position, j.first, j.next)
+	}
+	return nil
+}
+
+// readAll returns the records of the range. The caller holds writing.
+func (j *Journal) readAll(from, to uint64) ([][]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var out [][]byte
+	for _, f := range j.frames {
+		if f.end() <= from || f.position >= to {
+			continue
+		}
+		records, err := j.readFrame(f)
+		if err != nil {
+			return nil, err
+		}
+		for i, r := range records {
+			if p := f.position + uint64(i); p >= from && p < to {
+				out = append(out, r)
+			}
+		}
+	}
+	return out, nil
+}
+
+func (j *Journal) replaceSnapshot(data []byte, position, generation uint64) error {
+	if data == nil {
+		data = []byte{}
+	}
+	h := header{generation: generation, position: position}
+	file, err := j.replace(snapshotName, encodeFile(snapshotMagic, h, data))
+	if err != nil {
+		return err
+	}
+	_ = file.Close()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.snapshot, j.first, j.generation = data, position, generation
+	return nil
+}
+
+// rewrite replaces the log by one that holds the records from base on. The
+// caller holds writing, or is Open.
+func (j *Journal) rewrite(base uint64, records [][]byte) error {
+	data := encodeFile(logMagic, header{generation: j.generation, position: base}, nil)
+	var frames []frame
+	next := base
+	for len(records) > 0 {
+		n := chunk(records)
+		start := len(data)
+		data = appendFrame(data, next, records[:n])
+		frames = append(frames, frame{offset: int64(start), size: len(data) - start, position: next, count: n})
+		next += uint64(n)
+		records = records[n:]
+	}
+	return j.replaceLog(data, frames, base, next)
+}
+
+func (j *Journal) replaceLog(data []byte, frames []frame, base, next uint64) error {
+	file, err := j.replace(logName, data)
+	if err != nil {
+		return err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+	j.file, j.frames, j.size = file, frames, int64(len(data))
+	j.base, j.next = base, next
+	return nil
+}
+
+// replace replaces a file atomically and returns it open for appending.
+func (j *Journal) replace(name string, data []byte) (*os.File, error) {
+	path := j.path(name + temporary)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_RDWR|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Corrupt, "create %s: %v", path, err)
+	}
+	if _, err := j.cfg.Write(file, data); err != nil {
+		_ = file.Close()
+		_ = os.Remove(path)
+		return nil, eris.Wrapf(fault.Corrupt, "write %s: %v", path, err)
+	}
+	err = j.cfg.Sync(file)
+	if err == nil {
+		err = j.cfg.Rename(path, j.path(name))
+	}
+	if err == nil {
+		err = j.syncFolder(j.cfg.Path)
+	}
+	if err != nil {
+		_ = file.Close()
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		return nil, j.fail(eris.Wrapf(err, "replace %s", name))
+	}
+	return file, nil
+}
+
+// syncFolder makes the names in a folder durable.
+func (j *Journal) syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return eris.Wrap(err, "open folder")
+	}
+	defer folder.Close()
+	return eris.Wrap(j.cfg.Sync(folder), "sync folder")
+}
--- /dev/null
+++ b/internal/journal/disk_test.go
@@ -0,0 +1,138 @@
+package journal
+
+import (
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"pgregory.net/rapid"
+)
+
+var errDisk = errors.New("input/output error")
+
+// disk remembers which bytes and renames of a folder have been synced, so
+// that a crash can undo the others.
+type disk struct {
+	mu      sync.Mutex
+	path    string
+	random  *rand.Rand
+	synced  map[uint64]int64 // by inode
+	renames []rename
+	syncs   int
+	// broken, if set, is returned by the named operations.
+	breakWrite, breakSync, breakRename error
+}
+
+type rename struct {
+	path    string
+	content []byte
+	existed bool
+}
+
+func newDisk(path string, seed uint64) *disk {
+	return &disk{path: path, random: rand.New(rand.NewPCG(seed, 1)), synced: map[uint64]int64{}}
+}
+
+func (d *disk) config() Config {
+	return Config{Path: d.path, Write: d.write, Sync: d.sync, Rename: d.rename}
+}
+
+func (d *disk) write(f *os.File, data []byte) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.breakWrite != nil {
+		n, _ := f.Write(data[:len(data)/2])
+		return n, d.breakWrite
+	}
+	return f.Write(data)
+}
+
+func (d *disk) sync(f *os.File) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.syncs++
+	if d.breakSync != nil {
+		return d.breakSync
+	}
+	info, err := f.Stat()
+	if err != nil {
+		return err
+	}
+	if info.IsDir() && f.Name() == d.path {
+		d.renames = nil
+	}
+	d.synced[inode(info)] = info.Size()
+	return nil
+}
+
+func (d *disk) rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.breakRename != nil {
+		return d.breakRename
+	}
+	content, err := os.ReadFile(to)
+	d.renames = append(d.renames, rename{path: to, content: content, existed: err == nil})
+	return os.Rename(from, to)
+}
+
+// crash undoes what hasn't been synced: a random number of the last renames,
+// and a random part of the unsynced bytes of each file, some of them garbled.
+func (d *disk) crash(t rapid.TB) {
+	t.Helper()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	keep := d.random.IntN(len(d.renames) + 1)
+	for i := len(d.renames) - 1; i >= keep; i-- {
+		r := d.renames[i]
+		if err := os.Remove(r.path); err != nil {
+			t.Fatal(err)
+		}
+		if r.existed {
+			if err := os.WriteFile(r.path, r.content, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			d.note(t, r.path, int64(len(r.content)))
+		}
+	}
+	d.renames = nil
+	for _, name := range []string{logName, snapshotName} {
+		d.tear(t, filepath.Join(d.path, name))
+	}
+	d.breakWrite, d.breakSync, d.breakRename = nil, nil, nil
+}
+
+func (d *disk) tear(t rapid.TB, path string) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	synced := d.synced[inode(info)]
+	if lost := int64(len(data)) - synced; lost > 0 {
+		data = data[:synced+d.random.Int64N(lost+1)]
+		if d.random.IntN(2) == 0 && int64(len(data)) > synced {
+			data[synced+d.random.Int64N(int64(len(data))-synced)] ^= 0x5a
+		}
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.note(t, path, int64(len(data)))
+}
+
+func (d *disk) note(t rapid.TB, path string, size int64) {
+	info, err := os.Stat(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.synced[inode(info)] = size
+}
+
+func inode(info os.FileInfo) uint64 { return info.Sys().(*syscall.Stat_t).Ino }
--- /dev/null
+++ b/internal/journal/fuzz_test.go
@@ -0,0 +1,36 @@
+package journal
+
+import (
+	"bytes"
+	"testing"
+)
+
+// The decoder reads whatever a crash or a failing disk has left; it must not
+// panic, and what it accepts must be exactly what an append wrote.
+func FuzzDecode(f *testing.F) {
+	one := appendFrame(nil, 7, [][]byte{[]byte("first"), {}})
+	two := appendFrame(bytes.Clone(one), 9, [][]byte{[]byte("second")})
+	f.Add([]byte{}, uint64(0))
+	f.Add(one, uint64(7))
+	f.Add(two, uint64(7))
+	f.Add(two[:len(two)-1], uint64(7))
+	f.Add(two[1:], uint64(7))
+	f.Fuzz(func(t *testing.T, data []byte, position uint64) {
+		frames, size, err := decodeFrames(data, position)
+		if err != nil {
+			return
+		}
+		var again []byte
+		for _, f := range frames {
+			_, records, ok := decodeFrame(data[f.offset-fileHeader:])
+			if !ok {
+				t.Fatalf("frame at %d can't be read again", f.offset)
+			}
+			again = appendFrame(again, f.position, records)
+		}
+		if !bytes.Equal(again, data[:size]) {
+			t.Errorf("got %x, want %x", again, data[:size])
+		}
+		_, _, _ = decodeFile(logMagic, data)
+	})
+}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,283 @@
+package journal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+// An acknowledged record that is lost or changed by a crash would forget a
+// bill; a record that was truncated must not come back.
+func TestCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDisk(filepath.Join(tempDir(t), "journal"), rapid.Uint64().Draw(t, "seed"))
+		j := open(t, d)
+		first, want := uint64(0), [][]byte{} // acknowledged
+		var snapshot []byte
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"append", "append", "fail", "crash", "compact", "truncate", "reset"}).Draw(t, "op") {
+			case "append":
+				records := [][]byte{fmt.Appendf(nil, "%d", step), bytes.Repeat([]byte{byte(step)}, step*10)}
+				if _, err := j.Append(records); err != nil {
+					t.Fatalf("append: %v", err)
+				}
+				want = append(want, records...)
+			case "fail":
+				d.breakSync = errDisk
+				if _, err := j.Append([][]byte{[]byte("unacknowledged")}); !errors.Is(err, fault.Corrupt) {
+					t.Fatalf("append: got %v, want %v", err, fault.Corrupt)
+				}
+				fallthrough
+			case "crash":
+				_ = j.Close()
+				d.crash(t)
+				j = open(t, d)
+				want = append(want, unacknowledged(t, j, first+uint64(len(want)))...)
+			case "compact":
+				n := rapid.IntRange(0, len(want)).Draw(t, "n")
+				first, want, snapshot = first+uint64(n), want[n:], fmt.Appendf(nil, "snapshot %d", step)
+				if err := j.Compact(snapshot, first); err != nil {
+					t.Fatalf("compact: %v", err)
+				}
+			case "truncate":
+				want = want[:rapid.IntRange(0, len(want)).Draw(t, "n")]
+				if err := j.Truncate(first + uint64(len(want))); err != nil {
+					t.Fatalf("truncate: %v", err)
+				}
+			case "reset":
+				first, want, snapshot = rapid.Uint64Range(0, 100).Draw(t, "first"), nil, fmt.Appendf(nil, "reset %d", step)
+				if err := j.Reset(snapshot, first); err != nil {
+					t.Fatalf("reset: %v", err)
+				}
+			}
+			verify(t, j, first, want, snapshot)
+		}
+		_ = j.Close()
+	})
+}
+
+// A crash between the two renames of Compact and Reset leaves files of
+// different age; they must open as the state before or after the call.
+func TestCrashBetweenRenames(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reset %t", reset), func(t *testing.T) {
+			d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+			j := open(t, d)
+			want := [][]byte{[]byte("a"), []byte("b"), []byte("c")}
+			if _, err := j.Append(want); err != nil {
+				t.Fatal(err)
+			}
+			j.cfg.Rename = func(from, to string) error {
+				if filepath.Base(to) == logName {
+					return errDisk
+				}
+				return d.rename(from, to)
+			}
+			change := j.Compact
+			if want = want[2:]; reset {
+				change, want = j.Reset, nil
+			}
+			if err := change([]byte("s"), 2); !errors.Is(err, fault.Corrupt) {
+				t.Fatalf("got %v, want %v", err, fault.Corrupt)
+			}
+			_ = j.Close()
+			j = open(t, d)
+			defer j.Close()
+			verify(t, j, 2, want, []byte("s"))
+		})
+	}
+}
+
+// The system may drop dirty pages after a failed sync and report success for
+// the next one, so a journal that went on would acknowledge lost records.
+func TestFailedSyncIsFinal(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fail  func(*disk)
+		calls func(*Journal) error
+	}{
+		{"sync", func(d *disk) { d.breakSync = errDisk }, func(j *Journal) error { _, err := j.Append([][]byte{{1}}); return err }},
+		{"full disk", func(d *disk) { d.breakWrite = errDisk }, func(j *Journal) error { _, err := j.Append([][]byte{{1}}); return err }},
+		{"rename", func(d *disk) { d.breakRename = errDisk }, func(j *Journal) error { return j.Compact(nil, 1) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+			j := open(t, d)
+			defer j.Close()
+			if _, err := j.Append([][]byte{[]byte("kept")}); err != nil {
+				t.Fatal(err)
+			}
+			test.fail(d)
+			if err := test.calls(j); !errors.Is(err, fault.Corrupt) {
+				t.Errorf("first call: got %v, want %v", err, fault.Corrupt)
+			}
+			d.breakSync, d.breakWrite, d.breakRename = nil, nil, nil
+			if _, err := j.Append([][]byte{{2}}); !errors.Is(err, fault.Corrupt) {
+				t.Errorf("append: got %v, want %v", err, fault.Corrupt)
+			}
+			if got, err := j.Read(0, 10); err != nil || len(got) != 1 {
+				t.Errorf("read: got %q, %v, want one record", got, err)
+			}
+		})
+	}
+}
+
+// A full disk during a compaction must not stop the appends that still fit.
+func TestFullDiskInCompact(t *testing.T) {
+	d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+	j := open(t, d)
+	defer j.Close()
+	if _, err := j.Append([][]byte{{1}, {2}}); err != nil {
+		t.Fatal(err)
+	}
+	d.breakWrite = errDisk
+	if err := j.Compact([]byte("s"), 1); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("got %v, want %v", err, fault.Corrupt)
+	}
+	d.breakWrite = nil
+	if _, err := j.Append([][]byte{{3}}); err != nil {
+		t.Fatal(err)
+	}
+	verify(t, j, 0, [][]byte{{1}, {2}, {3}}, nil)
+}
+
+// Damage to synced records must never be taken for a torn tail, which would
+// drop the acknowledged records behind it.
+func TestDamage(t *testing.T) {
+	const records = 4
+	size := len(appendFrame(nil, 0, [][]byte{[]byte("record 0")}))
+	for at := range fileHeader + records*size {
+		d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+		j := open(t, d)
+		for i := range records {
+			if _, err := j.Append([][]byte{fmt.Appendf(nil, "record %d", i)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_ = j.Close()
+		path := filepath.Join(d.path, logName)
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data[at] ^= 1
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		j, err = Open(d.config())
+		if last := at >= fileHeader+(records-1)*size; !last {
+			if !errors.Is(err, fault.Corrupt) {
+				t.Errorf("offset %d: got %v, want %v", at, err, fault.Corrupt)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatalf("offset %d: %v", at, err)
+		}
+		if got, want := j.Torn(), int64(size); got != want {
+			t.Errorf("offset %d: torn: got %d, want %d", at, got, want)
+		}
+		if got, want := j.Next(), uint64(records-1); got != want {
+			t.Errorf("offset %d: next: got %d, want %d", at, got, want)
+		}
+		_ = j.Close()
+	}
+}
+
+// Without group commit each of the callers would pay for a sync.
+func TestGroupCommit(t *testing.T) {
+	const callers, appends = 32, 20
+	d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+	j := open(t, d)
+	defer j.Close()
+	d.syncs = 0
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for i := range appends {
+				record := fmt.Appendf(nil, "%d %d", c, i)
+				next, err := j.Append([][]byte{record})
+				if err != nil {
+					t.Errorf("append: %v", err)
+					return
+				}
+				if got, err := j.Read(next-1, 1); err != nil || !bytes.Equal(got[0], record) {
+					t.Errorf("read %d: got %q, %v, want %q", next-1, got, err, record)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if got, want := j.Next(), uint64(callers*appends); got != want {
+		t.Errorf("next: got %d, want %d", got, want)
+	}
+	if d.syncs >= callers*appends {
+		t.Errorf("syncs: got %d, want fewer than %d", d.syncs, callers*appends)
+	}
+}
+
+func open(t rapid.TB, d *disk) *Journal {
+	t.Helper()
+	j, err := Open(d.config())
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	return j
+}
+
+// unacknowledged returns the records from the position on. After a crash they
+// must be records whose append failed.
+func unacknowledged(t rapid.TB, j *Journal, position uint64) [][]byte {
+	t.Helper()
+	got, err := j.Read(position, 100)
+	if err != nil {
+		t.Fatalf("acknowledged records are lost: %v", err)
+	}
+	for _, r := range got {
+		if string(r) != "unacknowledged" {
+			t.Errorf("record after the crash: got %q", r)
+		}
+	}
+	return got
+}
+
+func verify(t rapid.TB, j *Journal, first uint64, want [][]byte, snapshot []byte) {
+	t.Helper()
+	data, position := j.Snapshot()
+	if position != first || !bytes.Equal(data, snapshot) {
+		t.Errorf("snapshot: got %q before %d, want %q before %d", data, position, snapshot, first)
+	}
+	if got, w := j.Next(), first+uint64(len(want)); got != w {
+		t.Errorf("next: got %d, want %d", got, w)
+	}
+	var got [][]byte
+	for p := first; p < j.Next(); p = first + uint64(len(got)) {
+		records, err := j.Read(p, 3)
+		if err != nil || len(records) == 0 {
+			t.Fatalf("read %d: got %d records, %v", p, len(records), err)
+		}
+		got = append(got, records...)
+	}
+	for i := range got {
+		if !bytes.Equal(got[i], want[i]) {
+			t.Errorf("record %d: got %q, want %q", i, got[i], want[i])
+		}
+	}
+}
+
+func tempDir(t *rapid.T) string {
+	path, err := os.MkdirTemp("", "journal")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(path) })
+	return path
+}
