Add the ledger: grants, allowances, bills and epochs of one zone

Cause: the zone needs books that never overspend and bill each request once across crashes, fences, partitions and a restore from a copy. Ruled out: records that hold requests and are decided again at a replay, because the outcome would depend on the clock; freeing the tokens of a bill that is cancelled during a restore, because the lost epoch may have cancelled it too and spent them, so that they are stranded until Free. Change: each change is one record of a wire message with kind and time, is applied in memory under one lock and waits for its sync outside of it. Align sets the granted tokens to what the log has assigned at the change of the epoch.

--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,232 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	billed    = wire.Outcome_OUTCOME_BILLED
+	duplicate = wire.Outcome_OUTCOME_DUPLICATE
+	fenced    = wire.Outcome_OUTCOME_FENCED
+	conflict  = wire.Outcome_OUTCOME_CONFLICT
+	refused   = wire.Outcome_OUTCOME_REFUSED
+)
+
+// Each row is a bill that would break R1 or R2 if it got another outcome.
+func TestSettleOutcomes(t *testing.T) {
+	l := start(t, newDisk(t, 1), 1000)
+	old, young := holding("entry", 1), holding("entry", 2)
+	draw(t, l, old, 100)
+	settle(t, l, old, bill("first", 10), billed)
+	if err := l.Fence("entry", 1); err != nil {
+		t.Fatal(err)
+	}
+	draw(t, l, young, 50)
+	other := bill("first", 10)
+	other.Digest = []byte("other content")
+	big := bill("big", 5)
+	big.Answer = make([]byte, answerBytes+1)
+	for _, test := range []struct {
+		name  string
+		h     *wire.Holding
+		epoch uint64
+		bill  *wire.Bill
+		want  wire.Outcome
+	}{
+		{"within the allowance", young, 1, bill("second", 40), billed},
+		{"above the allowance", young, 1, bill("third", 11), refused},
+		{"the rest", young, 1, bill("fourth", 5), billed},
+		{"answer too large to keep", young, 1, big, billed},
+		{"nothing left", young, 1, bill("fifth", 1), refused},
+		{"free of charge", young, 1, bill("sixth", 0), billed},
+		{"negative", young, 1, bill("seventh", -1), refused},
+		{"repeated", young, 1, bill("second", 40), duplicate},
+		{"repeated by a retry elsewhere", holding("other", 1), 1, bill("first", 10), duplicate},
+		{"repeated by the fenced incarnation", old, 1, bill("first", 10), duplicate},
+		{"identity with other content", young, 1, other, conflict},
+		{"fenced incarnation", old, 1, bill("late", 1), fenced},
+		{"old epoch", young, 0, bill("late", 1), fenced},
+		{"no allowance", holding("other", 1), 1, bill("eighth", 1), refused},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			got, _, err := l.Settle(test.h, test.epoch, []*wire.Bill{test.bill})
+			if err != nil || got[0] != test.want {
+				t.Errorf("got %v, %v, want %v", got, err, test.want)
+			}
+		})
+	}
+	if got := l.Tally("a")[0]; got.Billed != 60 || got.Free != 940 || got.Requests != 5 {
+		t.Errorf("got %v, want 60 billed, 940 free, 5 requests", got)
+	}
+	if got, _ := l.Find("a", "big", []byte("content")); got == nil || len(got.Answer) != 0 {
+		t.Errorf("large answer: got %d bytes kept, want none", len(got.GetAnswer()))
+	}
+}
+
+// A batch with one identity twice must bill it once.
+func TestSettleBatch(t *testing.T) {
+	l := start(t, newDisk(t, 1), 1000)
+	h := holding("entry", 1)
+	draw(t, l, h, 30)
+	got, _, err := l.Settle(h, 1, []*wire.Bill{bill("x", 10), bill("x", 10), bill("y", 25), bill("z", 20)})
+	want := []wire.Outcome{billed, duplicate, refused, billed}
+	if err != nil || !slices.Equal(got, want) {
+		t.Errorf("got %v, %v, want %v", got, err, want)
+	}
+}
+
+// A draw beyond its need must leave rights for other instances.
+func TestDraw(t *testing.T) {
+	l := start(t, newDisk(t, 1), 800)
+	for _, test := range []struct {
+		need, want, amount int64
+		err                error
+	}{
+		{10, 50, 50, nil},
+		{10, 500, 93, nil}, // one eighth of 750
+		{300, 500, 300, nil},
+		{358, 0, 0, fault.Exhausted},
+		{357, 0, 357, nil},
+		{0, 1, 0, fault.Exhausted},
+		{-1, 1, 0, fault.Malformed},
+	} {
+		got, err := l.Draw(holding("entry", 1), "a", test.need, test.want)
+		if got != test.amount || !errors.Is(err, test.err) {
+			t.Errorf("draw(%d, %d): got %d, %v, want %d, %v", test.need, test.want, got, err, test.amount, test.err)
+		}
+	}
+}
+
+// Identities must outlive the retries of a day, and answers must not fill the
+// memory.
+func TestExpiry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDisk(t, 1)
+	l := d.open(t, "z", func() time.Time { return now })
+	grant(t, l, 1, 1000)
+	h := holding("entry", 1)
+	draw(t, l, h, 100)
+	kept := bill("x", 10)
+	kept.Answer = []byte("answer")
+	settle(t, l, h, kept, billed)
+	for _, test := range []struct {
+		after  time.Duration
+		answer string
+		want   wire.Outcome
+	}{
+		{answerTime - 1, "answer", duplicate},
+		{answerTime, "", duplicate},
+		{identityTime - 1, "", duplicate},
+		{identityTime, "", billed},
+	} {
+		now = time.Unix(1000, 0).Add(test.after)
+		l.expire(l.now(), 1)
+		got, _ := l.Find("a", "x", []byte("content"))
+		if string(got.GetAnswer()) != test.answer {
+			t.Errorf("after %v: got answer %q, want %q", test.after, got.GetAnswer(), test.answer)
+		}
+		settle(t, l, h, bill("x", 10), test.want)
+	}
+	if got, want := len(l.identities), 1; got != want {
+		t.Errorf("identities: got %d, want %d", got, want)
+	}
+}
+
+// A violated invariant must stop this account, be counted, and leave the
+// others running.
+func TestViolation(t *testing.T) {
+	l := start(t, newDisk(t, 1), 1000)
+	if err := l.Grant("b", 1, 100); err != nil {
+		t.Fatal(err)
+	}
+	h := holding("entry", 1)
+	draw(t, l, h, 100)
+	l.accounts["a"].free++ // as a fault in memory would
+	if err := l.Return(h, "a", 1, 1, 1); !errors.Is(err, fault.Broken) {
+		t.Errorf("return: got %v, want %v", err, fault.Broken)
+	}
+	if _, err := l.Draw(h, "a", 1, 1); !errors.Is(err, fault.Broken) {
+		t.Errorf("draw: got %v, want %v", err, fault.Broken)
+	}
+	settle(t, l, h, bill("x", 1), refused)
+	if got, want := l.Violations(), uint64(1); got != want {
+		t.Errorf("violations: got %d, want %d", got, want)
+	}
+	if _, err := l.Draw(h, "b", 1, 1); err != nil {
+		t.Errorf("other account: got %v, want no error", err)
+	}
+}
+
+// After a failed sync nothing may be acknowledged, and nothing that was not
+// durable may be shown as billed to a retry.
+func TestFailedSync(t *testing.T) {
+	d := newDisk(t, 1)
+	l := start(t, d, 1000)
+	h := holding("entry", 1)
+	draw(t, l, h, 100)
+	d.fail = true
+	if _, _, err := l.Settle(h, 1, []*wire.Bill{bill("x", 1)}); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("settle: got %v, want %v", err, fault.Corrupt)
+	}
+	d.fail = false
+	if got, _ := l.Find("a", "x", []byte("content")); got != nil {
+		t.Errorf("find: got %v, want none", got)
+	}
+	if _, _, err := l.Settle(h, 1, []*wire.Bill{bill("x", 1)}); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("repeated settle: got %v, want %v", err, fault.Corrupt)
+	}
+	if err := l.Grant("a", 2, 1); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("grant: got %v, want %v", err, fault.Corrupt)
+	}
+}
+
+func start(t *testing.T, d *disk, tokens int64) *Ledger {
+	t.Helper()
+	l := d.open(t, "z", time.Now)
+	grant(t, l, 1, tokens)
+	return l
+}
+
+func grant(t *testing.T, l *Ledger, sequence uint64, tokens int64) {
+	t.Helper()
+	if err := l.Grant("a", sequence, tokens); err != nil {
+		t.Fatalf("grant: %v", err)
+	}
+}
+
+func draw(t *testing.T, l *Ledger, h *wire.Holding, need int64) {
+	t.Helper()
+	if got, err := l.Draw(h, "a", need, 0); err != nil || got != need {
+		t.Fatalf("draw: got %d, %v, want %d", got, err, need)
+	}
+}
+
+func settle(t *testing.T, l *Ledger, h *wire.Holding, b *wire.Bill, want wire.Outcome) {
+	t.Helper()
+	got, _, err := l.Settle(h, l.Epoch(), []*wire.Bill{b})
+	if err != nil || got[0] != want {
+		t.Fatalf("settle %s: got %v, %v, want %v", b.Request, got, err, want)
+	}
+}
+
+func holding(name string, incarnation uint64) *wire.Holding {
+	return &wire.Holding{Instance: name, Incarnation: incarnation}
+}
+
+func bill(request string, amount int64) *wire.Bill {
+	return &wire.Bill{Account: "a", Request: request, Digest: []byte("content"), Model: "m", Amount: amount}
+}
+
+func ExampleExtract() {
+	record, _ := encode(recordSettle, 0, &wire.SettleRequest{Bills: []*wire.Bill{{Account: "a", Request: "x", Amount: 5}}})
+	bills, err := Extract("z", nil, [][]byte{record})
+	fmt.Println(bills[0].Zone, bills[0].Request, bills[0].Amount, err)
+	// Output: z x 5 <nil>
+}
--- /dev/null
+++ b/internal/ledger/record.go
@@ -0,0 +1,250 @@
+package ledger
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// kind is the first byte of a record and tells its message. The values are
+// part of the format.
+type kind byte
+
+const (
+	recordGrant   kind = iota + 1 // wire.Grant, amount in need
+	recordRelease                 // wire.Released
+	recordConfirm                 // wire.Released, sequence only
+	recordDraw                    // wire.ReturnRequest, amount drawn
+	recordReturn                  // wire.ReturnRequest
+	recordSettle                  // wire.SettleRequest, accepted bills
+	recordFence                   // wire.Holding
+	recordForeign                 // wire.SettleRequest, bills of other zones
+	recordCancel                  // wire.SettleRequest, bills of other zones that replace own ones, reserved holds the own amount
+	recordBegin                   // wire.Epoch
+	recordAlign                   // wire.Grant, difference in need
+	recordKeep                    // wire.SettleRequest, accepted bills
+	recordFree                    // wire.Grant, account only
+
+	// Kinds that occur in snapshots only.
+	stateTally      // wire.Tally
+	stateGrant      // wire.Grant, a sequence of the window
+	stateHeld       // wire.ReturnRequest, an allowance
+	stateReturn     // wire.ReturnRequest, a sequence of the window
+	stateReleased   // wire.Released
+	stateBill       // wire.SettleRequest, one bill
+	stateBroken     // wire.Grant, account only
+	stateRecovering // wire.Grant, sequence is 1 if aligned, need is 1 if recovering
+)
+
+// recordHeader is the size of the kind and the time in Unix nanoseconds.
+const recordHeader = 1 + 8
+
+var kindNames = [...]string{
+	"none", "grant", "release", "confirm", "draw", "return", "settle", "fence", "foreign", "cancel", "begin", "align",
+	"keep", "free", "state tally", "state grant", "state held", "state return", "state released", "state bill", "state broken", "state recovering",
+}
+
+func (k kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return fmt.Sprintf("kind %d", byte(k))
+}
+
+func encode(k kind, now int64, m proto.Message) ([]byte, error) {
+	out := make([]byte, recordHeader, recordHeader+proto.Size(m))
+	out[0] = byte(k)
+	binary.LittleEndian.PutUint64(out[1:], uint64(now))
+	out, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(out, m)
+	return out, eris.Wrapf(err, "encode %s", k)
+}
+
+func decode(record []byte) (kind, int64, proto.Message, error) {
+	if len(record) < recordHeader {
+		return 0, 0, nil, eris.Wrapf(fault.Corrupt, "record of %d bytes", len(record))
+	}
+	k := kind(record[0])
+	m := k.message()
+	if m == nil {
+		return 0, 0, nil, eris.Wrapf(fault.Corrupt, "record of unknown kind %d", record[0])
+	}
+	if err := proto.Unmarshal(record[recordHeader:], m); err != nil {
+		return 0, 0, nil, eris.Wrapf(fault.Corrupt, "%s record: %v", k, err)
+	}
+	return k, int64(binary.LittleEndian.Uint64(record[1:])), m, nil
+}
+
+// message returns an empty message of the kind, or nil.
+func (k kind) message() proto.Message {
+	switch k {
+	case recordGrant, recordAlign, recordFree, stateGrant, stateBroken, stateRecovering:
+		return &wire.Grant{}
+	case recordRelease, recordConfirm, stateReleased:
+		return &wire.Released{}
+	case recordDraw, recordReturn, stateHeld, stateReturn:
+		return &wire.ReturnRequest{}
+	case recordSettle, recordForeign, recordCancel, recordKeep, stateBill:
+		return &wire.SettleRequest{}
+	case recordFence:
+		return &wire.Holding{}
+	case recordBegin:
+		return &wire.Epoch{}
+	case stateTally:
+		return &wire.Tally{}
+	}
+	return nil
+}
+
+// apply makes the change of a record in memory. Both calls and replays use
+// it. An error means that an invariant would be violated; the account has
+// been stopped.
+func (l *Ledger) apply(k kind, now int64, m proto.Message) error {
+	l.last = max(l.last, now)
+	switch m := m.(type) {
+	case *wire.Grant:
+		return l.applyGrant(k, m)
+	case *wire.Released:
+		return l.applyReleased(k, m)
+	case *wire.ReturnRequest:
+		return l.applyAllowance(k, m)
+	case *wire.SettleRequest:
+		return l.applyBills(k, now, m)
+	case *wire.Holding:
+		return l.applyFence(m.Instance, m.Incarnation)
+	case *wire.Epoch:
+		return l.applyBegin(m)
+	case *wire.Tally:
+		return l.applyTally(m)
+	}
+	return nil
+}
+
+func (l *Ledger) applyGrant(k kind, m *wire.Grant) error {
+	a := l.account(m.Account)
+	switch k {
+	case recordGrant:
+		a.grants.add(m.Sequence)
+		return l.post(a, books{granted: m.Need, free: m.Need}, k)
+	case recordAlign:
+		a.recovering, a.aligned = true, true
+		if m.Need < 0 {
+			return l.post(a, books{released: -m.Need, stranded: m.Need}, k)
+		}
+		return l.post(a, books{granted: m.Need, stranded: m.Need}, k)
+	case recordFree:
+		a.recovering = false
+		return l.post(a, books{free: a.stranded, stranded: -a.stranded}, k)
+	case stateGrant:
+		a.grants.add(m.Sequence)
+	case stateBroken:
+		a.broken = true
+	case stateRecovering:
+		a.recovering, a.aligned = m.Need == 1, m.Sequence == 1
+	}
+	return nil
+}
+
+func (l *Ledger) applyReleased(k kind, m *wire.Released) error {
+	if k == recordConfirm {
+		l.pending = without(l.pending, m.Sequence)
+		return nil
+	}
+	l.sequence = max(l.sequence, m.Sequence)
+	l.pending = append(l.pending, m)
+	if k == stateReleased {
+		return nil
+	}
+	return l.post(l.account(m.Account), books{free: -m.Amount, released: m.Amount}, k)
+}
+
+func (l *Ledger) applyAllowance(k kind, m *wire.ReturnRequest) error {
+	a := l.account(m.Account)
+	al := l.issue(m.Holding.GetInstance(), m.Holding.GetIncarnation(), m.Account)
+	change := m.Amount
+	switch k {
+	case stateHeld:
+		al.amount = m.Amount
+		return nil
+	case stateReturn:
+		al.returns.add(m.Sequence)
+		return nil
+	case recordReturn:
+		al.returns.add(m.Sequence)
+		change = -m.Amount
+	}
+	moved := books{free: -change, allowances: change}
+	if al.amount+change < 0 {
+		return l.stop(a, moved, k)
+	}
+	if err := l.post(a, moved, k); err != nil {
+		return err
+	}
+	al.amount += change
+	return nil
+}
+
+// applyBills makes all changes of a batch and returns the first error.
+func (l *Ledger) applyBills(k kind, now int64, m *wire.SettleRequest) (first error) {
+	for _, b := range m.Bills {
+		if err := l.applyBill(k, now, m, b); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (l *Ledger) applyBill(k kind, now int64, m *wire.SettleRequest, b *wire.Bill) error {
+	a := l.account(b.Account)
+	var err error
+	zone := l.cfg.Zone
+	switch k {
+	case recordSettle:
+		err = l.charge(a, m.Holding, b.Amount, k)
+	case recordKeep:
+		err = l.post(a, books{stranded: -b.Amount, billed: b.Amount, requests: 1}, k)
+	case recordCancel:
+		zone = b.Zone
+		change := books{billed: -b.Reserved, free: b.Reserved, requests: -1}
+		if a.recovering {
+			change.free, change.stranded = 0, b.Reserved
+		}
+		err = l.post(a, change, k)
+	default:
+		zone = b.Zone
+	}
+	if err == nil {
+		l.remember(a, b, zone, now)
+	}
+	return err
+}
+
+// charge moves tokens from an allowance to the bills.
+func (l *Ledger) charge(a *account, h *wire.Holding, amount int64, k kind) error {
+	al := l.holding(h.GetInstance(), h.GetIncarnation(), a.name)
+	moved := books{allowances: -amount, billed: amount, requests: 1}
+	if amount == 0 {
+		return l.post(a, moved, k)
+	}
+	if al == nil || al.amount < amount {
+		return l.stop(a, moved, k)
+	}
+	if err := l.post(a, moved, k); err != nil {
+		return err
+	}
+	al.amount -= amount
+	return nil
+}
+
+func without(pending []*wire.Released, sequence uint64) []*wire.Released {
+	for i, r := range pending {
+		if r.Sequence == sequence {
+			return append(pending[:i:i], pending[i+1:]...)
+		}
+	}
+	return pending
+}
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,130 @@
+package ledger
+
+import (
+	"encoding/binary"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// compact replaces the journal by a snapshot if it has outgrown its bound.
+// One caller does it; the others go on when the state has been encoded.
+func (l *Ledger) compact() {
+	size := l.cfg.Journal.Size()
+	if size < l.bound.Load() || !l.compacting.TryLock() {
+		return
+	}
+	defer l.compacting.Unlock()
+	l.mu.Lock()
+	snapshot, err := l.encodeState()
+	wait := l.cfg.Journal.Submit(nil)
+	// The bound follows the snapshot, so that the cost of a compaction is in
+	// proportion to the records since the last one.
+	l.bound.Store(max(l.cfg.Compact, 2*int64(len(snapshot))))
+	l.mu.Unlock()
+	position, waitErr := wait()
+	if err == nil {
+		err = waitErr
+	}
+	if err == nil {
+		err = l.cfg.Journal.Compact(snapshot, position)
+	}
+	if err != nil {
+		l.cfg.Logger.Error("ledger: compaction failed", zap.Error(err))
+		l.bound.Store(size + l.cfg.Compact)
+	}
+}
+
+// encodeState returns the state as records, each after its length.
+func (l *Ledger) encodeState() ([]byte, error) {
+	var out []byte
+	var first error
+	put := func(k kind, now int64, m proto.Message) {
+		record, err := encode(k, now, m)
+		if err != nil && first == nil {
+			first = err
+		}
+		out = binary.AppendUvarint(out, uint64(len(record)))
+		out = append(out, record...)
+	}
+	put(recordBegin, l.last, &wire.Epoch{Epoch: l.epoch, Sequence: l.sequence})
+	for _, a := range l.accounts {
+		put(stateTally, 0, l.tally(a))
+		for _, s := range a.grants {
+			put(stateGrant, 0, &wire.Grant{Account: a.name, Sequence: s})
+		}
+	}
+	for name, i := range l.instances {
+		if i.fenced > 0 {
+			put(recordFence, 0, &wire.Holding{Instance: name, Incarnation: i.fenced})
+		}
+		for n, held := range i.incarnations {
+			for account, al := range held {
+				r := &wire.ReturnRequest{Holding: &wire.Holding{Instance: name, Incarnation: n}, Account: account, Amount: al.amount}
+				put(stateHeld, 0, r)
+				for _, s := range al.returns {
+					r.Sequence = s
+					put(stateReturn, 0, r)
+				}
+			}
+		}
+	}
+	for _, r := range l.pending {
+		put(stateReleased, 0, r)
+	}
+	for _, e := range l.identities {
+		if e.request != "" {
+			put(stateBill, e.recorded, &wire.SettleRequest{Bills: []*wire.Bill{e.bill()}})
+		}
+	}
+	for _, a := range l.accounts {
+		if a.broken {
+			put(stateBroken, 0, &wire.Grant{Account: a.name})
+		}
+		if a.recovering || a.aligned {
+			put(stateRecovering, 0, &wire.Grant{Account: a.name, Sequence: uint64(bit(a.aligned)), Need: bit(a.recovering)})
+		}
+	}
+	return out, first
+}
+
+// restore reverses encodeState.
+func (l *Ledger) restore(snapshot []byte) error {
+	return split(snapshot, l.replay)
+}
+
+// applyTally sets the books of an account; the records behind it don't
+// change them.
+func (l *Ledger) applyTally(m *wire.Tally) error {
+	a := l.account(m.Account)
+	return l.post(a, books{
+		granted: m.Granted, free: m.Free, allowances: m.Allowances, billed: m.Billed,
+		released: m.Released, stranded: m.Stranded, requests: int64(m.Requests),
+	}, stateTally)
+}
+
+// split calls f for each record of a snapshot.
+func split(snapshot []byte, f func(record []byte) error) error {
+	for len(snapshot) > 0 {
+		size, n := binary.Uvarint(snapshot)
+		if n <= 0 || size > uint64(len(snapshot)-n) {
+			return eris.Wrap(fault.Corrupt, "snapshot ends within a record")
+		}
+		if err := f(snapshot[n : n+int(size)]); err != nil {
+			return err
+		}
+		snapshot = snapshot[n+int(size):]
+	}
+	return nil
+}
+
+func bit(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
