reserver: reserve, settle and return the allowances of an entry instance

Cause: a request needs a decision on its budget without a message.

Ruled out: one lock for all accounts, since concurrent requests of different accounts would wait for each other; a draw in the caller's context, since a cancelled caller would cancel the draw of the others.

--- /dev/null
+++ b/internal/reserver/draw.go
@@ -0,0 +1,228 @@
+package reserver
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	// drawTimeout bounds one draw. A holder without free rights asks the log
+	// for up to one second before it answers.
+	drawTimeout = 1500 * time.Millisecond
+	// avoidTime is how long a holder that didn't answer is asked after the
+	// others.
+	avoidTime = time.Second
+	// earlyPause separates draws ahead of time, so that an account near its
+	// budget doesn't cause a draw per request.
+	earlyPause = 50 * time.Millisecond
+	// failedPause separates draws ahead of time after a refused one.
+	failedPause = 500 * time.Millisecond
+	// drawSpan is the demand that a draw asks for, in demand windows.
+	drawSpan = 2
+)
+
+// waiter is a caller of Reserve that needs a draw. Its fields are protected
+// by the mutex of the shard until done is closed.
+type waiter struct {
+	amount int64
+	id     uint64
+	err    error
+	done   chan struct{}
+}
+
+func (w *waiter) finish(id uint64, err error) {
+	w.id, w.err = id, err
+	close(w.done)
+}
+
+// wait returns the result of a waiter, and cancels its place when ctx ends.
+func (r *Reserver) wait(ctx context.Context, a *account, w *waiter) (uint64, error) {
+	select {
+	case <-w.done:
+		return w.id, w.err
+	case <-ctx.Done():
+	}
+	a.shard.mu.Lock()
+	if i := slices.Index(a.waiters, w); i >= 0 {
+		a.waiters = slices.Delete(a.waiters, i, i+1)
+		w.err = eris.Wrap(fault.Expired, "reserve")
+	}
+	a.shard.mu.Unlock()
+	if w.err != nil {
+		return 0, w.err
+	}
+	return w.id, nil
+}
+
+// ahead starts a draw without a waiter when less than half a second's worth
+// of the demand is left.
+func (r *Reserver) ahead(a *account, now time.Time) {
+	if a.drawing || now.Before(a.early) {
+		return
+	}
+	if a.free("") < a.demand.rate(now)/2 {
+		a.early = now.Add(earlyPause)
+		r.draw(a)
+	}
+}
+
+// draw starts the goroutine that draws for the account, unless it runs. The
+// mutex of the shard is held.
+func (r *Reserver) draw(a *account) {
+	if !a.drawing {
+		a.drawing = true
+		go r.drawAll(a)
+	}
+}
+
+// drawAll draws until no waiter is left. Each draw serves the waiters in the
+// order of their arrival.
+func (r *Reserver) drawAll(a *account) {
+	a.shard.mu.Lock()
+	defer a.shard.mu.Unlock()
+	defer func() { a.drawing = false }()
+	for first := true; first || len(a.waiters) > 0; first = false {
+		if len(a.waiters) == 0 {
+			r.drawEarly(a)
+		} else {
+			r.drawOnce(a, a.waiters[0].amount)
+		}
+		r.serve(a)
+	}
+}
+
+// serve hands the free tokens to the waiters that they suffice for.
+func (r *Reserver) serve(a *account) {
+	now := r.cfg.Now()
+	a.drop(r.cfg.Holding())
+	left := a.waiters[:0]
+	for _, w := range a.waiters {
+		if id, ok := a.take(w.amount, now); ok {
+			w.finish(id, nil)
+		} else {
+			left = append(left, w)
+		}
+	}
+	clear(a.waiters[len(left):])
+	a.waiters = left
+}
+
+// drawEarly draws ahead of time from the nearest holder that answers. Nobody
+// waits for it, so a refusal only delays the next one.
+func (r *Reserver) drawEarly(a *account) {
+	holders := r.order()
+	if len(holders) == 0 || r.drawFrom(a, holders[0], 0) != nil {
+		a.early = r.cfg.Now().Add(failedPause)
+	}
+}
+
+// drawOnce asks the holders in order until one of them gives enough for a
+// reservation of the amount. If none does, it fails the waiters that need as
+// much. The mutex of the shard is held, but not during the calls.
+func (r *Reserver) drawOnce(a *account, amount int64) {
+	refused := eris.Wrap(fault.Unavailable, "no holder is known")
+	for i, holder := range r.order() {
+		err := r.drawFrom(a, holder, amount)
+		if err == nil {
+			return
+		}
+		if i == 0 || fault.Of(err) == fault.Exhausted {
+			refused = err
+		}
+	}
+	r.refuse(a, amount, refused)
+}
+
+// refuse fails the waiters that need at least the amount, or all of them if
+// no holder could be reached.
+func (r *Reserver) refuse(a *account, amount int64, err error) {
+	all := fault.Of(err) != fault.Exhausted
+	left := a.waiters[:0]
+	for _, w := range a.waiters {
+		if all || w.amount >= amount {
+			w.finish(0, err)
+		} else {
+			left = append(left, w)
+		}
+	}
+	clear(a.waiters[len(left):])
+	a.waiters = left
+}
+
+// drawFrom draws from one holder. It fails with fault.Exhausted if the drawn
+// tokens don't allow a reservation of the amount.
+func (r *Reserver) drawFrom(a *account, holder string, amount int64) error {
+	h := r.cfg.Holding()
+	now := r.cfg.Now()
+	a.drop(h)
+	need := max(amount-a.free(holder), 0)
+	want := drawSpan * a.demand.rate(now)
+	for _, w := range a.waiters {
+		want = max(want, w.amount)
+	}
+	request := &wire.DrawRequest{Holding: h, Account: a.name, Need: need, Want: max(want-a.free(""), need)}
+	a.shard.mu.Unlock()
+	reply, err := r.callDraw(holder, request)
+	a.shard.mu.Lock()
+	if err != nil {
+		return err
+	}
+	s := source{holder: holder, instance: h.Instance, incarnation: h.Incarnation, epoch: reply.Epoch}
+	a.credit(s, reply.Amount, r.cfg.Now())
+	for _, l := range a.allowances {
+		if !l.void && l.free >= amount {
+			return nil
+		}
+	}
+	return eris.Wrapf(fault.Exhausted, "holder %s gave %d of %d tokens", holder, reply.Amount, need)
+}
+
+func (r *Reserver) callDraw(holder string, request *wire.DrawRequest) (*wire.DrawReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
+	defer cancel()
+	reply, err := r.cfg.Draw(ctx, holder, request)
+	if err != nil {
+		r.shun(holder)
+		r.cfg.Logger.Debug("draw failed", zap.String("holder", holder), zap.Error(err))
+		return nil, eris.Wrapf(fault.Unavailable, "draw from %s: %v", holder, err)
+	}
+	if reply.Fault == nil {
+		return reply, nil
+	}
+	kind := fault.Parse(reply.Fault.Code)
+	if kind != fault.Exhausted {
+		r.shun(holder)
+	}
+	return nil, eris.Wrapf(kind, "draw from %s: %s", holder, reply.Fault.Text)
+}
+
+// shun has the holder asked after the others for a while.
+func (r *Reserver) shun(holder string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoid[holder] = r.cfg.Now().Add(avoidTime)
+}
+
+// order returns the holders, the nearest first, and those that failed lately
+// at the end.
+func (r *Reserver) order() []string {
+	now := r.cfg.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var near, far []string
+	for _, holder := range r.cfg.Holders() {
+		if now.Before(r.avoid[holder]) {
+			far = append(far, holder)
+		} else {
+			near = append(near, holder)
+		}
+	}
+	return append(near, far...)
+}
--- /dev/null
+++ b/internal/reserver/reserver_test.go
@@ -0,0 +1,220 @@
+package reserver
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// A reservation that asks the ledger although the allowance suffices adds a
+// round trip to each request.
+func TestReserveWithoutMessage(t *testing.T) {
+	b := newBooks(1000)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	bed.Cancel(mustReserve(t, bed, 100))
+	for range 100 {
+		bed.Cancel(mustReserve(t, bed, 1))
+	}
+	if got, want := b.draws, 1; got != want {
+		t.Errorf("draws: got %d, want %d", got, want)
+	}
+}
+
+// A wrong kind tells the caller that the budget is spent although a ledger
+// just can't be reached, or the reverse.
+func TestReserveRefusals(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		near, far    int64
+		nearDown     bool
+		farDown      bool
+		amount       int64
+		want         fault.Kind
+		wantReserved bool
+	}{
+		{name: "near suffices", near: 100, far: 0, amount: 100, wantReserved: true},
+		{name: "far suffices", near: 10, far: 100, amount: 100, wantReserved: true},
+		{name: "near down", far: 100, nearDown: true, amount: 100, wantReserved: true},
+		{name: "spent", near: 10, far: 10, amount: 100, want: fault.Exhausted},
+		{name: "spent, far down", near: 10, far: 1000, farDown: true, amount: 100, want: fault.Exhausted},
+		{name: "all down", near: 100, far: 100, nearDown: true, farDown: true, amount: 1, want: fault.Unavailable},
+		{name: "negative", near: 100, amount: -1, want: fault.Malformed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			near, far := newBooks(test.near), newBooks(test.far)
+			near.down, far.down = test.nearDown, test.farDown
+			bed := newTestbed(t, []string{"a", "b"}, map[string]*books{"a": near, "b": far})
+			_, err := bed.Reserve(context.Background(), "acme", test.amount)
+			if got := err == nil; got != test.wantReserved {
+				t.Fatalf("reserved: got %v (%v), want %v", got, err, test.wantReserved)
+			}
+			if err != nil && fault.Of(err) != test.want {
+				t.Errorf("kind: got %v, want %v", fault.Of(err), test.want)
+			}
+		})
+	}
+}
+
+// Without a shared draw, a burst after a pause would send one draw per
+// request. A waiter that needs less than the refused amount must not be
+// refused with it.
+func TestReserveSharesDraw(t *testing.T) {
+	b := newBooks(1000)
+	b.gate = make(chan struct{})
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	refused := 0
+	amounts := []int64{5000, 10, 10, 10, 10, 10, 10, 10, 10, 10}
+	for i, amount := range amounts {
+		group.Go(func() {
+			if _, err := bed.Reserve(context.Background(), "acme", amount); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				refused++
+			}
+		})
+		waitFor(t, func() bool { return waiting(bed) == i+1 })
+	}
+	close(b.gate)
+	group.Wait()
+	if got, want := refused, 1; got != want {
+		t.Errorf("refused: got %d, want %d", got, want)
+	}
+	if got, most := b.draws, 3; got > most {
+		t.Errorf("draws: got %d, want at most %d", got, most)
+	}
+}
+
+// Tokens given to a caller that is gone would stay reserved until the
+// incarnation ends.
+func TestReserveCancelled(t *testing.T) {
+	b := newBooks(100)
+	b.gate = make(chan struct{})
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := bed.Reserve(ctx, "acme", 100); fault.Of(err) != fault.Expired {
+		t.Errorf("kind: got %v, want %v", err, fault.Expired)
+	}
+	close(b.gate)
+	mustReserve(t, bed, 100)
+}
+
+// Demand that is not asked for ahead of time makes requests wait for draws.
+func TestReserveAhead(t *testing.T) {
+	b := newBooks(1_000_000)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	for i := range 100 {
+		id := mustReserve(t, bed, 10)
+		if _, err := bed.Settle(context.Background(), id, &wire.Bill{Account: "acme", Request: strconv.Itoa(i), Amount: 10}); err != nil {
+			t.Fatal(err)
+		}
+		bed.advance(10 * time.Millisecond)
+	}
+	waitFor(t, func() bool {
+		s, _ := bed.shard("acme")
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.accounts["acme"].free("") >= 500
+	})
+	if got, most := b.draws, 20; got > most {
+		t.Errorf("draws: got %d, want at most %d", got, most)
+	}
+}
+
+// Spending from the allowance of a fenced incarnation ends in refused bills.
+func TestReserveNewIncarnation(t *testing.T) {
+	b := newBooks(1000)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	bed.Cancel(mustReserve(t, bed, 100))
+	bed.replace()
+	mustReserve(t, bed, 100)
+	if got, want := b.draws, 2; got != want {
+		t.Errorf("draws: got %d, want %d", got, want)
+	}
+}
+
+// An idle allowance that isn't returned is a false refusal elsewhere, and one
+// that is lost at the end of Run waits for the fence.
+func TestRunReturns(t *testing.T) {
+	b := newBooks(1000)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		bed.Run(ctx)
+	}()
+	bed.Cancel(mustReserve(t, bed, 100))
+	bed.advance(idleTime + time.Second)
+	waitFor(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.free == 1000
+	})
+	bed.Cancel(mustReserve(t, bed, 100))
+	cancel()
+	<-done
+	if got, want := b.free, int64(1000); got != want {
+		t.Errorf("free: got %d, want %d", got, want)
+	}
+	if _, err := bed.Reserve(context.Background(), "acme", 1); fault.Of(err) != fault.Draining {
+		t.Errorf("kind: got %v, want %v", err, fault.Draining)
+	}
+}
+
+func waiting(bed *testbed) int {
+	s, _ := bed.shard("acme")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.accounts["acme"]; a != nil {
+		return len(a.waiters)
+	}
+	return 0
+}
+
+func waitFor(t testing.TB, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("condition isn't met after 5 s")
+		}
+	}
+}
+
+func BenchmarkReserve(b *testing.B) {
+	for _, accounts := range []int{10, 3_700, 190_000} {
+		b.Run(strconv.Itoa(accounts), func(b *testing.B) {
+			bed := newTestbed(b, []string{"a"}, map[string]*books{"a": newBooks(1 << 60)})
+			holding := &wire.Holding{Instance: "entry", Incarnation: 1}
+			bed.cfg.Now, bed.cfg.Holding = time.Now, func() *wire.Holding { return holding }
+			names := make([]string, accounts)
+			for i := range names {
+				names[i] = "account-" + strconv.Itoa(i)
+				id, err := bed.Reserve(context.Background(), names[i], 1<<30)
+				if err != nil {
+					b.Fatal(err)
+				}
+				bed.Cancel(id)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id, err := bed.Reserve(context.Background(), names[i%accounts], 100)
+				if err != nil {
+					b.Fatal(err)
+				}
+				bed.Cancel(id)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/reserver/settle_test.go
@@ -0,0 +1,196 @@
+package reserver
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+func bill(request string, amount int64) *wire.Bill {
+	return &wire.Bill{Account: "acme", Request: request, Amount: amount}
+}
+
+func mustSettle(t testing.TB, bed *testbed, id uint64, b *wire.Bill) wire.Outcome {
+	t.Helper()
+	outcome, err := bed.Settle(context.Background(), id, b)
+	if err != nil {
+		t.Fatalf("Settle(%s): %v", b.Request, err)
+	}
+	return outcome
+}
+
+// The unbilled part of a reservation must be usable again, and the billed
+// part must not.
+func TestSettleAccounting(t *testing.T) {
+	b := newBooks(100)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	got := mustSettle(t, bed, mustReserve(t, bed, 100), bill("r1", 60))
+	if want := wire.Outcome_OUTCOME_BILLED; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	got = mustSettle(t, bed, mustReserve(t, bed, 40), bill("r1", 40))
+	if want := wire.Outcome_OUTCOME_DUPLICATE; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	mustReserve(t, bed, 40)
+	if _, err := bed.Reserve(context.Background(), "acme", 1); fault.Of(err) != fault.Exhausted {
+		t.Errorf("kind: got %v, want %v", err, fault.Exhausted)
+	}
+}
+
+// A bill above its reservation would spend tokens of other requests.
+func TestSettleOverReservation(t *testing.T) {
+	b := newBooks(100)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	id := mustReserve(t, bed, 10)
+	if _, err := bed.Settle(context.Background(), id, bill("r1", 11)); fault.Of(err) != fault.Broken {
+		t.Errorf("kind: got %v, want %v", err, fault.Broken)
+	}
+	mustSettle(t, bed, id, bill("r1", 10))
+	if _, err := bed.Settle(context.Background(), id, bill("r2", 10)); fault.Of(err) != fault.Internal {
+		t.Errorf("kind: got %v, want %v", err, fault.Internal)
+	}
+}
+
+// A reply that is lost must not fail the request, bill it twice or give its
+// tokens back.
+func TestSettleLostReply(t *testing.T) {
+	b := newBooks(100)
+	b.losses = 2
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	mustSettle(t, bed, mustReserve(t, bed, 100), bill("r1", 60))
+	if got, want := b.total(), int64(60); got != want {
+		t.Errorf("billed: got %d, want %d", got, want)
+	}
+	mustReserve(t, bed, 40)
+	if _, err := bed.Reserve(context.Background(), "acme", 1); fault.Of(err) != fault.Exhausted {
+		t.Errorf("kind: got %v, want %v", err, fault.Exhausted)
+	}
+}
+
+// A ledger that stays unreachable must end the wait of the caller, and its
+// tokens must not be spent a second time.
+func TestSettleUnsettled(t *testing.T) {
+	b := newBooks(100)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	id := mustReserve(t, bed, 100)
+	b.set(func(b *books) { b.down = true })
+	done := make(chan error)
+	go func() {
+		_, err := bed.Settle(context.Background(), id, bill("r1", 60))
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	bed.advance(settleLimit)
+	if err := <-done; fault.Of(err) != fault.Unsettled {
+		t.Errorf("kind: got %v, want %v", err, fault.Unsettled)
+	}
+	b.set(func(b *books) { b.down = false })
+	if _, err := bed.Reserve(context.Background(), "acme", 1); fault.Of(err) != fault.Exhausted {
+		t.Errorf("kind: got %v, want %v", err, fault.Exhausted)
+	}
+}
+
+// A refused bill means that the ledger has fenced the allowance; reserving
+// more from it would run requests that can't be billed.
+func TestSettleFenced(t *testing.T) {
+	b := newBooks(1000)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	id := mustReserve(t, bed, 100)
+	b.set(func(b *books) { b.epoch = 2 })
+	if got, want := mustSettle(t, bed, id, bill("r1", 60)), wire.Outcome_OUTCOME_FENCED; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	got := mustSettle(t, bed, mustReserve(t, bed, 100), bill("r1", 60))
+	if want := wire.Outcome_OUTCOME_BILLED; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+}
+
+// Without batches, the ledger would sync once per request.
+func TestSettleBatches(t *testing.T) {
+	b := newBooks(100_000)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	settle := bed.cfg.Settle
+	bed.cfg.Settle = func(ctx context.Context, holder string, request *wire.SettleRequest) (*wire.SettleReply, error) {
+		time.Sleep(5 * time.Millisecond)
+		return settle(ctx, holder, request)
+	}
+	var group sync.WaitGroup
+	const requests = 500
+	for i := range requests {
+		group.Go(func() {
+			id, err := bed.Reserve(context.Background(), "acme", 10)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if _, err := bed.Settle(context.Background(), id, bill(strconv.Itoa(i), 10)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	if got, want := b.total(), int64(10*requests); got != want {
+		t.Errorf("billed: got %d, want %d", got, want)
+	}
+	if got, most := b.settles, requests/4; got > most {
+		t.Errorf("calls: got %d, want at most %d", got, most)
+	}
+}
+
+// A bill that is on one disk only and not kept is lost with that disk.
+func TestKept(t *testing.T) {
+	b := newBooks(1000)
+	b.solo = true
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	for i := range 3 {
+		mustSettle(t, bed, mustReserve(t, bed, 10), bill(strconv.Itoa(i), 10))
+	}
+	count := func() int {
+		n := 0
+		requests, _ := bed.Kept("a")
+		for _, request := range requests {
+			n += len(request.Bills)
+		}
+		return n
+	}
+	if got, want := count(), 3; got != want {
+		t.Errorf("kept: got %d, want %d", got, want)
+	}
+	b.set(func(b *books) { b.copied = 2 })
+	bed.poll()
+	waitFor(t, func() bool { return count() == 1 })
+	bed.Forget("a", 1)
+	if got, want := count(), 0; got != want {
+		t.Errorf("kept: got %d, want %d", got, want)
+	}
+}
+
+// Kept bills must not use up the memory while a zone is alone for long, and a
+// dropped bill must be reported, since the rest proves nothing.
+func TestKeptBound(t *testing.T) {
+	var k keeper
+	for i := range 100 {
+		b := bill(strconv.Itoa(i), 1)
+		b.Answer = make([]byte, 256<<10)
+		k.add(kept{bill: b, size: len(b.Answer) + billBytes})
+	}
+	if k.size > keepLimit {
+		t.Errorf("size: got %d, want at most %d", k.size, keepLimit)
+	}
+	if got, want := len(k.entries), 100; got != want || k.lost != 0 {
+		t.Errorf("kept: got %d and %d lost, want %d and 0", got, k.lost, want)
+	}
+	for i := range 20 {
+		k.add(kept{bill: bill(strconv.Itoa(i), 1), size: 1 << 20})
+	}
+	if k.size > keepLimit || k.lost == 0 {
+		t.Errorf("size: got %d with %d lost, want at most %d with some lost", k.size, k.lost, keepLimit)
+	}
+}
