Add a stand-in engine

Cause: the dispatcher, the router and the gateway need a target that speaks the completions protocol over HTTP, with faults on demand. Change: papayaengine with batching, prefix cache, priorities, cancel, resume, orders, announcements and injected faults.

--- /dev/null
+++ b/cmd/papayaengine/main.go
@@ -0,0 +1,114 @@
+// Command papayaengine is a stand-in for a model engine. It speaks the de
+// facto completions protocol and announces itself to entry instances; see
+// docs/standins.md.
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/engine"
+	"github.com/papayapond/papayapond/internal/host"
+)
+
+type arguments struct {
+	Name    string   `arg:"--name" default:"engine-1" help:"name of the target; it starts with the name of its group"`
+	Zone    string   `arg:"--zone" default:"a" help:"availability zone"`
+	Address string   `arg:"--address" default:"127.0.0.1:9001" help:"host:port to listen on; port 0 takes a free one"`
+	Entries []string `arg:"--entry,separate" help:"entry instance to announce to, host:port; may be repeated"`
+	Key     string   `arg:"--key,env:PAPAYA_TARGET_KEY" help:"bearer key of the target group"`
+	Models  []string `arg:"--model,separate" help:"model that is loaded at the start; may be repeated [default: small]"`
+
+	Slots    int           `arg:"--slots" default:"16" help:"requests in one batch"`
+	Queue    int           `arg:"--queue" default:"256" help:"requests that may wait; more are answered 503; 0 is unlimited"`
+	Prefill  time.Duration `arg:"--prefill" default:"20us" help:"time per prompt token that isn't cached"`
+	Chunk    int           `arg:"--chunk" default:"2048" help:"prompt tokens prefilled in one step of the batch"`
+	Decode   time.Duration `arg:"--decode" default:"5ms" help:"time per token with a batch of one"`
+	Growth   time.Duration `arg:"--growth" default:"50us" help:"time per token added by each further request in the batch"`
+	Blocks   int           `arg:"--blocks" default:"2048" help:"size of the prefix cache, in blocks of 256 bytes of prompt"`
+	Output   int           `arg:"--output" default:"256" help:"answer tokens if a request has no max_tokens"`
+	Shortest float64       `arg:"--shortest" default:"1" help:"shortest answer as a part of max_tokens, 0 to 1"`
+
+	Linger    time.Duration `arg:"--linger" default:"1s" help:"time for which a stream without a reader runs on, to be resumed"`
+	Keep      time.Duration `arg:"--keep" default:"30s" help:"time for which a finished stream can be resumed"`
+	Lag       time.Duration `arg:"--lag" default:"500ms" help:"age of the load in announcements"`
+	EventLag  time.Duration `arg:"--event-lag" default:"1s" help:"least age of the cache events in announcements"`
+	EventLoss float64       `arg:"--event-loss" default:"0.02" help:"part of the cache events that is lost, 0 to 1"`
+
+	LoadTime    time.Duration `arg:"--load-time" default:"2s" help:"time to load a model on order"`
+	IgnoreFence bool          `arg:"--ignore-fence" help:"obey orders with an old fencing number"`
+	OrderKey    string        `arg:"--order-key" help:"bearer key that orders must have; empty takes orders from anybody"`
+
+	Faults []string      `arg:"--fault,separate" help:"fault to produce: KIND[,marker=TEXT][,share=0..1][,times=N][,value=X] with KIND crash, hang, slow, truncate, reset-before, reset-after, status or swap; may be repeated"`
+	Seed   uint64        `arg:"--seed" default:"1" help:"seed of lost events and of faults with a share"`
+	Grace  time.Duration `arg:"--grace" default:"3s" help:"time for which a leaving engine still accepts requests"`
+	Drain  time.Duration `arg:"--drain" default:"2m" help:"bound on the wait for running requests on SIGTERM"`
+	Level  string        `arg:"--level" default:"info" help:"log level: debug, info, warn or error"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "Stand-in for a model engine. Try: papayaengine --model small, then\n" +
+		`curl -d '{"model":"small","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}' http://127.0.0.1:9001/v1/chat/completions`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	cfg := zap.NewProductionConfig()
+	level, err := zap.ParseAtomicLevel(args.Level)
+	if err == nil {
+		cfg.Level = level
+	}
+	logger, buildErr := cfg.Build()
+	if buildErr != nil {
+		panic(buildErr)
+	}
+	if err != nil {
+		logger.Fatal("cannot read --level", zap.Error(err))
+	}
+	if err := run(args, logger.Named("engine").With(zap.String("name", args.Name))); err != nil {
+		logger.Fatal("engine failed", zap.Error(err))
+	}
+}
+
+func run(args arguments, logger *zap.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	listener, err := net.Listen("tcp", args.Address)
+	if err != nil {
+		return err
+	}
+	args.Address = listener.Addr().String()
+	if len(args.Models) == 0 {
+		args.Models = []string{"small"}
+	}
+	e, err := engine.New(configure(args, logger))
+	if err != nil {
+		return err
+	}
+	logger.Info("serving", zap.String("address", args.Address), zap.Strings("models", args.Models))
+	return host.New(host.Config{
+		Listener: listener, Handler: e, Serve: e.Run, Entries: args.Entries, Key: args.Key,
+		Report: e.Report, Leave: e.Leave, Grace: args.Grace, Drain: args.Drain, Logger: logger,
+	}).Run(ctx)
+}
+
+func configure(args arguments, logger *zap.Logger) engine.Config {
+	return engine.Config{
+		Name: args.Name, Zone: args.Zone, Address: args.Address, Models: args.Models,
+		Slots: args.Slots, Queue: args.Queue, Prefill: args.Prefill, Chunk: args.Chunk,
+		Decode: args.Decode, Growth: args.Growth, Blocks: args.Blocks, Output: args.Output,
+		Shortest: args.Shortest, Linger: args.Linger, Keep: args.Keep, Lag: args.Lag,
+		EventLag: args.EventLag, EventLoss: args.EventLoss, LoadTime: args.LoadTime,
+		IgnoreFence: args.IgnoreFence, OrderKey: args.OrderKey, Faults: args.Faults, Seed: args.Seed,
+		Incarnation: uint64(time.Now().UnixNano()), Crash: func() { os.Exit(3) }, Logger: logger,
+	}
+}
