Add a stand-in order service

Cause: the claims of non-idempotent calls need a service whose order must not run twice, and a count of the runs of each order that outlives a crash. Ruled out: a service that ignores repeated orders, because it would hide a second run. Change: papayaorder with counts, and faults between the run and the answer.

--- /dev/null
+++ b/internal/orderer/orderer.go
@@ -0,0 +1,282 @@
+package orderer
+
+import (
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/injector"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	maxBody = 1 << 20
+	// maxStock bounds the quantity that a stock check shows.
+	maxStock = 500
+)
+
+// Faults that an orderer produces. The last three come after the order ran and
+// before its answer.
+var faults = []string{"slow", "status", "crash", "hang", "reset"}
+
+// Config configures an Orderer.
+type Config struct {
+	Name, Zone, Address string
+	Services            []string
+	Work                time.Duration // time that each call takes
+	File                string        // keeps the runs over a crash; empty keeps none
+	Faults              []string      // rules, see package injector
+	Seed                uint64
+	Incarnation         uint64
+	// Crash ends the process at once.
+	Crash  func()
+	Now    func() time.Time
+	Logger *zap.Logger
+}
+
+// Orderer is a stand-in for an order service. It runs an order each time that
+// it is asked to, also if it has run before; only the fleet prevents that.
+type Orderer struct {
+	cfg    Config
+	router *mux.Router
+	faults *injector.Injector
+
+	mu      sync.Mutex
+	file    *os.File // nil without File
+	orders  map[string]*entry
+	running int
+	leaving bool
+}
+
+// entry is one order. Runs counts how often it was placed.
+type entry struct {
+	Order    string `json:"order"`
+	SKU      string `json:"sku"`
+	Quantity int    `json:"quantity"`
+	Runs     int    `json:"runs"`
+}
+
+// New returns an orderer with the orders of File. The error wraps
+// fault.Malformed if a rule of Faults or a line of File can't be read.
+func New(cfg Config) (*Orderer, error) {
+	inj, err := injector.New(faults, cfg.Faults, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	o := &Orderer{cfg: cfg, faults: inj, orders: map[string]*entry{}}
+	if err := o.open(); err != nil {
+		return nil, err
+	}
+	r := mux.NewRouter()
+	r.HandleFunc("/orders", o.place).Methods(http.MethodPost)
+	r.HandleFunc("/orders/{id}", o.show).Methods(http.MethodGet)
+	r.HandleFunc("/stock/{sku}", o.stock).Methods(http.MethodGet)
+	r.HandleFunc("/counts", o.counts).Methods(http.MethodGet)
+	r.Handle("/v1/faults", inj).Methods(http.MethodGet, http.MethodPut)
+	o.router = r
+	return o, nil
+}
+
+// ServeHTTP serves the order service.
+func (o *Orderer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	o.running++
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		o.running--
+		o.mu.Unlock()
+	}()
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		w.Header().Set("X-Request-Id", id)
+	}
+	o.router.ServeHTTP(w, r)
+}
+
+// Leave makes the orderer announce that it is leaving.
+func (o *Orderer) Leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaving = true
+}
+
+// Report returns the announcement.
+func (o *Orderer) Report() *wire.Target {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := &wire.Target{
+		Name: o.cfg.Name, Zone: o.cfg.Zone, Kind: "service", Address: o.cfg.Address,
+		Services: o.cfg.Services, State: "ready", Incarnation: o.cfg.Incarnation,
+		Running: uint32(o.running), Time: o.cfg.Now().UnixMilli(),
+	}
+	if o.leaving {
+		t.State = "leaving"
+	}
+	return t
+}
+
+// place runs an order: a JSON object with order, sku and quantity.
+func (o *Orderer) place(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	var in entry
+	if err == nil {
+		err = json.Unmarshal(body, &in)
+	}
+	if err != nil || in.Order == "" {
+		reply(w, http.StatusBadRequest, map[string]string{"error": "want a JSON object with order, sku and quantity"})
+		return
+	}
+	text := string(body)
+	if status, ok := o.faults.Hit("status", text); ok {
+		reply(w, int(max(status, http.StatusInternalServerError)), map[string]string{"error": "fault on purpose"})
+		return
+	}
+	o.delay(text)
+	out, err := o.execute(in)
+	if err != nil {
+		reply(w, http.StatusInternalServerError, map[string]string{"error": err.Error()})
+		return
+	}
+	if o.sabotage(r, text) {
+		return
+	}
+	reply(w, http.StatusCreated, out)
+}
+
+// execute counts a run of the order and stores it.
+func (o *Orderer) execute(in entry) (entry, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	in.Runs = 1
+	if e := o.orders[in.Order]; e != nil {
+		in.Runs += e.Runs
+	}
+	if o.file != nil {
+		line, err := json.Marshal(in)
+		if err == nil {
+			_, err = o.file.Write(append(line, '\n'))
+		}
+		if err != nil {
+			return in, eris.Wrap(err, "store the order")
+		}
+	}
+	o.orders[in.Order] = &in
+	return in, nil
+}
+
+// open reads the orders of File and opens it for appending.
+func (o *Orderer) open() error {
+	if o.cfg.File == "" {
+		return nil
+	}
+	f, err := os.OpenFile(o.cfg.File, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "orders")
+	}
+	for d := json.NewDecoder(f); ; {
+		var e entry
+		if err := d.Decode(&e); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			_ = f.Close() // the read error matters
+			return eris.Wrapf(fault.Malformed, "orders %s: %v", o.cfg.File, err)
+		}
+		o.orders[e.Order] = &e
+	}
+	o.file = f
+	return nil
+}
+
+// delay takes the time of a call; the fault "slow" adds its value in
+// milliseconds.
+func (o *Orderer) delay(text string) {
+	took := o.cfg.Work
+	if ms, ok := o.faults.Hit("slow", text); ok {
+		took += time.Duration(ms * float64(time.Millisecond))
+	}
+	time.Sleep(took)
+}
+
+// sabotage produces the faults between the run of an order and its answer.
+func (o *Orderer) sabotage(r *http.Request, text string) bool {
+	if _, ok := o.faults.Hit("crash", text); ok {
+		o.cfg.Logger.Warn("crashing on purpose after an order ran")
+		o.cfg.Crash()
+		return true
+	}
+	if _, ok := o.faults.Hit("hang", text); ok {
+		<-r.Context().Done()
+		return true
+	}
+	if _, ok := o.faults.Hit("reset", text); ok {
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+func (o *Orderer) show(w http.ResponseWriter, r *http.Request) {
+	o.delay("")
+	o.mu.Lock()
+	var out entry
+	e := o.orders[mux.Vars(r)["id"]]
+	if e != nil {
+		out = *e
+	}
+	o.mu.Unlock()
+	if e == nil {
+		reply(w, http.StatusNotFound, map[string]string{"error": "no such order"})
+		return
+	}
+	reply(w, http.StatusOK, out)
+}
+
+// stock shows a quantity that depends on the sku alone, so that a caller can
+// check the answer; see Stock.
+func (o *Orderer) stock(w http.ResponseWriter, r *http.Request) {
+	o.delay("")
+	sku := mux.Vars(r)["sku"]
+	reply(w, http.StatusOK, map[string]any{"sku": sku, "quantity": Stock(sku)})
+}
+
+// Stock returns the quantity in stock of a sku.
+func Stock(sku string) int {
+	h := fnv.New32a()
+	h.Write([]byte(sku))
+	return int(h.Sum32() % maxStock)
+}
+
+// counts shows how often each order ran.
+func (o *Orderer) counts(w http.ResponseWriter, _ *http.Request) {
+	o.mu.Lock()
+	runs := map[string]int{}
+	for id, e := range o.orders {
+		runs[id] = e.Runs
+	}
+	o.mu.Unlock()
+	reply(w, http.StatusOK, runs)
+}
+
+// reply writes a JSON answer. A caller that is gone is no error here.
+func reply(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+}
