Add the controller

The state over the replicated log: configuration, pools, grants, releases, top-ups, claims, ledger epochs, orders, dissolution and closing. Each command is idempotent by an identity that it carries, so that a proposer that lost an answer sends the command again.

Closing requires that the rights of the zones equal the billed tokens, so that a partitioned zone can't spend tokens that were refunded.

--- /dev/null
+++ b/internal/controller/closing.go
@@ -0,0 +1,98 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// dissolve ends the term. Once done it succeeds again.
+func (s *state) dissolve() error {
+	if s.current == nil {
+		return eris.Wrap(fault.Missing, "no configuration has been accepted")
+	}
+	if s.phase == Open {
+		s.phase = Dissolving
+	}
+	return nil
+}
+
+// close ends the venture with the final statement. The same balances get the
+// same statement again.
+func (s *state) close(m *wire.Close) (proto.Message, error) {
+	if s.phase == Closed {
+		if problems := s.compare(m.Balances); len(problems) > 0 {
+			return nil, eris.Wrapf(fault.Conflict, "the venture was closed with other balances: %s", strings.Join(problems, "; "))
+		}
+		return s.statement, nil
+	}
+	if s.phase != Dissolving {
+		return nil, eris.Wrap(fault.Conflict, "the venture is not dissolving")
+	}
+	if problems := s.balance(m.Balances); len(problems) > 0 {
+		return nil, eris.Wrapf(fault.Conflict, "the books don't balance: %s", strings.Join(problems, "; "))
+	}
+	s.statement = &wire.Statement{Time: s.time}
+	for _, b := range m.Balances {
+		p := s.pools[b.Account]
+		p.refunded += p.unassigned
+		p.unassigned = 0
+		s.verify(b.Account, p, "close")
+		s.statement.Balances = append(s.statement.Balances, b)
+	}
+	slices.SortFunc(s.statement.Balances, func(x, y *wire.Balance) int { return strings.Compare(x.Account, y.Account) })
+	s.phase = Closed
+	return s.statement, nil
+}
+
+// balance returns what is wrong with the balances. What a zone has been
+// granted and has not released must be billed, so that the refundable tokens
+// are exactly the unassigned ones.
+func (s *state) balance(balances []*wire.Balance) []string {
+	var problems []string
+	seen := map[string]bool{}
+	for _, b := range balances {
+		p := s.pools[b.Account]
+		switch {
+		case p == nil || seen[b.Account]:
+			problems = append(problems, fmt.Sprintf("account %s: unknown or listed twice", b.Account))
+		case p.stopped:
+			problems = append(problems, fmt.Sprintf("account %s: stopped", b.Account))
+		case b.Prepaid != p.prepaid+p.topups:
+			problems = append(problems, fmt.Sprintf("account %s: prepaid %d, expected %d", b.Account, b.Prepaid, p.prepaid+p.topups))
+		case b.Billed != p.assigned():
+			problems = append(problems, fmt.Sprintf("account %s: billed %d, but the zones hold %d", b.Account, b.Billed, p.assigned()))
+		case b.Refundable != p.unassigned:
+			problems = append(problems, fmt.Sprintf("account %s: refundable %d, expected %d", b.Account, b.Refundable, p.unassigned))
+		}
+		seen[b.Account] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
+		if !seen[name] {
+			problems = append(problems, fmt.Sprintf("account %s: missing", name))
+		}
+	}
+	return problems
+}
+
+// compare returns the balances that differ from those of the statement.
+func (s *state) compare(balances []*wire.Balance) []string {
+	sorted := slices.SortedFunc(slices.Values(balances), func(x, y *wire.Balance) int { return strings.Compare(x.Account, y.Account) })
+	if len(sorted) != len(s.statement.Balances) {
+		return []string{fmt.Sprintf("%d accounts, expected %d", len(sorted), len(s.statement.Balances))}
+	}
+	var problems []string
+	for i, b := range sorted {
+		if !proto.Equal(b, s.statement.Balances[i]) {
+			problems = append(problems, "account "+b.Account)
+		}
+	}
+	return problems
+}
--- /dev/null
+++ b/internal/controller/serve.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// Propose replicates a command and returns the reply of Apply. A member that
+// can't replicate forwards to the leader. Errors are in the reply; one that
+// wraps fault.Isolated leaves open whether the command will be applied, and
+// the command may be sent again.
+func (c *Controller) Propose(ctx context.Context, r *wire.ProposeRequest) (*wire.ProposeReply, error) {
+	if r.Command == nil {
+		return &wire.ProposeReply{Fault: faultOf(eris.Wrap(fault.Malformed, "proposal without a command"))}, nil
+	}
+	reply, err := c.replicate(ctx, r.Command)
+	if err != nil && fault.Of(err) == fault.Isolated && !r.Forwarded {
+		if leader := c.config.Leader(); leader != "" {
+			reply, err = c.config.Forward(ctx, leader, &wire.ProposeRequest{Command: r.Command, Forwarded: true})
+		}
+		if err != nil {
+			err = eris.Wrapf(fault.Isolated, "proposal: %v", err)
+		}
+	}
+	if err != nil {
+		return &wire.ProposeReply{Fault: faultOf(err)}, nil
+	}
+	return reply, nil
+}
+
+// replicate stamps a command and appends it to the log.
+func (c *Controller) replicate(ctx context.Context, command *wire.Command) (*wire.ProposeReply, error) {
+	stamped := proto.CloneOf(command)
+	stamped.Time = c.config.Now().UnixNano()
+	if m := stamped.GetConfigure(); m != nil && len(m.Zones) == 0 {
+		m.Zones = c.config.Zones
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(stamped)
+	if err != nil {
+		return nil, eris.Wrap(fault.Malformed, "command can't be encoded")
+	}
+	index, result, err := c.config.Replicate(ctx, b)
+	if err != nil {
+		return nil, err
+	}
+	var reply wire.ProposeReply
+	if err := proto.Unmarshal(result, &reply); err != nil {
+		return nil, eris.Wrapf(fault.Internal, "result of command %d can't be decoded", index)
+	}
+	return &reply, nil
+}
+
+// Read returns the state, linearizable unless stale is set.
+func (c *Controller) Read(ctx context.Context, r *wire.ReadRequest) (*wire.ReadReply, error) {
+	if !r.Stale {
+		if err := c.config.Barrier(ctx); err != nil {
+			return &wire.ReadReply{Fault: faultOf(err)}, nil
+		}
+	}
+	leader := c.config.Leader()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	s := c.state
+	reply := &wire.ReadReply{Version: s.version(), Leader: leader, Index: s.index, Phase: s.phase, Epochs: map[string]uint64{}}
+	if s.current != nil {
+		reply.Digest = s.current.Digest()
+		if r.Document {
+			reply.Document = s.current.Text()
+		}
+	}
+	for zone, l := range s.ledgers {
+		reply.Epochs[zone] = l.epoch
+	}
+	if s.statement != nil {
+		reply.Balances = s.statement.Balances
+	}
+	if r.Pools {
+		reply.Pools = s.list(r)
+	}
+	if known := s.claims[identity{r.Account, r.Request}]; known != nil && r.Request != "" {
+		reply.Claim = &wire.ClaimResult{Resolved: known.Outcome != nil, Outcome: proto.CloneOf(known.Outcome), Instance: known.Claim.Instance}
+	}
+	return reply, nil
+}
+
+// list returns the pools that a read asks for.
+func (s *state) list(r *wire.ReadRequest) []*wire.Pool {
+	if r.Account != "" {
+		if p := s.pools[r.Account]; p != nil {
+			return []*wire.Pool{p.message(r.Account)}
+		}
+		return nil
+	}
+	names := slices.Sorted(maps.Keys(s.pools))
+	names = names[min(r.Offset, uint64(len(names))):]
+	if r.Limit > 0 {
+		names = names[:min(uint64(r.Limit), uint64(len(names)))]
+	}
+	pools := make([]*wire.Pool, 0, len(names))
+	for _, n := range names {
+		pools = append(pools, s.pools[n].message(n))
+	}
+	return pools
+}
