--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,11 +85,11 @@
 	if s.Disk {
 		parts = append(parts, b.controller(), b.replicator())
 	}
-	parts = append(parts, b.subscriber(), b.member())
+	parts = append(parts, b.authenticator(), b.subscriber(), b.member())
 	if s.Disk {
 		parts = append(parts, b.holder(), b.publisher(), b.dissolver())
 	}
-	parts = append(parts, b.fleet(), b.authenticator(), b.reserver(), b.reporter(), b.router(), b.dispatcher(), b.gateway(), b.operator())
+	parts = append(parts, b.fleet(), b.reserver(), b.reporter(), b.router(), b.dispatcher(), b.gateway(), b.operator())
 	app := kernel.New(cfg.Logger, s.DrainTime(), parts...)
 	if err := app.Err(); err != nil {
 		return nil, eris.Wrap(err, "build")
--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/subtle"
+	"encoding/hex"
 	"net/http"
+	"strings"
 
 	"go.uber.org/fx"
 
@@ -19,18 +22,26 @@
 	"github.com/papayapond/papayapond/internal/router"
 	"github.com/papayapond/papayapond/internal/subscriber"
 	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/account"
 )
 
 func (b *builder) authenticator() fx.Option {
-	return kernel.Part(nameAuthenticator, func(k *kernel.Kernel) (any, fx.Hook, error) {
-		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
-		if err != nil {
-			return nil, fx.Hook{}, err
-		}
-		return authenticator.New(authenticator.Config{Current: s.Current, Bootstrap: b.settings.Bootstrap}), fx.Hook{}, nil
+	return kernel.Part(nameAuthenticator, func(*kernel.Kernel) (any, fx.Hook, error) {
+		return authenticator.New(authenticator.Config{}), fx.Hook{}, nil
 	})
 }
 
+// isBootstrap tells whether a key is the one of the settings, which is valid
+// until the first configuration names the operators.
+func (b *builder) isBootstrap(key string) bool {
+	salt, _, _ := strings.Cut(b.settings.Bootstrap, ":")
+	raw, err := hex.DecodeString(salt)
+	if err != nil || len(raw) < account.MinSalt || key == "" {
+		return false
+	}
+	return subtle.ConstantTimeCompare([]byte(account.Hash(raw, key)), []byte(b.settings.Bootstrap)) == 1
+}
+
 func (b *builder) router() fx.Option {
 	return kernel.Part(nameRouter, func(k *kernel.Kernel) (any, fx.Hook, error) {
 		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
@@ -152,12 +163,21 @@
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
+		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
 		holders := b.holdersByZone()
 		cfg := operator.Config{
-			Operator: a.Operator,
-			Propose:  b.peers.propose(b.holders()),
-			Read:     b.peers.read(b.holders()),
-			Tally:    b.peers.tally(holders),
+			Operator: func(key string) (string, error) {
+				if s.Current() == nil && b.isBootstrap(key) {
+					return "bootstrap", nil
+				}
+				return a.Operator(key)
+			},
+			Propose: b.peers.propose(b.holders()),
+			Read:    b.peers.read(b.holders()),
+			Tally:   b.peers.tally(holders),
 			List: func(ctx context.Context) (*wire.ListReply, error) {
 				return first(ctx, b.holders(), callTimeout, func(ctx context.Context, name string) (*wire.ListReply, error) {
 					return b.peers.fleet(name).List(ctx, &wire.ListRequest{})
--- a/internal/daemon/part_fleet.go
+++ b/internal/daemon/part_fleet.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/papayapond/papayapond/internal/authenticator"
 	"github.com/papayapond/papayapond/internal/blocker"
 	"github.com/papayapond/papayapond/internal/controller"
 	"github.com/papayapond/papayapond/internal/holder"
@@ -26,7 +27,12 @@
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
+		a, err := kernel.Find[*authenticator.Authenticator](k, nameAuthenticator)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
 		cfg := subscriber.Config{
+			Use:  a.Use,
 			Name: b.settings.Name, Zone: b.settings.Zone, Holders: b.holders(),
 			Watch: func(ctx context.Context, name string, q *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error) {
 				return b.peers.fleet(name).Watch(ctx, q)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
 	"github.com/papayapond/papayapond/pkg/account"
+	"github.com/papayapond/papayapond/pkg/group"
 )
 
 const (
@@ -40,9 +41,10 @@
 	Phase func() string
 	// Skew returns the measured difference to the clock of a holder.
 	Skew func() time.Duration
-	// Account and Group find the owner of a key.
-	Account func(key string) (string, error)
-	Group   func(key string) (string, error)
+	// Account finds the owner of a key; Group finds the group of a target if
+	// the key is that of the group.
+	Account func(key string) (account.Account, error)
+	Group   func(target, key string) (group.Group, error)
 	// Reserve, Settle and Cancel act on the allowances of this instance.
 	Reserve func(ctx context.Context, account string, amount int64) (uint64, error)
 	Settle  func(ctx context.Context, ticket uint64, bill *wire.Bill) (wire.Outcome, error)
@@ -184,15 +186,11 @@
 	if s.config == nil {
 		return eris.Wrap(fault.Unavailable, "no configuration yet")
 	}
-	name, err := g.cfg.Account(bearer(s.request))
+	owner, err := g.cfg.Account(bearer(s.request))
 	if err != nil {
 		return err
 	}
-	account, ok := s.config.Account(name)
-	if !ok {
-		return eris.Wrapf(fault.Unauthorized, "account %s", name)
-	}
-	s.account = account
+	s.account = owner
 	if key := s.request.Header.Get("Idempotency-Key"); key != "" {
 		if len(key) > 200 {
 			return eris.Wrap(fault.Malformed, "Idempotency-Key is longer than 200 bytes")
--- a/internal/gateway/other.go
+++ b/internal/gateway/other.go
@@ -68,8 +68,7 @@
 }
 
 func (g *Gateway) takeAnnouncement(s *session) error {
-	config := g.cfg.Current()
-	if config == nil {
+	if g.cfg.Current() == nil {
 		return eris.Wrap(fault.Unavailable, "no configuration yet")
 	}
 	raw, err := readBody(s.request)
@@ -83,14 +82,9 @@
 	if t.Name == "" || t.Zone == "" || t.Address == "" || t.State != "ready" && t.State != "leaving" {
 		return eris.Wrap(fault.Malformed, "target: name, zone, address and state (ready or leaving) are required")
 	}
-	owner, err := g.cfg.Group(bearer(s.request))
-	if err != nil {
+	if _, err := g.cfg.Group(t.Name, bearer(s.request)); err != nil {
 		return err
 	}
-	group, ok := config.Group(t.Name)
-	if !ok || group.Name != owner {
-		return eris.Wrapf(fault.Forbidden, "target %s is not in group %s", t.Name, owner)
-	}
 	t.Time = g.cfg.Now().UnixNano()
 	if err := g.cfg.Announce(s.request.Context(), &t); err != nil {
 		g.cfg.Logger.Debug("No holder took the announcement.", zap.String("target", t.Name), zap.Error(err))
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -45,6 +45,8 @@
 	Watch func(ctx context.Context, holder string, request *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error)
 	// Announce passes the state of a target on to a holder.
 	Announce func(ctx context.Context, holder string, request *wire.AnnounceRequest) (*wire.AnnounceReply, error)
+	// Use is called with each configuration before it counts as in force.
+	Use func(*configuration.Configuration)
 	// Silent is called when a stream has gone silent.
 	Silent   func()
 	Registry *registry.Registry
@@ -89,6 +91,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(fault.Corrupt, "stored configuration: %v", err)
 	}
+	cfg.Use(c)
 	s.current.Store(c)
 	return s, nil
 }
@@ -254,6 +257,7 @@
 			return eris.Wrapf(fault.Corrupt, "store configuration: %v", err)
 		}
 	}
+	s.cfg.Use(next)
 	s.current.Store(next)
 	s.cfg.Logger.Info("Configuration in force.", zap.Uint64("version", next.Version()))
 	s.mu.Lock()
