Add the replicated log

Cause: the controller needs a log that survives the loss of one disk and never answers from a stale leader. Ruled out: one mutex held during syncs, because a slow disk would then keep an isolated leader from stepping down; a replacement that swaps two voters in one entry, because the majorities of {a,b,c} and {a,b,d} need not meet.

--- /dev/null
+++ b/internal/replicator/cluster_test.go
@@ -0,0 +1,405 @@
+package replicator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc64"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// cluster runs real replicators over a fake network and fake disks. It is
+// used inside a synctest bubble, so that time passes only while all of its
+// goroutines wait.
+type cluster struct {
+	t       testing.TB
+	mu      sync.Mutex
+	random  *rand.Rand
+	nodes   map[string]*node
+	names   []string
+	cut     map[[2]string]bool // one-way links that lose messages
+	delay   time.Duration      // longest delay of a message
+	repeats float64            // share of requests that arrive twice
+	every   uint64             // SnapshotEvery
+	states  map[*Replicator]*state
+	history [][]byte // commands by index, as first applied
+}
+
+// node is one instance: its disk survives a crash, the replicator doesn't.
+type node struct {
+	name   string
+	disk   *disk
+	member *Replicator
+	state  *state
+	cancel context.CancelFunc
+	done   chan struct{}
+	frozen chan struct{} // closed when the process runs
+}
+
+// state is the applied state: registers, and a chained checksum of all
+// commands.
+type state struct {
+	mu      sync.Mutex
+	c       *cluster
+	Applied uint64
+	Count   uint64
+	Sum     uint64
+	Values  map[string]string
+}
+
+var crcTable = crc64.MakeTable(crc64.ECMA)
+
+func newCluster(t testing.TB, seed uint64, names ...string) *cluster {
+	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, names: names, cut: map[[2]string]bool{}, states: map[*Replicator]*state{}, every: 50}
+	for _, name := range names {
+		c.nodes[name] = &node{name: name, disk: newDisk(t, seed), frozen: closed()}
+	}
+	return c
+}
+
+func closed() chan struct{} {
+	ch := make(chan struct{})
+	close(ch)
+	return ch
+}
+
+func (c *cluster) startAll() {
+	for _, name := range c.names {
+		c.start(name)
+	}
+}
+
+func (c *cluster) stopAll() {
+	for _, name := range c.names {
+		c.thaw(name)
+		c.crash(name)
+	}
+}
+
+// start runs the process of a node from its disk.
+func (c *cluster) start(name string) {
+	c.t.Helper()
+	n := c.nodes[name]
+	if n.cancel != nil {
+		return
+	}
+	d, s := n.disk, &state{c: c, Values: map[string]string{}}
+	d.revive()
+	member, err := New(Config{
+		Name: name, Members: c.names, Path: d.path,
+		Apply: s.apply, Snapshot: s.snapshot, Restore: s.restore,
+		Vote: func(ctx context.Context, peer string, q *wire.VoteRequest) (*wire.VoteReply, error) {
+			return send(ctx, c, name, peer, q, (*Replicator).Vote)
+		},
+		Append: func(ctx context.Context, peer string, q *wire.AppendRequest) (*wire.AppendReply, error) {
+			return send(ctx, c, name, peer, q, (*Replicator).Append)
+		},
+		Install: func(ctx context.Context, peer string, q *wire.InstallRequest) (*wire.InstallReply, error) {
+			return send(ctx, c, name, peer, q, (*Replicator).Install)
+		},
+		After:  func(d time.Duration) <-chan time.Time { return c.after(n, d) },
+		Random: c.uint64, Journal: d.open, Load: d.load, Store: d.store,
+		SnapshotEvery: c.every, Chunk: 64, Logger: zap.NewNop(),
+	})
+	if err != nil {
+		c.t.Fatalf("start %s: %v", name, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	c.mu.Lock()
+	n.member, n.state, n.cancel, n.done = member, s, cancel, done
+	c.states[member] = s
+	c.mu.Unlock()
+	go func() {
+		defer close(done)
+		member.Run(ctx)
+	}()
+}
+
+// crash ends the process; what is not synced is lost.
+func (c *cluster) crash(name string) {
+	c.mu.Lock()
+	n := c.nodes[name]
+	cancel, done := n.cancel, n.done
+	if cancel == nil {
+		c.mu.Unlock()
+		return
+	}
+	n.disk.kill()
+	n.member, n.cancel = nil, nil
+	c.mu.Unlock()
+	c.thaw(name)
+	cancel()
+	<-done
+}
+
+// lose replaces the disk of a node by an empty one.
+func (c *cluster) lose(name string) {
+	c.crash(name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[name].disk = newDisk(c.t, c.random.Uint64())
+}
+
+func (c *cluster) freeze(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.nodes[name]
+	select {
+	case <-n.frozen:
+		if n.cancel != nil {
+			n.frozen = make(chan struct{})
+		}
+	default: // is frozen
+	}
+}
+
+func (c *cluster) thaw(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.nodes[name]
+	select {
+	case <-n.frozen:
+	default:
+		close(n.frozen)
+	}
+}
+
+// running returns the member of a node and the gate that a frozen process
+// waits at.
+func (c *cluster) running(name string) (*Replicator, chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name].member, c.nodes[name].frozen
+}
+
+func (c *cluster) uint64() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Uint64()
+}
+
+// after is a timer that doesn't fire while the process is frozen.
+func (c *cluster) after(n *node, d time.Duration) <-chan time.Time {
+	ch := make(chan time.Time, 1)
+	time.AfterFunc(d, func() {
+		_, gate := c.running(n.name)
+		<-gate
+		ch <- time.Now()
+	})
+	return ch
+}
+
+// passes tells whether a message gets through and after which delay.
+func (c *cluster) passes(from, to string) (bool, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wait := time.Duration(0)
+	if c.delay > 0 {
+		wait = time.Duration(c.random.Int64N(int64(c.delay)))
+	}
+	return !c.cut[[2]string{from, to}], wait
+}
+
+func (c *cluster) repeated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64() < c.repeats
+}
+
+func (c *cluster) isolate(name string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, other := range c.names {
+		c.cut[[2]string{name, other}], c.cut[[2]string{other, name}] = cut, cut
+	}
+}
+
+func (c *cluster) link(from, to string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[[2]string{from, to}] = cut
+}
+
+var errLost = errors.New("no answer")
+
+// send carries a call. A request whose caller gave up still arrives later,
+// and some arrive twice, so requests also overtake one another.
+func send[Q, R proto.Message](ctx context.Context, c *cluster, from, to string, q Q, serve func(*Replicator, context.Context, Q) (R, error)) (R, error) {
+	var none R
+	answers := make(chan R, 2)
+	deliver := func() {
+		if _, gate := c.running(from); gate != nil {
+			<-gate
+		}
+		ok, wait := c.passes(from, to)
+		time.Sleep(wait)
+		member, gate := c.running(to)
+		if !ok || member == nil {
+			return
+		}
+		<-gate
+		reply, err := serve(member, context.Background(), proto.CloneOf(q))
+		ok, wait = c.passes(to, from)
+		time.Sleep(wait)
+		if err != nil || !ok {
+			return
+		}
+		answers <- proto.CloneOf(reply)
+	}
+	go deliver()
+	if c.repeated() {
+		go deliver()
+	}
+	select {
+	case reply := <-answers:
+		_, gate := c.running(from)
+		<-gate
+		return reply, nil
+	case <-ctx.Done():
+		return none, errLost
+	}
+}
+
+// leader waits until a running member leads and can commit.
+func (c *cluster) leader() (string, *Replicator) {
+	c.t.Helper()
+	for range 2000 {
+		for _, name := range c.names {
+			if m, _ := c.running(name); m != nil && m.Leader() == name {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				err := m.Barrier(ctx)
+				cancel()
+				if err == nil {
+					return name, m
+				}
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.t.Fatalf("no leader in 40 s: %s", c.describe())
+	return "", nil
+}
+
+// describe returns the state of the members, for a failed test.
+func (c *cluster) describe() string {
+	var text strings.Builder
+	for _, name := range c.names {
+		m, _ := c.running(name)
+		if m == nil {
+			fmt.Fprintf(&text, "\n%s is down", name)
+			continue
+		}
+		m.mu.Lock()
+		fmt.Fprintf(&text, "\n%s: %v leads %t last %d commit %d applied %d members %v failed %v", name, m.ballot, m.reign != nil, m.log.last(), m.commit, m.applied, m.members(), m.failed)
+		m.mu.Unlock()
+	}
+	return text.String()
+}
+
+// propose retries until a command is acknowledged by a leader.
+func (c *cluster) propose(command string) uint64 {
+	c.t.Helper()
+	for range 1000 {
+		_, m := c.leader()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		index, _, err := m.Propose(ctx, []byte(command))
+		cancel()
+		if err == nil {
+			return index
+		}
+	}
+	c.t.Fatalf("%q is never accepted", command)
+	return 0
+}
+
+// settle waits until all nodes have applied what the leader has committed.
+func (c *cluster) settle() {
+	c.t.Helper()
+	index := c.propose("settle")
+	for range 3000 {
+		behind := 0
+		for _, name := range c.names {
+			if n := c.nodes[name]; n.cancel == nil || n.state.index() < index {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.t.Fatalf("entry %d does not reach all members in 60 s: %s", index, c.describe())
+}
+
+// record checks an applied command against what other members applied at
+// the same index: applied sequences are prefixes of one another.
+func (c *cluster) record(index uint64, command []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for uint64(len(c.history)) <= index {
+		c.history = append(c.history, nil)
+	}
+	if c.history[index] != nil && !bytes.Equal(c.history[index], command) {
+		c.t.Errorf("index %d: got %q, want %q as applied elsewhere", index, command, c.history[index])
+	}
+	c.history[index] = bytes.Clone(command)
+}
+
+// apply sets a register for a command "key=value".
+func (s *state) apply(index uint64, command []byte) []byte {
+	s.c.record(index, command)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index <= s.Applied {
+		s.c.t.Errorf("index %d applied after %d", index, s.Applied)
+	}
+	key, value, _ := strings.Cut(string(command), "=")
+	old := s.Values[key]
+	s.Values[key] = value
+	s.Applied = index
+	s.Count++
+	sum := crc64.Checksum(fmt.Append(nil, s.Sum, index, string(command)), crcTable)
+	s.Sum = sum
+	return []byte(old)
+}
+
+func (s *state) snapshot() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, err := json.Marshal(s)
+	if err != nil {
+		s.c.t.Errorf("snapshot: %v", err)
+	}
+	return data
+}
+
+func (s *state) restore(data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Values = nil
+	return json.Unmarshal(data, s)
+}
+
+func (s *state) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Values[key]
+}
+
+func (s *state) index() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Applied
+}
--- /dev/null
+++ b/internal/replicator/replace.go
@@ -0,0 +1,180 @@
+package replicator
+
+import (
+	"context"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// absence is the number of election timeouts of silence after which the
+// replacement by a learner is given up, so that others can go on.
+const absence = 10
+
+// Replace puts one member in the place of another: the next one becomes a
+// learner, catches up, the old one is removed and the next one gets the vote,
+// each step a committed entry. Both are instance names or member identities;
+// it must have asked to join. If the leader is lost on the way,
+// the next one goes on when the learner asks again. The leader replaces a
+// member whose folder is lost by itself, when the new folder asks to join.
+func (r *Replicator) Replace(ctx context.Context, old, next string) error {
+	r.mu.Lock()
+	reign := r.reign
+	if reign == nil {
+		defer r.mu.Unlock()
+		return r.isolated()
+	}
+	if joiner := r.joiners[next]; joiner != "" {
+		next = joiner
+	}
+	list := r.members()
+	i := slices.IndexFunc(list.Voters, func(v string) bool { return v == old || instance(v) == old })
+	joined := r.joiners[instance(next)] == next
+	if i >= 0 {
+		old = list.Voters[i]
+	}
+	self := r.ballot.Member
+	r.mu.Unlock()
+	switch {
+	case !joined:
+		return eris.Wrapf(fault.Unavailable, "member %s has not asked to join", next)
+	case i < 0:
+		return eris.Wrapf(fault.Missing, "no voter %s", old)
+	case old == self:
+		return eris.Wrapf(fault.Conflict, "member %s leads; transfer first", old)
+	}
+	return r.substitute(ctx, reign, old, next)
+}
+
+// admit notes a folder that asks to join and, on the leader, replaces the
+// member that it stands in for. The caller holds mu.
+func (r *Replicator) admit(member string) {
+	name := instance(member)
+	r.joiners[name] = member
+	list := r.members()
+	if r.reign == nil || r.reign.busy || isVoter(list, member) {
+		return
+	}
+	old := ""
+	for _, l := range list.Learners {
+		if instance(l.Member) == name {
+			old = l.Replaces
+		}
+	}
+	for _, v := range list.Voters {
+		if old == "" && instance(v) == name {
+			old = v
+		}
+	}
+	if old == "" || old == r.ballot.Member {
+		return
+	}
+	reign := r.reign
+	r.group.Go(func() {
+		if err := r.substitute(reign.ctx, reign, old, member); err != nil {
+			r.cfg.Logger.Warn("replace", zap.String("old", old), zap.String("new", member), zap.Error(err))
+		}
+	})
+}
+
+// substitute takes the steps of Replace that have not been taken yet.
+func (r *Replicator) substitute(ctx context.Context, reign *reign, old, next string) error {
+	r.mu.Lock()
+	busy := reign.busy
+	reign.busy = true
+	r.mu.Unlock()
+	if busy {
+		return eris.Wrap(fault.Overloaded, "another membership change is in progress")
+	}
+	defer func() {
+		r.mu.Lock()
+		reign.busy = false
+		r.mu.Unlock()
+	}()
+	if err := r.change(ctx, reign, func(m *wire.Members) { addLearner(m, old, next) }); err != nil {
+		return err
+	}
+	if err := r.caughtUp(ctx, reign, next); err != nil {
+		return err
+	}
+	if err := r.change(ctx, reign, func(m *wire.Members) { removeVoter(m, old) }); err != nil {
+		return err
+	}
+	return r.change(ctx, reign, func(m *wire.Members) { promote(m, next) })
+}
+
+// change commits one member list that differs in at most one voter. It does
+// nothing if edit doesn't change the list.
+func (r *Replicator) change(ctx context.Context, reign *reign, edit func(*wire.Members)) error {
+	var before, after *wire.Members
+	err := r.await(ctx, func() (bool, error) {
+		if r.reign != reign {
+			return false, r.isolated()
+		}
+		before = r.members()
+		after = proto.CloneOf(before)
+		edit(after)
+		// A new list needs a committed entry of the term, the list before it
+		// committed, and a majority of its own that answers.
+		latest := r.lists[len(r.lists)-1].index
+		return reign.first > 0 && r.commit >= max(reign.first, latest) && r.answers(after.Voters), nil
+	})
+	if err != nil || proto.Equal(before, after) {
+		return err
+	}
+	data, err := proto.Marshal(after)
+	if err != nil {
+		return eris.Wrap(err, "encode members")
+	}
+	r.cfg.Logger.Info("members", zap.Strings("voters", after.Voters), zap.Int("learners", len(after.Learners)))
+	_, _, err = r.submit(ctx, reign, &wire.Entry{Members: data})
+	return err
+}
+
+// caughtUp waits until a learner holds what is committed now.
+func (r *Replicator) caughtUp(ctx context.Context, reign *reign, member string) error {
+	target := uint64(0)
+	return r.await(ctx, func() (bool, error) {
+		if r.reign != reign {
+			return false, r.isolated()
+		}
+		if newer := r.joiners[instance(member)]; newer != "" && newer != member {
+			return false, eris.Wrapf(fault.Conflict, "member %s has been followed by %s", member, newer)
+		}
+		if target == 0 {
+			target = r.commit
+		}
+		p := reign.peers[member]
+		if p == nil || r.cfg.Now().Sub(p.contact) > absence*r.cfg.Election {
+			return false, eris.Wrapf(fault.Unavailable, "member %s does not answer", member)
+		}
+		return p.match >= target, nil
+	})
+}
+
+func addLearner(m *wire.Members, old, next string) {
+	if isVoter(m, next) || learnerOf(m, next) != nil {
+		return
+	}
+	m.Learners = slices.DeleteFunc(m.Learners, func(l *wire.Learner) bool {
+		return l.Replaces == old || instance(l.Member) == instance(next)
+	})
+	m.Learners = append(m.Learners, &wire.Learner{Member: next, Replaces: old})
+}
+
+func removeVoter(m *wire.Members, old string) {
+	m.Voters = slices.DeleteFunc(m.Voters, func(v string) bool { return v == old })
+}
+
+func promote(m *wire.Members, member string) {
+	if learnerOf(m, member) == nil {
+		return
+	}
+	m.Learners = slices.DeleteFunc(m.Learners, func(l *wire.Learner) bool { return l.Member == member })
+	m.Voters = append(m.Voters, member)
+}
--- /dev/null
+++ b/internal/replicator/replicator_test.go
@@ -0,0 +1,169 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// A new log that never elects a leader, or a follower that applies other
+// commands than the leader, makes the whole control part useless.
+func TestReplication(t *testing.T) {
+	for _, names := range [][]string{{"a"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
+		t.Run(fmt.Sprint(len(names)), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, names...)
+				c.startAll()
+				defer c.stopAll()
+				for i := range 200 {
+					c.propose(fmt.Sprint("command ", i))
+				}
+				c.settle()
+				for _, name := range names {
+					if got, want := c.nodes[name].state.Count, uint64(201); got != want {
+						t.Errorf("%s applied %d commands, want %d", name, got, want)
+					}
+					if got := c.nodes[name].disk.ballot; len(got) == 0 {
+						t.Errorf("%s stored no ballot", name)
+					}
+				}
+			})
+		})
+	}
+}
+
+// A follower that accepted proposals would answer for a log it doesn't lead.
+func TestFollowerNamesLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, _ := c.leader()
+		for other, n := range c.nodes {
+			if other == name {
+				continue
+			}
+			_, _, err := n.member.Propose(t.Context(), []byte("y"))
+			if !errors.Is(err, fault.Isolated) {
+				t.Errorf("propose on %s: got %v, want isolated", other, err)
+			}
+			if got := n.member.Leader(); got != name {
+				t.Errorf("leader on %s: got %q, want %q", other, got, name)
+			}
+		}
+	})
+}
+
+// An isolated leader that keeps leading would answer stale reads and accept
+// proposals that are lost.
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, old := c.leader()
+		c.isolate(name, true)
+		start := time.Now()
+		_, _, err := old.Propose(t.Context(), []byte("lost"))
+		if !errors.Is(err, fault.Uncertain) {
+			t.Errorf("propose: got %v, want uncertain", err)
+		}
+		if got, want := time.Since(start), defaultElection+2*defaultHeartbeat; got > want {
+			t.Errorf("step down took %v, want at most %v", got, want)
+		}
+		if err := old.Barrier(t.Context()); !errors.Is(err, fault.Isolated) {
+			t.Errorf("barrier: got %v, want isolated", err)
+		}
+		c.propose("y")
+		c.isolate(name, false)
+		c.settle()
+	})
+}
+
+// A member that can't sync must not vote or acknowledge, since it would
+// forget both.
+func TestFailedSyncStopsMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, m := c.leader()
+		c.nodes[name].disk.fail = true
+		m.adopt(m.vote().Term + 1)
+		if _, _, err := m.Propose(t.Context(), []byte("y")); !errors.Is(err, fault.Isolated) {
+			t.Errorf("propose: got %v, want isolated", err)
+		}
+		c.propose("z")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := m.Vote(ctx, &wire.VoteRequest{}); err == nil {
+			t.Error("a stopped member answered a vote request")
+		}
+	})
+}
+
+// A planned stop without a transfer leaves the log without a leader for an
+// election timeout.
+func TestTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 5, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, m := c.leader()
+		start := time.Now()
+		if err := m.Transfer(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := time.Since(start), defaultHeartbeat; got > want {
+			t.Errorf("transfer took %v, want at most %v", got, want)
+		}
+		if next, _ := c.leader(); next == name {
+			t.Errorf("%s still leads", name)
+		}
+	})
+}
+
+// A member that voted, lost its disk and voted again could elect two leaders
+// in a term; it must rejoin under another identity, also the second time.
+func TestLostDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		members := map[string]bool{}
+		for round := range 4 {
+			for i := range 120 {
+				c.propose(fmt.Sprint(round, " ", i))
+			}
+			name, _ := c.leader()
+			c.lose(name)
+			c.propose("while away")
+			c.start(name)
+			c.settle()
+			for !c.nodes[name].isVoter() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if member := c.nodes[name].member.vote().Member; member == name || members[member] {
+				t.Errorf("round %d: member identity %s is used again", round, member)
+			} else {
+				members[member] = true
+			}
+		}
+	})
+}
+
+func (n *node) isVoter() bool {
+	n.member.mu.Lock()
+	defer n.member.mu.Unlock()
+	return isVoter(n.member.members(), n.member.ballot.Member)
+}
