--- a/cmd/papayapond/demo.go
+++ b/cmd/papayapond/demo.go
@@ -16,6 +16,7 @@
 
 	"github.com/papayapond/papayapond/internal/demo"
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/logger"
 	"github.com/papayapond/papayapond/internal/sampler"
 )
 
@@ -31,11 +32,11 @@
 func (c *demoCommand) run(ctx context.Context) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	logger, err := newLogger(c.Level)
+	log, err := logger.New(c.Level)
 	if err != nil {
 		return err
 	}
-	d, err := demo.New(demo.Config{Data: c.Data, Zones: []int{1, 1, 1}, Budget: sampleBudget, Logger: logger})
+	d, err := demo.New(demo.Config{Data: c.Data, Zones: []int{1, 1, 1}, Budget: sampleBudget, Logger: log.Logger})
 	if err != nil {
 		return err
 	}
--- a/cmd/papayapond/serve.go
+++ b/cmd/papayapond/serve.go
@@ -7,11 +7,11 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/daemon"
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/logger"
 	"github.com/papayapond/papayapond/internal/settings"
 )
 
@@ -24,12 +24,12 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s.Level)
+	log, err := logger.New(s.Level)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = logger.Sync() }()
-	d, err := daemon.New(daemon.Config{Settings: s, Logger: logger.With(zap.String("instance", s.Name))})
+	defer func() { _ = log.Sync() }()
+	d, err := daemon.New(daemon.Config{Settings: s, Logger: log.With(zap.String("instance", s.Name))})
 	if err != nil {
 		return err
 	}
@@ -38,9 +38,9 @@
 	if err := d.Start(ctx); err != nil {
 		return err
 	}
-	logger.Info("Instance started.", zap.String("instance", s.Name), zap.String("zone", s.Zone), zap.String("public", s.Public))
+	log.Info("Instance started.", zap.String("instance", s.Name), zap.String("zone", s.Zone), zap.String("public", s.Public))
 	<-signals
-	logger.Info("Instance is draining.", zap.String("instance", s.Name))
+	log.Info("Instance is draining.", zap.String("instance", s.Name))
 	go func() {
 		<-signals
 		fmt.Fprintln(os.Stderr, "papayapond: second signal, stopping at once")
@@ -51,20 +51,6 @@
 	if err := d.Stop(stop); err != nil {
 		return err
 	}
-	logger.Info("Instance stopped.", zap.String("instance", s.Name))
+	log.Info("Instance stopped.", zap.String("instance", s.Name))
 	return nil
 }
-
-func newLogger(level string) (*zap.Logger, error) {
-	l, err := zap.ParseAtomicLevel(level)
-	if err != nil {
-		return nil, eris.Wrapf(fault.Malformed, "log level: %v", err)
-	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = l
-	cfg.DisableStacktrace = true
-	cfg.DisableCaller = true
-	cfg.Sampling = nil
-	logger, err := cfg.Build()
-	return logger, eris.Wrap(err, "logger")
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -165,6 +167,11 @@
 	return names
 }
 
+// zones returns the sorted names of the zones that have a holder.
+func (b *builder) zones() []string {
+	return slices.Sorted(maps.Keys(b.holdersByZone()))
+}
+
 // flight returns the number of requests in flight on this instance.
 func (b *builder) flight() int {
 	if f := b.inFlight.Load(); f != nil {
--- a/internal/daemon/part_books.go
+++ b/internal/daemon/part_books.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/fx"
 
-	"github.com/papayapond/papayapond/internal/controller"
 	"github.com/papayapond/papayapond/internal/holder"
 	"github.com/papayapond/papayapond/internal/kernel"
 	"github.com/papayapond/papayapond/internal/member"
@@ -20,10 +20,6 @@
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
-		c, err := kernel.Find[*controller.Controller](k, nameController)
-		if err != nil {
-			return nil, fx.Hook{}, err
-		}
 		h, err := holder.New(holder.Config{
 			Name: b.settings.Name, Zone: b.settings.Zone, Path: b.settings.Data,
 			Others:    b.others(),
@@ -35,7 +31,7 @@
 				return 1
 			},
 			Propose: b.peers.propose(b.holders()),
-			Read:    func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
+			Read:    b.peers.read(b.holders()),
 			Copy: func(ctx context.Context, name string, q *wire.CopyRequest) (*wire.CopyReply, error) {
 				return b.peers.books(name).Copy(ctx, q)
 			},
@@ -48,6 +44,7 @@
 			Tally: func(ctx context.Context, name string, q *wire.TallyRequest) (*wire.TallyReply, error) {
 				return b.peers.books(name).Tally(ctx, q)
 			},
+			Now:    time.Now,
 			Logger: k.Logger(nameHolder),
 		})
 		if err != nil {
@@ -90,6 +87,7 @@
 			Settle: func(ctx context.Context, name string, q *wire.SettleRequest) (*wire.SettleReply, error) {
 				return b.peers.books(name).Settle(ctx, q)
 			},
+			Now:    time.Now,
 			Logger: k.Logger(nameReserver),
 		})
 		return r, kernel.Hook(r.Run), nil
--- a/internal/daemon/part_control.go
+++ b/internal/daemon/part_control.go
@@ -33,6 +33,8 @@
 			Forward: func(ctx context.Context, leader string, request *wire.ProposeRequest) (*wire.ProposeReply, error) {
 				return b.peers.control(leader).Propose(ctx, request)
 			},
+			Zones:  b.zones(),
+			Now:    time.Now,
 			Logger: k.Logger(nameController),
 		})
 		b.link = l
@@ -84,13 +86,9 @@
 
 func (b *builder) dissolver() fx.Option {
 	return kernel.Part("dissolver", func(k *kernel.Kernel) (any, fx.Hook, error) {
-		c, err := kernel.Find[*controller.Controller](k, nameController)
-		if err != nil {
-			return nil, fx.Hook{}, err
-		}
 		d := dissolver.New(dissolver.Config{
 			Leader:  func() bool { return b.link.log.Leader() == b.settings.Name },
-			Read:    func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
+			Read:    b.peers.read(b.holders()),
 			Propose: b.peers.propose(b.holders()),
 			Holders: b.holdersByZone(),
 			Release: func(ctx context.Context, holder string, q *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -183,11 +183,9 @@
 					return b.peers.fleet(name).List(ctx, &wire.ListRequest{})
 				})
 			},
+			Zones:  b.zones(),
 			Logger: k.Logger("operator"),
 		}
-		for zone := range holders {
-			cfg.Zones = append(cfg.Zones, zone)
-		}
 		var handler http.Handler = operator.New(cfg)
 		return handler, b.httpServer("operator", b.settings.Operator, handler), nil
 	})
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -118,13 +118,13 @@
 		d.stop()
 	}
 	var first error
-	for _, s := range d.daemons {
-		if err := s.Stop(ctx); err != nil && first == nil {
+	for _, done := range d.targets {
+		if err := <-done; err != nil && first == nil {
 			first = err
 		}
 	}
-	for _, done := range d.targets {
-		if err := <-done; err != nil && first == nil {
+	for _, s := range d.daemons {
+		if err := s.Stop(ctx); err != nil && first == nil {
 			first = err
 		}
 	}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -86,7 +86,9 @@
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Digest: s.digest, Repeatable: true,
 		Allowed: g.allowed(s),
 	}
-	if s.key == "" {
+	if s.key != "" {
+		// Two attempts with one key may run at the same time, and accounts may
+		// choose the same key.
 		job.Request = newIdentity()
 	}
 	target, err := g.cfg.Do(ctx, job, relay.consume)
--- a/internal/gateway/other.go
+++ b/internal/gateway/other.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
@@ -79,8 +80,8 @@
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(raw, &t); err != nil {
 		return eris.Wrapf(fault.Malformed, "target: %v", err)
 	}
-	if t.Name == "" || t.Zone == "" || t.Address == "" || t.State != "ready" && t.State != "leaving" {
-		return eris.Wrap(fault.Malformed, "target: name, zone, address and state (ready or leaving) are required")
+	if t.Name == "" || t.Zone == "" || t.Address == "" || !slices.Contains([]string{"ready", "leaving", "gone"}, t.State) {
+		return eris.Wrap(fault.Malformed, "target: name, zone, address and state (ready, leaving or gone) are required")
 	}
 	if _, err := g.cfg.Group(t.Name, bearer(s.request)); err != nil {
 		return err
--- /dev/null
+++ b/internal/logger/logger.go
@@ -0,0 +1,66 @@
+package logger
+
+import (
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+// Logger is a zap logger whose level can be changed while it is in use.
+type Logger struct {
+	*zap.Logger
+	// Level is the present level.
+	Level zap.AtomicLevel
+}
+
+// New returns a logger that writes to standard error. The level is debug,
+// info, warn or error.
+func New(level string) (*Logger, error) {
+	l, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Malformed, "log level: %v", err)
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = l
+	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
+	cfg.Sampling = nil
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	built, err := cfg.Build(zap.WrapCore(func(c zapcore.Core) zapcore.Core { return core{c} }))
+	if err != nil {
+		return nil, eris.Wrap(err, "logger")
+	}
+	return &Logger{Logger: built, Level: l}, nil
+}
+
+// core writes errors as plain strings. Without it zap adds the stack trace of
+// each error of eris to the line.
+type core struct {
+	zapcore.Core
+}
+
+func (c core) With(fields []zapcore.Field) zapcore.Core { return core{c.Core.With(plain(fields))} }
+
+func (c core) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return checked.AddCore(e, c)
+	}
+	return checked
+}
+
+func (c core) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	result := make([]zapcore.Field, len(fields))
+	for i, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String(f.Key, err.Error())
+		}
+		result[i] = f
+	}
+	return result
+}
