holder: serve the books of a zone, with copies, grants and restore

Cause: entry instances need allowances and durable bills from one place per zone, and a lost disk must not lose bills or create tokens.

--- /dev/null
+++ b/internal/holder/books.go
@@ -0,0 +1,183 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/ledger"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	// grantWait is how long a draw waits for rights from the log.
+	grantWait = time.Second
+	// tallyLimit bounds the rows of one Tally reply.
+	tallyLimit = 1000
+)
+
+var _ wire.DRPCBooksServer = (*Holder)(nil)
+
+// open returns the books, or an error that wraps fault.Unavailable.
+func (h *Holder) open() (*ledger.Ledger, error) {
+	if l := h.ledger.Load(); l != nil {
+		return l, nil
+	}
+	return nil, eris.Wrapf(fault.Unavailable, "books of zone %s are not open", h.cfg.Zone)
+}
+
+// Draw gives an allowance. Without enough free rights, it asks the log for
+// more and waits up to one second.
+func (h *Holder) Draw(ctx context.Context, request *wire.DrawRequest) (*wire.DrawReply, error) {
+	l, err := h.open()
+	if err == nil && h.closing.Load() {
+		err = eris.Wrap(fault.Closed, "rights are being released")
+	}
+	if err != nil {
+		return &wire.DrawReply{Fault: wireFault(err)}, nil
+	}
+	h.grants.note(request.Account, request.Need, h.cfg.Now())
+	amount, err := h.draw(ctx, l, request)
+	if err != nil {
+		// The epoch lets the caller bill requests without a price.
+		return &wire.DrawReply{Fault: wireFault(err), Epoch: l.Epoch()}, nil
+	}
+	h.progress.kick()
+	h.grants.note(request.Account, amount-request.Need, h.cfg.Now())
+	t := tally(l, request.Account)
+	h.refill(l, t)
+	return &wire.DrawReply{Amount: amount, Epoch: l.Epoch(), Unspent: t.Free + t.Allowances}, nil
+}
+
+// draw draws from the ledger, and asks for rights while it has too few.
+func (h *Holder) draw(ctx context.Context, l *ledger.Ledger, request *wire.DrawRequest) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, grantWait)
+	defer cancel()
+	for {
+		amount, err := l.Draw(request.Holding, request.Account, request.Need, request.Want)
+		if err == nil || fault.Of(err) != fault.Exhausted || !h.ask(ctx, l, request.Account, request.Need, 0) {
+			return amount, err
+		}
+	}
+}
+
+// Return takes an allowance back.
+func (h *Holder) Return(_ context.Context, request *wire.ReturnRequest) (*wire.ReturnReply, error) {
+	l, err := h.open()
+	if err == nil {
+		err = l.Return(request.Holding, request.Account, request.Epoch, request.Amount, request.Sequence)
+	}
+	if err == nil {
+		h.progress.kick()
+	}
+	return &wire.ReturnReply{Fault: wireFault(err)}, nil
+}
+
+// Settle bills requests. It answers after another holder has a durable copy of
+// the records, or in solo mode. A request without bills asks for the copied
+// position.
+func (h *Holder) Settle(ctx context.Context, request *wire.SettleRequest) (*wire.SettleReply, error) {
+	l, err := h.open()
+	if err != nil {
+		return &wire.SettleReply{Fault: wireFault(err)}, nil
+	}
+	reply := &wire.SettleReply{}
+	if len(request.Bills) > 0 {
+		reply.Outcomes, reply.Position, err = l.Settle(request.Holding, request.Epoch, request.Bills)
+		if err != nil {
+			return &wire.SettleReply{Fault: wireFault(err)}, nil
+		}
+		if h.progress.wait(ctx, reply.Position) {
+			h.cfg.Logger.Warn("solo mode begins, no copy within 200 ms", zap.Uint64("position", reply.Position))
+		}
+	}
+	copied, solo := h.progress.state(reply.Position)
+	reply.Solo = solo
+	if request.Epoch == l.Epoch() {
+		reply.Copied = copied
+	}
+	return reply, nil
+}
+
+// Find tells what is known about an identity.
+func (h *Holder) Find(_ context.Context, request *wire.FindRequest) (*wire.FindReply, error) {
+	l, err := h.open()
+	if err != nil {
+		return &wire.FindReply{Fault: wireFault(err)}, nil
+	}
+	bill, conflict := l.Find(request.Account, request.Request, request.Digest)
+	return &wire.FindReply{Known: bill != nil || conflict, Bill: bill, Conflict: conflict}, nil
+}
+
+// Tally returns the books. With bills, the paging is over the bills of the
+// account and the tallies come with the first page; otherwise it is over the
+// accounts.
+func (h *Holder) Tally(_ context.Context, request *wire.TallyRequest) (*wire.TallyReply, error) {
+	l, err := h.open()
+	if err != nil {
+		return &wire.TallyReply{Fault: wireFault(err)}, nil
+	}
+	limit := int(request.Limit)
+	if limit == 0 || limit > tallyLimit {
+		limit = tallyLimit
+	}
+	reply := &wire.TallyReply{Zone: h.cfg.Zone, Epoch: l.Epoch()}
+	if request.Bills {
+		bills := l.Bills(request.Account, int(request.Offset), limit+1)
+		reply.Bills, reply.More = page(bills, 0, limit)
+		if request.Offset == 0 {
+			reply.Tallies, _ = page(l.Tally(request.Account), 0, limit)
+		}
+		return reply, nil
+	}
+	reply.Tallies, reply.More = page(l.Tally(request.Account), int(request.Offset), limit)
+	return reply, nil
+}
+
+// Copy stores records of another zone.
+func (h *Holder) Copy(_ context.Context, request *wire.CopyRequest) (*wire.CopyReply, error) {
+	r, err := h.replica(request.Zone, true)
+	if err != nil {
+		return &wire.CopyReply{Fault: wireFault(err)}, nil
+	}
+	next, err := r.write(request, h.cfg.Now().UnixNano())
+	return &wire.CopyReply{Fault: wireFault(err), Position: next}, nil
+}
+
+// Fetch returns records of another zone from the copy. A position behind the
+// end returns the end.
+func (h *Holder) Fetch(_ context.Context, request *wire.FetchRequest) (*wire.FetchReply, error) {
+	r, err := h.replica(request.Zone, false)
+	if err == nil && r == nil {
+		err = eris.Wrapf(fault.Missing, "no copy of zone %s", request.Zone)
+	}
+	if err != nil {
+		return &wire.FetchReply{Fault: wireFault(err)}, nil
+	}
+	reply, err := r.read(request.Position)
+	if err != nil {
+		return &wire.FetchReply{Fault: wireFault(err)}, nil
+	}
+	return reply, nil
+}
+
+// tally returns the books of one account, with zeros if it has none.
+func tally(l *ledger.Ledger, account string) *wire.Tally {
+	for _, t := range l.Tally(account) {
+		return t
+	}
+	return &wire.Tally{Account: account}
+}
+
+// page returns at most limit rows from the offset on, and whether there are
+// more.
+func page[T any](rows []T, offset, limit int) ([]T, bool) {
+	rows = rows[min(offset, len(rows)):]
+	if len(rows) > limit {
+		return rows[:limit], true
+	}
+	return rows, false
+}
--- /dev/null
+++ b/internal/holder/merge.go
@@ -0,0 +1,113 @@
+package holder
+
+import (
+	"maps"
+	"path/filepath"
+	"regexp"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/ledger"
+)
+
+const (
+	// mergeInterval bounds the delay until the bills of other zones are known.
+	mergeInterval = 50 * time.Millisecond
+	// mergeRecords bounds the records that are merged at once.
+	mergeRecords = 1024
+)
+
+// zoneName matches the names that are safe as the name of a folder.
+var zoneName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// replica returns the copy of a zone. Without create, it returns nil if there
+// is none.
+func (h *Holder) replica(zone string, create bool) (*replica, error) {
+	if !zoneName.MatchString(zone) || zone == h.cfg.Zone {
+		return nil, eris.Wrapf(fault.Malformed, "copy of zone %q", zone)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return nil, eris.Wrap(fault.Draining, "holder is stopping")
+	}
+	if r := h.replicas[zone]; r != nil {
+		return r, nil
+	}
+	r, err := openReplica(filepath.Join(h.cfg.Path, "copy-"+zone), create, h.cfg.Logger)
+	if r != nil && err == nil {
+		h.replicas[zone] = r
+	}
+	return r, err
+}
+
+// mergeAll passes the bills of the copies to the ledger, which cancels those
+// that another zone has billed as well.
+func (h *Holder) mergeAll(l *ledger.Ledger) {
+	h.mu.Lock()
+	replicas := maps.Clone(h.replicas)
+	h.mu.Unlock()
+	merged := false
+	for zone, r := range replicas {
+		some, err := r.merge(zone, l)
+		if err != nil {
+			h.cfg.Logger.Warn("bills of another zone are not merged", zap.String("zone", zone), zap.Error(err))
+		}
+		merged = merged || some
+	}
+	if merged {
+		h.progress.kick()
+		h.align(l)
+	}
+}
+
+// merge passes the bills of one copy to the ledger, from the position on that
+// was reached before, and tells whether there were any records.
+func (r *replica) merge(zone string, l *ledger.Ledger) (bool, error) {
+	some := false
+	for {
+		snapshot, records, position, next := r.unmerged()
+		if len(snapshot) == 0 && len(records) == 0 {
+			return some, nil
+		}
+		bills, err := ledger.Extract(zone, snapshot, records)
+		if err != nil {
+			return some, err
+		}
+		if len(bills) > 0 {
+			if err := l.Merge(bills); err != nil {
+				return some, err
+			}
+		}
+		some = true
+		r.mu.Lock()
+		// A copy of a new epoch is merged from its start.
+		if r.merged == position {
+			r.merged = next
+		}
+		r.mu.Unlock()
+	}
+}
+
+// unmerged returns what comes after the merged position, and the position
+// behind it.
+func (r *replica) unmerged() (snapshot []byte, records [][]byte, position, next uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.front()
+	if r.state.Epochs[r.state.Front] == 0 {
+		return nil, nil, 0, 0
+	}
+	if r.merged < j.First() {
+		snapshot, next = j.Snapshot()
+		return snapshot, nil, r.merged, next
+	}
+	records, err := j.Read(r.merged, mergeRecords)
+	if err != nil {
+		r.logger.Warn("copy can't be read", zap.String("path", r.path), zap.Error(err))
+	}
+	return nil, records, r.merged, r.merged + uint64(len(records))
+}
--- /dev/null
+++ b/internal/holder/release.go
@@ -0,0 +1,208 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/ledger"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	// tailShare is the unspent part of a budget below which no reserve is
+	// kept, as a divisor: 2%.
+	tailShare = 50
+	// poolsAge is how long the pools of the log are taken as current.
+	poolsAge = 2 * time.Second
+)
+
+// pools caches the pools of the log.
+type pools struct {
+	mu    sync.Mutex
+	time  time.Time
+	pools map[string]*wire.Pool
+}
+
+// Release gives free rights back to the log: half of them less the reserve, or
+// all when the venture closes; rights that become free later follow then. The
+// records are durable in the ledger before the log learns of them.
+func (h *Holder) Release(ctx context.Context, request *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	l, err := h.open()
+	if err != nil {
+		return &wire.ReleaseReply{Fault: wireFault(err)}, nil
+	}
+	if request.Closing {
+		h.closing.Store(true)
+	}
+	amount, err := h.release(ctx, l, request)
+	h.confirm(ctx, l)
+	return &wire.ReleaseReply{Fault: wireFault(err), Amount: amount}, nil
+}
+
+// release takes rights out of the ledger and returns how many.
+func (h *Holder) release(ctx context.Context, l *ledger.Ledger, request *wire.ReleaseRequest) (int64, error) {
+	var sum int64
+	for _, t := range l.Tally(request.Account) {
+		amount := t.Free
+		if !request.Closing {
+			amount = h.releasable(ctx, t, request.Amount)
+		}
+		if amount <= 0 {
+			continue
+		}
+		_, released, err := l.Release(t.Account, amount)
+		if err != nil {
+			return sum, err
+		}
+		sum += released
+	}
+	h.progress.kick()
+	return sum, nil
+}
+
+// sendAll releases what is free while the venture closes, and sends the
+// releases that the log may not have.
+func (h *Holder) sendAll(ctx context.Context, l *ledger.Ledger) {
+	if h.closing.Load() {
+		if _, err := h.release(ctx, l, &wire.ReleaseRequest{Closing: true}); err != nil {
+			h.cfg.Logger.Warn("rights are not released", zap.Error(err))
+		}
+	}
+	h.confirm(ctx, l)
+}
+
+// releasable returns how much of the free rights may go: half of them, at most
+// the amount asked for, and not the reserve.
+func (h *Holder) releasable(ctx context.Context, t *wire.Tally, asked int64) int64 {
+	amount := (t.Free + 1) / 2
+	if asked > 0 {
+		amount = min(amount, asked)
+	}
+	h.grants.mu.Lock()
+	a := h.grants.account(t.Account)
+	if a.last == 0 {
+		// After a restart, the free rights stand for the last grant.
+		a.last = t.Free
+	}
+	last := a.last
+	h.grants.mu.Unlock()
+	keep := int64(h.cfg.Reserve() * float64(last))
+	if t.Free-amount >= keep {
+		return amount
+	}
+	if h.nearlySpent(ctx, t.Account) {
+		return amount
+	}
+	return t.Free - keep
+}
+
+// nearlySpent tells whether less than 2% of the budget is unspent and all
+// zones are connected.
+func (h *Holder) nearlySpent(ctx context.Context, account string) bool {
+	pool := h.pool(ctx, account)
+	if pool == nil {
+		return false
+	}
+	l, err := h.open()
+	if err != nil {
+		return false
+	}
+	budget := pool.Prepaid + pool.Topups
+	unspent := budget - tally(l, account).Billed
+	for _, other := range h.cfg.Others {
+		call, cancel := context.WithTimeout(ctx, callTimeout/4)
+		reply, err := h.cfg.Tally(call, other, &wire.TallyRequest{Account: account})
+		cancel()
+		if err != nil || reply.Fault != nil {
+			return false
+		}
+		for _, t := range reply.Tallies {
+			unspent -= t.Billed
+		}
+	}
+	return unspent < budget/tailShare
+}
+
+// pool returns the pool of an account in the log, or nil if it isn't known.
+func (h *Holder) pool(ctx context.Context, account string) *wire.Pool {
+	p := &h.pools
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := h.cfg.Now()
+	if p.pools == nil || now.Sub(p.time) > poolsAge {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout/4)
+		defer cancel()
+		reply, err := h.cfg.Read(ctx, &wire.ReadRequest{Stale: true, Pools: true})
+		if err != nil || reply.Fault != nil {
+			return p.pools[account]
+		}
+		p.time, p.pools = now, map[string]*wire.Pool{}
+		for _, pool := range reply.Pools {
+			p.pools[pool.Account] = pool
+		}
+	}
+	return p.pools[account]
+}
+
+// initial returns the share of a zone that never had rights of the account: an
+// equal part of half of the budget, and 0 for other zones.
+func (h *Holder) initial(ctx context.Context, account string) int64 {
+	pool := h.pool(ctx, account)
+	if pool == nil || pool.Zones[h.cfg.Zone] > 0 {
+		return 0
+	}
+	return (pool.Prepaid + pool.Topups) / 2 / int64(1+len(h.cfg.Others))
+}
+
+// seed asks for the initial share of accounts that have no rights here.
+func (h *Holder) seed(ctx context.Context, l *ledger.Ledger) {
+	h.pool(ctx, "")
+	h.pools.mu.Lock()
+	var accounts []string
+	for name, pool := range h.pools.pools {
+		if pool.Zones[h.cfg.Zone] == 0 && pool.Unassigned > 0 {
+			accounts = append(accounts, name)
+		}
+	}
+	h.pools.mu.Unlock()
+	for _, account := range accounts {
+		if ctx.Err() != nil || h.closing.Load() {
+			return
+		}
+		if tally(l, account).Granted == 0 {
+			call, cancel := context.WithTimeout(ctx, grantWait)
+			h.ask(call, l, account, 0, 0)
+			cancel()
+		}
+	}
+}
+
+// confirm sends the releases that the log may not have, one caller at a time,
+// and stops at the first one without an answer.
+func (h *Holder) confirm(ctx context.Context, l *ledger.Ledger) {
+	select {
+	case h.releasing <- struct{}{}:
+		defer func() { <-h.releasing }()
+	case <-ctx.Done():
+		return
+	}
+	if err := h.sendReleases(ctx, l); err != nil && ctx.Err() == nil {
+		h.cfg.Logger.Info("release is not confirmed", zap.Error(err))
+	}
+}
+
+func (h *Holder) sendReleases(ctx context.Context, l *ledger.Ledger) error {
+	for _, released := range l.Released() {
+		if _, err := h.propose(ctx, &wire.Command{Change: &wire.Command_Released{Released: released}}); err != nil {
+			return err
+		}
+		if err := l.Confirm(released.Sequence); err != nil {
+			return err
+		}
+		h.progress.kick()
+	}
+	return nil
+}
