reserver, holder: bill requests without a price on a spent budget

Cause: the ledger gives no allowance on a spent budget, so a call to a service with price 0 had no ledger to bill it; repeated refused requests sent a command to the log each.

Change: a refused draw carries the epoch, which suffices for a bill of 0 tokens. The holder refuses a need again for 50 ms without a command.

--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -39,26 +39,27 @@
 	if err != nil {
 		return &wire.DrawReply{Fault: wireFault(err)}, nil
 	}
-	h.grants.note(request.Account, request.Need, h.cfg.Now())
-	amount, err := h.draw(ctx, l, request)
+	need := max(request.Need, 1)
+	h.grants.note(request.Account, need, h.cfg.Now())
+	amount, err := h.draw(ctx, l, request, need)
 	if err != nil {
 		// The epoch lets the caller bill requests without a price.
 		return &wire.DrawReply{Fault: wireFault(err), Epoch: l.Epoch()}, nil
 	}
 	h.progress.kick()
-	h.grants.note(request.Account, amount-request.Need, h.cfg.Now())
+	h.grants.note(request.Account, amount-need, h.cfg.Now())
 	t := tally(l, request.Account)
 	h.refill(l, t)
 	return &wire.DrawReply{Amount: amount, Epoch: l.Epoch(), Unspent: t.Free + t.Allowances}, nil
 }
 
 // draw draws from the ledger, and asks for rights while it has too few.
-func (h *Holder) draw(ctx context.Context, l *ledger.Ledger, request *wire.DrawRequest) (int64, error) {
+func (h *Holder) draw(ctx context.Context, l *ledger.Ledger, request *wire.DrawRequest, need int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, grantWait)
 	defer cancel()
 	for {
-		amount, err := l.Draw(request.Holding, request.Account, request.Need, request.Want)
-		if err == nil || fault.Of(err) != fault.Exhausted || !h.ask(ctx, l, request.Account, request.Need, 0) {
+		amount, err := l.Draw(request.Holding, request.Account, need, request.Want)
+		if err == nil || fault.Of(err) != fault.Exhausted || !h.ask(ctx, l, request.Account, need, 0) {
 			return amount, err
 		}
 	}
--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -27,6 +27,9 @@
 	// blockedPause is how long the log isn't asked after it couldn't be
 	// reached, so that requests are refused at once meanwhile.
 	blockedPause = 500 * time.Millisecond
+	// refusedPause is how long a need that was refused isn't asked for again,
+	// so that callers that repeat refused requests don't load the log.
+	refusedPause = 50 * time.Millisecond
 	// grantSpan is the demand that a request for rights asks for, in demand
 	// windows.
 	grantSpan = 2
@@ -51,6 +54,8 @@
 	last    int64         // last grant
 	flight  chan struct{} // closed when the request for rights ends
 	refills time.Time     // no refill before
+	refused int64         // need that was refused last
+	until   time.Time     // such a need is refused until then
 }
 
 func newGrants() *grants {
@@ -103,6 +108,10 @@
 	g := h.grants
 	g.mu.Lock()
 	a := g.account(account)
+	if need > 0 && need >= a.refused && h.cfg.Now().Before(a.until) {
+		g.mu.Unlock()
+		return false
+	}
 	if flight := a.flight; flight != nil {
 		g.mu.Unlock()
 		select {
@@ -120,6 +129,9 @@
 	defer g.mu.Unlock()
 	close(a.flight)
 	a.flight = nil
+	if !granted && need > 0 {
+		a.refused, a.until = need, h.cfg.Now().Add(refusedPause)
+	}
 	return granted
 }
 
--- a/internal/reserver/draw.go
+++ b/internal/reserver/draw.go
@@ -118,7 +118,7 @@
 // waits for it, so a refusal only delays the next one.
 func (r *Reserver) drawEarly(a *account) {
 	holders := r.order()
-	if len(holders) == 0 || r.drawFrom(a, holders[0], 0) != nil {
+	if len(holders) == 0 || r.drawFrom(a, holders[0], 1) != nil {
 		a.early = r.cfg.Now().Add(failedPause)
 	}
 }
@@ -171,7 +171,8 @@
 	a.shard.mu.Unlock()
 	reply, err := r.callDraw(holder, request)
 	a.shard.mu.Lock()
-	if err != nil {
+	// A request without a price needs a ledger for its bill, but no tokens.
+	if err != nil && (amount > 0 || reply == nil) {
 		return err
 	}
 	s := source{holder: holder, instance: h.Instance, incarnation: h.Incarnation, epoch: reply.Epoch}
@@ -184,6 +185,7 @@
 	return eris.Wrapf(fault.Exhausted, "holder %s gave %d of %d tokens", holder, reply.Amount, need)
 }
 
+// callDraw makes one call. With fault.Exhausted, it returns the reply as well.
 func (r *Reserver) callDraw(holder string, request *wire.DrawRequest) (*wire.DrawReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
 	defer cancel()
@@ -197,10 +199,12 @@
 		return reply, nil
 	}
 	kind := fault.Parse(reply.Fault.Code)
-	if kind != fault.Exhausted {
-		r.shun(holder)
+	err = eris.Wrapf(kind, "draw from %s: %s", holder, reply.Fault.Text)
+	if kind == fault.Exhausted {
+		return reply, err
 	}
-	return nil, eris.Wrapf(kind, "draw from %s: %s", holder, reply.Fault.Text)
+	r.shun(holder)
+	return nil, err
 }
 
 // shun has the holder asked after the others for a while.
--- a/internal/reserver/fake_test.go
+++ b/internal/reserver/fake_test.go
@@ -49,8 +49,8 @@
 		return nil, eris.New("connection refused")
 	}
 	b.draws++
-	if b.free < request.Need {
-		return &wire.DrawReply{Fault: &wire.Fault{Code: fault.Exhausted.Code()}}, nil
+	if b.free < max(request.Need, 1) {
+		return &wire.DrawReply{Epoch: b.epoch, Fault: &wire.Fault{Code: fault.Exhausted.Code()}}, nil
 	}
 	amount := min(b.free, max(request.Need, request.Want))
 	b.free -= amount
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -47,6 +47,7 @@
 		{name: "spent", near: 10, far: 10, amount: 100, want: fault.Exhausted},
 		{name: "spent, far down", near: 10, far: 1000, farDown: true, amount: 100, want: fault.Exhausted},
 		{name: "all down", near: 100, far: 100, nearDown: true, farDown: true, amount: 1, want: fault.Unavailable},
+		{name: "spent, no price", amount: 0, wantReserved: true},
 		{name: "negative", near: 100, amount: -1, want: fault.Malformed},
 	} {
 		t.Run(test.name, func(t *testing.T) {
