--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -46,13 +46,18 @@
 	b.t.Helper()
 	reply := b.apply(m)
 	if result != nil {
-		if err := proto.Unmarshal(reply.Result, result); err != nil {
-			b.t.Fatal(err)
-		}
+		decode(b.t, reply.Result, result)
 	}
 	return reply.GetFault().GetCode()
 }
 
+func decode(t testing.TB, b []byte, m proto.Message) {
+	t.Helper()
+	if err := proto.Unmarshal(b, m); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func (b *bench) must(m *wire.Command) {
 	b.t.Helper()
 	if reply := b.apply(m); reply.Fault != nil {
