--- a/cmd/papayapond/operate.go
+++ b/cmd/papayapond/operate.go
@@ -74,16 +74,36 @@
 	if err != nil {
 		return err
 	}
-	if err := c.plan(ctx, next); err != nil || c.Plan {
+	deadline := time.Now().Add(c.Timeout)
+	if err := retry(deadline, func() error { return c.plan(ctx, next) }); err != nil || c.Plan {
 		return err
 	}
-	if _, err := c.call(ctx, http.MethodPut, "/v1/configuration", next.Text()); err != nil {
+	// The same content again gives the same success, so a lost answer is safe.
+	err = retry(deadline, func() error {
+		_, err := c.call(ctx, http.MethodPut, "/v1/configuration", next.Text())
+		return err
+	})
+	if err != nil {
 		return err
 	}
 	fmt.Printf("Version %d is accepted.\n", next.Version())
 	return c.wait(ctx, next.Version())
 }
 
+// retry repeats a call while the fleet can't be reached or has no quorum.
+func retry(deadline time.Time, call func() error) error {
+	for {
+		err := call()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		if k := fault.Of(err); k != fault.Unavailable && k != fault.Isolated {
+			return err
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 // plan prints the differences to the configuration that is in force.
 func (c *applyCommand) plan(ctx context.Context, next *configuration.Configuration) error {
 	text, err := c.call(ctx, http.MethodGet, "/v1/configuration", nil)
--- a/internal/daemon/part_fleet.go
+++ b/internal/daemon/part_fleet.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/authenticator"
 	"github.com/papayapond/papayapond/internal/blocker"
@@ -11,9 +13,11 @@
 	"github.com/papayapond/papayapond/internal/holder"
 	"github.com/papayapond/papayapond/internal/kernel"
 	"github.com/papayapond/papayapond/internal/member"
+	"github.com/papayapond/papayapond/internal/neighbor"
 	"github.com/papayapond/papayapond/internal/publisher"
 	"github.com/papayapond/papayapond/internal/registry"
 	"github.com/papayapond/papayapond/internal/subscriber"
+	"github.com/papayapond/papayapond/internal/watcher"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -34,15 +38,12 @@
 		cfg := subscriber.Config{
 			Use:  a.Use,
 			Name: b.settings.Name, Zone: b.settings.Zone, Holders: b.holders(),
-			Watch: func(ctx context.Context, name string, q *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error) {
-				return b.peers.fleet(name).Watch(ctx, q)
-			},
+			Follow: b.follow(k),
 			Announce: func(ctx context.Context, name string, q *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
 				ctx, cancel := context.WithTimeout(ctx, callTimeout)
 				defer cancel()
 				return unwrap(b.peers.fleet(name).Announce(ctx, q))
 			},
-			Silent:   b.peers.dialer.Renew,
 			Registry: targets, Blocker: blocked, Logger: k.Logger(nameSubscriber),
 		}
 		if b.settings.Disk {
@@ -56,6 +57,52 @@
 	})
 }
 
+// follow returns the function that follows the stream of a holder. When one
+// has gone silent, all connections are opened anew, since others through the
+// same middlebox are likely dead too.
+func (b *builder) follow(k *kernel.Kernel) func(context.Context, string, *wire.WatchRequest, func(*wire.Update) error) (bool, error) {
+	log := k.Logger("watcher")
+	return watcher.New(watcher.Config{
+		Watch: func(ctx context.Context, name string, q *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error) {
+			return b.peers.fleet(name).Watch(ctx, q)
+		},
+		Silent: func(holder string) {
+			log.Warn("Stream went silent.", zap.String("holder", holder))
+			b.peers.dialer.Renew()
+		},
+	}).Follow
+}
+
+// neighbors follows the holders of all other zones.
+func (b *builder) neighbors() fx.Option {
+	return kernel.Part("neighbors", func(k *kernel.Kernel) (any, fx.Hook, error) {
+		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		blocked, err := kernel.Find[*blocker.Blocker](k, nameBlocker)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		var all []*neighbor.Neighbor
+		for zone, name := range b.holdersByZone() {
+			if name != b.settings.Name {
+				all = append(all, neighbor.New(neighbor.Config{
+					Name: b.settings.Name, Holder: name, Zone: zone, Follow: b.follow(k),
+					Registry: targets, Blocker: blocked, Logger: k.Logger("neighbor"),
+				}))
+			}
+		}
+		return all, kernel.Hook(func(ctx context.Context) {
+			var group sync.WaitGroup
+			for _, n := range all {
+				group.Go(func() { n.Run(ctx) })
+			}
+			group.Wait()
+		}), nil
+	})
+}
+
 func (b *builder) member() fx.Option {
 	return kernel.Part(nameMember, func(k *kernel.Kernel) (any, fx.Hook, error) {
 		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
@@ -117,7 +164,7 @@
 			return nil, fx.Hook{}, err
 		}
 		p := publisher.New(publisher.Config{
-			Registry: targets, Blocker: blocked,
+			Zone: b.settings.Zone, Registry: targets, Blocker: blocked,
 			Read:    func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
 			Changed: c.Changed,
 			Peers:   m.Peers,
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -41,8 +41,10 @@
 	zapcore.Core
 }
 
+// With returns the core with the fields added.
 func (c core) With(fields []zapcore.Field) zapcore.Core { return core{c.Core.With(plain(fields))} }
 
+// Check adds the core if the level of the entry is enabled.
 func (c core) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
 	if c.Enabled(e.Level) {
 		return checked.AddCore(e, c)
@@ -50,6 +52,7 @@
 	return checked
 }
 
+// Write writes the entry without stack traces.
 func (c core) Write(e zapcore.Entry, fields []zapcore.Field) error {
 	return c.Core.Write(e, plain(fields))
 }
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 
 // Config configures a Publisher.
 type Config struct {
+	// Zone is the zone of the holder.
+	Zone     string
 	Registry *registry.Registry
 	Blocker  *blocker.Blocker
 	// Read reads the state of the local controller.
@@ -73,6 +76,9 @@
 func (p *Publisher) Watch(r *wire.WatchRequest, stream wire.DRPCFleet_WatchStream) error {
 	ctx := stream.Context()
 	w := &watcher{version: r.Version, first: true}
+	if r.Local {
+		w.zone, w.version = p.cfg.Zone, math.MaxUint64
+	}
 	tick := time.NewTicker(keepalive)
 	defer tick.Stop()
 	for {
@@ -97,6 +103,7 @@
 
 // watcher is the progress of one stream.
 type watcher struct {
+	zone     string // restricts the targets, if set
 	version  uint64
 	sequence uint64
 	first    bool
@@ -117,7 +124,7 @@
 		}
 		w.version = state.Version
 	}
-	targets, sequence, changed := p.cfg.Registry.Since("", w.sequence)
+	targets, sequence, changed := p.cfg.Registry.Since(w.zone, w.sequence)
 	if w.first {
 		targets = slices.DeleteFunc(targets, func(t *wire.Target) bool { return t.State == registry.Gone })
 		u.Snapshot = true
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -66,8 +66,9 @@
 	return r.put(t, time.Time{})
 }
 
-// Replace takes the full list of a zone from a holder. Targets of that zone
-// that the list lacks and that did not announce themselves here are removed.
+// Replace takes the full list of a zone, or of all zones if zone is empty,
+// from a holder. Targets that the list lacks and that did not announce
+// themselves here are removed.
 func (r *Registry) Replace(zone string, targets []*wire.Target) {
 	listed := map[string]bool{}
 	for _, t := range targets {
@@ -77,7 +78,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, e := range r.entries {
-		if e.target.Zone == zone && !listed[name] && e.expires.IsZero() {
+		if (zone == "" || e.target.Zone == zone) && e.target.State != Gone && !listed[name] && e.expires.IsZero() {
 			r.remove(name, e)
 		}
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// silence is the time without an update after which a stream is dead. The
-	// publisher sends one at least every second.
-	silence = 3 * time.Second
 	// homeInterval is the time after which a stream to a holder of another
 	// zone is ended to try the nearest one again.
 	homeInterval = 5 * time.Second
@@ -41,14 +38,12 @@
 	Path string
 	// Holders are the names of all holders, the nearest first.
 	Holders []string
-	// Watch opens a stream to a holder.
-	Watch func(ctx context.Context, holder string, request *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error)
+	// Follow follows one stream until it ends.
+	Follow func(ctx context.Context, holder string, request *wire.WatchRequest, handle func(*wire.Update) error) (bool, error)
 	// Announce passes the state of a target on to a holder.
 	Announce func(ctx context.Context, holder string, request *wire.AnnounceRequest) (*wire.AnnounceReply, error)
 	// Use is called with each configuration before it counts as in force.
-	Use func(*configuration.Configuration)
-	// Silent is called when a stream has gone silent.
-	Silent   func()
+	Use      func(*configuration.Configuration)
 	Registry *registry.Registry
 	Blocker  *blocker.Blocker
 	Now      func() time.Time
@@ -183,33 +178,18 @@
 		stop := time.AfterFunc(homeInterval, cancel)
 		defer stop.Stop()
 	}
-	timer := time.AfterFunc(silence, func() {
-		s.cfg.Logger.Warn("Stream went silent.", zap.String("holder", holder))
-		s.cfg.Silent()
-		cancel()
-	})
-	defer timer.Stop()
-	stream, err := s.cfg.Watch(ctx, holder, &wire.WatchRequest{Instance: s.cfg.Name, Zone: s.cfg.Zone, Version: s.Version()})
-	if err != nil {
-		return false
-	}
-	defer stream.Close()
-	received := false
-	for {
-		update, err := stream.Recv()
-		if err != nil {
-			return received
-		}
-		timer.Reset(silence)
-		if !received {
+	attached := false
+	received, err := s.cfg.Follow(ctx, holder, &wire.WatchRequest{Instance: s.cfg.Name, Zone: s.cfg.Zone, Version: s.Version()}, func(u *wire.Update) error {
+		if !attached {
+			attached = true
 			s.attach(holder)
-			received = true
-		}
-		if err := s.apply(update); err != nil {
-			s.cfg.Logger.Error("Update can't be applied.", zap.String("holder", holder), zap.Error(err))
-			return received
 		}
+		return s.apply(holder, u)
+	})
+	if err != nil {
+		s.cfg.Logger.Error("Update can't be applied.", zap.String("holder", holder), zap.Error(err))
 	}
+	return received
 }
 
 func (s *Subscriber) attach(holder string) {
@@ -221,7 +201,7 @@
 	s.attached = holder
 }
 
-func (s *Subscriber) apply(u *wire.Update) error {
+func (s *Subscriber) apply(holder string, u *wire.Update) error {
 	if u.Quorum {
 		s.quorum.Store(s.cfg.Now().UnixNano())
 	}
@@ -229,10 +209,15 @@
 		phase := u.Phase
 		s.phase.Store(&phase)
 	}
-	for _, t := range u.Targets {
-		s.cfg.Registry.Pass(t)
+	if holder != s.cfg.Name { // a holder shares its registry with its publisher
+		if u.Snapshot {
+			s.cfg.Registry.Replace("", u.Targets)
+		}
+		for _, t := range u.Targets {
+			s.cfg.Registry.Pass(t)
+		}
+		s.cfg.Blocker.Merge(u.Poisons)
 	}
-	s.cfg.Blocker.Merge(u.Poisons)
 	if u.Version <= s.Version() || len(u.Document) == 0 && len(u.Sections) == 0 {
 		return nil
 	}
@@ -274,7 +259,7 @@
 	if err != nil {
 		return err
 	}
-	defer os.Remove(f.Name())
+	defer func() { _ = os.Remove(f.Name()) }()
 	if _, err := f.Write(text); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/watcher/doc.go
@@ -0,0 +1,3 @@
+// Package watcher follows the update stream of a holder and ends it when it
+// goes silent.
+package watcher
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -91,6 +91,13 @@
 	for i := range f.names {
 		f.eventually("be ready", func() error { return f.ready(i) })
 	}
+	f.eventually("open the books of all zones", func() error {
+		s, err := f.statement(0, "wondimu")
+		if err == nil && len(s.Missing) > 0 {
+			err = fmt.Errorf("missing %v", s.Missing)
+		}
+		return err
+	})
 	return f
 }
 
@@ -182,11 +189,14 @@
 	}
 }
 
+// wait returns the error of the process when it has ended.
+func (p *process) wait() error { return <-p.done }
+
 // kill ends a process at once and waits for its end.
 func (f *fleet) kill(name string) {
 	f.t.Helper()
 	f.signal(name, syscall.SIGKILL)
-	<-f.procs[name].done
+	_ = f.procs[name].wait()
 	delete(f.procs, name)
 }
 
@@ -194,7 +204,7 @@
 	for _, p := range f.procs {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
-		<-p.done
+		_ = p.wait()
 	}
 	for _, r := range f.relays {
 		r.close()
