holder: leave the first share of a zone to the log

Cause: the log decides the first share of a zone, and reads of all pools cost too much at 190,000 accounts.

Change: the pools are read after a change of the configuration only, and for one account where the reserve is decided; a refused command uses up its sequence, since a delayed copy may arrive later.

--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -139,7 +139,6 @@
 // whether it has. When the log has too few, it asks the other zones to release
 // some.
 func (h *Holder) gather(ctx context.Context, l *ledger.Ledger, account string, need, want int64) bool {
-	want = max(want, h.initial(ctx, account))
 	for range grantRounds {
 		missing := max(need-tally(l, account).Free, 0)
 		amount, err := h.request(ctx, l, account, missing, max(want, missing))
@@ -245,7 +244,10 @@
 			return h.book(l, data)
 		}
 		if fault.Of(err) != fault.Uncertain {
+			// The sequence isn't used again, since a delayed copy of the
+			// command may still arrive.
 			g.pending = nil
+			g.next++
 			return 0, err
 		}
 		if ctx.Err() != nil {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -67,7 +67,6 @@
 	proofs   *proofs
 
 	releasing chan struct{} // held while releases are confirmed
-	pools     pools
 
 	mu       sync.Mutex
 	opening  opening
@@ -114,13 +113,14 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	target := h.journal.Next()
+	seeds := &seeder{Holder: h}
 	for _, other := range h.cfg.Others {
 		group.Go(func() { h.copyTo(ctx, l, other, target) })
 	}
 	group.Go(func() { every(ctx, releaseInterval, func() { h.sendAll(ctx, l) }) })
 	group.Go(func() { every(ctx, proofInterval, func() { h.free(l) }) })
 	group.Go(func() { every(ctx, releaseInterval, func() { h.settlePending(ctx, l) }) })
-	group.Go(func() { every(ctx, seedInterval, func() { h.seed(ctx, l) }) })
+	group.Go(func() { every(ctx, seedInterval, func() { seeds.seed(ctx, l) }) })
 	group.Go(func() { every(ctx, mergeInterval, func() { h.mergeAll(l) }) })
 	<-ctx.Done()
 	h.grants.wait()
--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -11,20 +9,9 @@
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
-const (
-	// tailShare is the unspent part of a budget below which no reserve is
-	// kept, as a divisor: 2%.
-	tailShare = 50
-	// poolsAge is how long the pools of the log are taken as current.
-	poolsAge = 2 * time.Second
-)
-
-// pools caches the pools of the log.
-type pools struct {
-	mu    sync.Mutex
-	time  time.Time
-	pools map[string]*wire.Pool
-}
+// tailShare is the unspent part of a budget below which no reserve is kept, as
+// a divisor: 2%.
+const tailShare = 50
 
 // Release gives free rights back to the log: half of them less the reserve, or
 // all when the venture closes; rights that become free later follow then. The
@@ -126,58 +113,25 @@
 	return unspent < budget/tailShare
 }
 
-// pool returns the pool of an account in the log, or nil if it isn't known.
+// pool returns the pool of an account in the local replica of the log, or nil
+// if it isn't known.
 func (h *Holder) pool(ctx context.Context, account string) *wire.Pool {
-	p := &h.pools
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := h.cfg.Now()
-	if p.pools == nil || now.Sub(p.time) > poolsAge {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout/4)
-		defer cancel()
-		reply, err := h.cfg.Read(ctx, &wire.ReadRequest{Stale: true, Pools: true})
-		if err != nil || reply.Fault != nil {
-			return p.pools[account]
-		}
-		p.time, p.pools = now, map[string]*wire.Pool{}
-		for _, pool := range reply.Pools {
-			p.pools[pool.Account] = pool
+	for _, pool := range h.readPools(ctx, &wire.ReadRequest{Stale: true, Pools: true, Account: account}) {
+		if pool.Account == account {
+			return pool
 		}
 	}
-	return p.pools[account]
-}
-
-// initial returns the share of a zone that never had rights of the account: an
-// equal part of half of the budget, and 0 for other zones.
-func (h *Holder) initial(ctx context.Context, account string) int64 {
-	pool := h.pool(ctx, account)
-	if pool == nil || pool.Zones[h.cfg.Zone] > 0 {
-		return 0
-	}
-	return (pool.Prepaid + pool.Topups) / 2 / int64(1+len(h.cfg.Others))
+	return nil
 }
 
-// seed asks for the initial share of accounts that have no rights here.
-func (h *Holder) seed(ctx context.Context, l *ledger.Ledger) {
-	h.pool(ctx, "")
-	h.pools.mu.Lock()
-	var accounts []string
-	for name, pool := range h.pools.pools {
-		if pool.Zones[h.cfg.Zone] == 0 && pool.Unassigned > 0 {
-			accounts = append(accounts, name)
-		}
-	}
-	h.pools.mu.Unlock()
-	for _, account := range accounts {
-		if ctx.Err() != nil || h.closing.Load() {
-			return
-		}
-		if tally(l, account).Granted == 0 {
-			call, cancel := context.WithTimeout(ctx, grantWait)
-			h.ask(call, l, account, 0, 0)
-			cancel()
-		}
-	}
+func (h *Holder) readPools(ctx context.Context, request *wire.ReadRequest) []*wire.Pool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := h.cfg.Read(ctx, request)
+	if err != nil || reply.Fault != nil {
+		return nil
+	}
+	return reply.Pools
 }
 
 // confirm sends the releases that the log may not have, one caller at a time,
