--- a/internal/controller/configure.go
+++ b/internal/controller/configure.go
@@ -188,7 +188,7 @@
 				p.unassigned += t.Tokens
 			}
 		}
-		s.verify(a.Name, p, "configure")
+		s.verify(a.Name, p, entry)
 	}
 	s.current = next
 	s.accepted = append(s.accepted, entry)
@@ -223,6 +223,6 @@
 	s.topups[m.Name] = known
 	p.topups += m.Tokens
 	p.unassigned += m.Tokens
-	s.verify(m.Account, p, "topup "+m.Name)
+	s.verify(m.Account, p, m)
 	return known, nil
 }
--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -92,16 +93,16 @@
 }
 
 // verify stops the account if its invariants are violated after a command.
-func (s *state) verify(account string, p *pool, command string) {
+func (s *state) verify(account string, p *pool, command fmt.Stringer) {
 	if !p.stopped && !p.isSound() {
 		s.stop(account, p, command)
 	}
 }
 
-func (s *state) stop(account string, p *pool, command string) {
+func (s *state) stop(account string, p *pool, command fmt.Stringer) {
 	p.stopped = true
 	s.logger.Error("invariant violated, account stopped", zap.String("account", account),
-		zap.String("command", command), zap.Uint64("index", s.index), zap.Stringer("pool", p.message(account)))
+		zap.Stringer("command", command), zap.Uint64("index", s.index), zap.Stringer("pool", p.message(account)))
 }
 
 // grant moves unassigned tokens to a zone.
@@ -143,7 +144,7 @@
 	s.ledgers[m.Zone] = l
 	l.receipts(m.Epoch).grants[m.Sequence] = receipt{account: m.Account, amount: amount, unassigned: p.unassigned}
 	l.receipts(m.Epoch).confirm(m.Confirmed, 0)
-	s.verify(m.Account, p, m.String())
+	s.verify(m.Account, p, m)
 	return &wire.GrantResult{Amount: amount, Unassigned: p.unassigned, Sequence: m.Sequence}, nil
 }
 
@@ -187,7 +188,7 @@
 	}
 	have := p.share(m.Zone)
 	if have == nil || have.amount < m.Amount {
-		s.stop(m.Account, p, m.String())
+		s.stop(m.Account, p, m)
 		return eris.Wrapf(fault.Broken, "account %s: zone %s releases more than it was granted", m.Account, m.Zone)
 	}
 	have.amount -= m.Amount
@@ -195,7 +196,7 @@
 	r := l.receipts(m.Epoch)
 	r.releases[m.Sequence] = receipt{account: m.Account, amount: m.Amount}
 	r.confirm(0, m.Confirmed)
-	s.verify(m.Account, p, m.String())
+	s.verify(m.Account, p, m)
 	return nil
 }
 
