Check and copy only the accounts that a change edits

Accounts are now shared between versions: With checks the edited accounts against the rest, and Follow, Changes, Difference and the controller pass over accounts with the same pointer. The digest is hashed account by account and the text isn't kept. A version that came as sections stores no digest; it is known again by its sections or, while in force, as a document.

A section that holds more than its part is refused; before, the rest was ignored silently.

--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -65,13 +65,12 @@
 // Use replaces the configuration.
 func (a *Authenticator) Use(c *configuration.Configuration) {
 	t := &table{configuration: c, accounts: newBook(), operators: newBook()}
-	v := c.Venture()
-	for _, owner := range v.Accounts {
+	for owner := range c.Accounts(nil) {
 		for _, hash := range owner.Keys {
 			t.accounts.add(hash, owner.Name)
 		}
 	}
-	for _, operator := range v.Operators {
+	for _, operator := range c.Venture().Operators {
 		t.operators.add(operator.Key, operator.Name)
 	}
 	a.table.Store(t)
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -29,10 +29,10 @@
 // checker collects the problems of a venture with the paths of the values.
 type checker struct {
 	problems []problem
-	models   map[string]int
-	services map[string]int
-	groups   map[string]int
-	accounts map[string]int
+	models   func(name string) bool
+	services func(name string) bool
+	groups   func(name string) bool
+	accounts func(name string) bool
 	keys     map[string]string // owner by hash
 	topups   map[string]string // account by name of the top-up
 }
@@ -102,21 +102,21 @@
 	}
 }
 
-// names checks the names of a list and returns their numbers.
-func names[T any](c *checker, list string, parts []T, name func(*T) string) map[string]int {
-	numbers := make(map[string]int, len(parts))
+// names checks the names of a list and returns whether a name is among them.
+func names[T any](c *checker, list string, parts []T, name func(*T) string) func(string) bool {
+	known := make(map[string]bool, len(parts))
 	for i := range parts {
 		n := name(&parts[i])
 		if !validName.MatchString(n) {
 			c.report(fmt.Sprintf("%s[%d].name", list, i), "%s[%d].name: %q, expected a name", list, i, n)
 			continue
 		}
-		if _, ok := numbers[n]; ok {
+		if known[n] {
 			c.report(fmt.Sprintf("%s[%d].name", list, i), "%s: %s is defined twice", list, n)
 		}
-		numbers[n] = i
+		known[n] = true
 	}
-	return numbers
+	return func(n string) bool { return known[n] }
 }
 
 func (c *checker) amount(path, what string, n, least int64) {
@@ -211,10 +211,10 @@
 	}
 }
 
-func (c *checker) references(path func(string) string, owner, list string, names []string, known map[string]int) {
+func (c *checker) references(path func(string) string, owner, list string, names []string, known func(string) bool) {
 	for i, n := range names {
 		at := func() string { return path(fmt.Sprintf("%s[%d]", list, i)) }
-		if _, ok := known[n]; !ok {
+		if !known(n) {
 			c.report(at(), "account %s: %q is not among the %s", owner, n, list)
 		}
 		if slices.Contains(names[:i], n) {
@@ -224,7 +224,7 @@
 }
 
 func (c *checker) objective(path string, o venture.Objective) {
-	if _, ok := c.accounts[o.Account]; o.Account != "" && !ok {
+	if o.Account != "" && !c.accounts(o.Account) {
 		c.report(path+".account", "objective %s: %q is not among the accounts", o.Name, o.Account)
 	}
 	if o.Class != "" && !validName.MatchString(o.Class) {
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -1,8 +1,11 @@
 package configuration
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"fmt"
+	"io"
+	"iter"
 	"slices"
 	"strings"
 	"sync"
@@ -20,13 +23,14 @@
 
 // Configuration is one checked version of the configuration of a venture.
 type Configuration struct {
-	venture  venture.Venture
-	accounts map[string]*account.Account
+	venture  venture.Venture    // without the accounts
+	accounts []*account.Account // by name; a version shares those it leaves unchanged
+	numbers  map[string]int32   // numbers of the accounts; shared while no name changes
 	models   map[string]*model.Model
 	services map[string]*service.Service
 	groups   map[string]*group.Group
 	lengths  []int // distinct lengths of the names of groups, ascending
-	print    func() ([]byte, []byte)
+	digest   func() []byte
 }
 
 // Parse reads and checks a configuration. The error wraps fault.Malformed and
@@ -48,20 +52,22 @@
 		return nil, malformed(problems)
 	}
 	normalise(&v)
-	return index(v), nil
+	accounts := make([]*account.Account, len(v.Accounts))
+	for i := range v.Accounts {
+		accounts[i] = &v.Accounts[i]
+	}
+	return index(v, accounts, number(accounts)), nil
 }
 
-// Text returns the printed form. It must not be changed.
+// Text returns the printed form, which it prints on each call.
 func (c *Configuration) Text() []byte {
-	text, _ := c.print()
-	return text
+	var b bytes.Buffer
+	c.print(&b)
+	return b.Bytes()
 }
 
 // Digest returns the SHA-256 of the printed form. It must not be changed.
-func (c *Configuration) Digest() []byte {
-	_, digest := c.print()
-	return digest
-}
+func (c *Configuration) Digest() []byte { return c.digest() }
 
 // Version returns the number of this version.
 func (c *Configuration) Version() uint64 { return c.venture.Version }
@@ -69,12 +75,54 @@
 // Replaces returns the version that this one replaces, 0 for the first.
 func (c *Configuration) Replaces() uint64 { return c.venture.Replaces }
 
-// Venture returns all parts, sorted by name. Its slices must not be changed.
-func (c *Configuration) Venture() venture.Venture { return c.venture }
+// Venture returns all parts, sorted by name. It copies the list of accounts;
+// the other slices must not be changed.
+func (c *Configuration) Venture() venture.Venture {
+	v := c.venture
+	if len(c.accounts) > 0 {
+		v.Accounts = make([]account.Account, len(c.accounts))
+	}
+	for i, a := range c.accounts {
+		v.Accounts[i] = *a
+	}
+	return v
+}
+
+// Accounts returns the accounts by name without those that With has taken
+// over unchanged from a previous configuration, which may be nil. They must
+// not be changed.
+func (c *Configuration) Accounts(previous *Configuration) iter.Seq[*account.Account] {
+	return func(yield func(*account.Account) bool) {
+		next := 0
+		for _, a := range c.accounts {
+			if previous != nil {
+				for next < len(previous.accounts) && previous.accounts[next].Name < a.Name {
+					next++
+				}
+				if next < len(previous.accounts) && previous.accounts[next] == a {
+					continue
+				}
+			}
+			if !yield(a) {
+				return
+			}
+		}
+	}
+}
 
 // Account returns the account of that name.
 func (c *Configuration) Account(name string) (account.Account, bool) {
-	return find(c.accounts, name)
+	if a := c.account(name); a != nil {
+		return *a, true
+	}
+	return account.Account{}, false
+}
+
+func (c *Configuration) account(name string) *account.Account {
+	if i, ok := c.numbers[name]; ok {
+		return c.accounts[i]
+	}
+	return nil
 }
 
 // Model returns the model of that name.
@@ -108,10 +156,11 @@
 	return zero, false
 }
 
-// index returns the configuration of a venture that has no problems.
-func index(v venture.Venture) *Configuration {
-	c := &Configuration{venture: v}
-	c.accounts = byName(v.Accounts, func(a *account.Account) string { return a.Name })
+// index returns the configuration of a venture that has no problems, with its
+// accounts apart.
+func index(v venture.Venture, accounts []*account.Account, numbers map[string]int32) *Configuration {
+	v.Accounts = nil
+	c := &Configuration{venture: v, accounts: accounts, numbers: numbers}
 	c.models = byName(v.Models, func(m *model.Model) string { return m.Name })
 	c.services = byName(v.Services, func(s *service.Service) string { return s.Name })
 	c.groups = byName(v.Groups, func(g *group.Group) string { return g.Name })
@@ -120,14 +169,37 @@
 	}
 	slices.Sort(c.lengths)
 	c.lengths = slices.Compact(c.lengths)
-	c.print = sync.OnceValues(func() ([]byte, []byte) {
-		text := printer.Text(v)
-		sum := sha256.Sum256(text)
-		return text, sum[:]
+	c.digest = sync.OnceValue(func() []byte {
+		h := sha256.New()
+		c.print(h)
+		return h.Sum(nil)
 	})
 	return c
 }
 
+// print writes what package printer prints, one account at a time, since the
+// whole text takes as much memory as the configuration itself. Writers of
+// memory and hashes don't fail.
+func (c *Configuration) print(w io.Writer) {
+	v := c.venture
+	v.Objectives = nil
+	_, _ = w.Write(printer.Text(v))
+	for _, a := range c.accounts {
+		_, _ = w.Write(append([]byte{'\n'}, printer.Account(*a)...))
+	}
+	for _, o := range c.venture.Objectives {
+		_, _ = w.Write(append([]byte{'\n'}, printer.Objective(o)...))
+	}
+}
+
+func number(accounts []*account.Account) map[string]int32 {
+	numbers := make(map[string]int32, len(accounts))
+	for i, a := range accounts {
+		numbers[a.Name] = int32(i)
+	}
+	return numbers
+}
+
 func byName[T any](parts []T, name func(*T) string) map[string]*T {
 	m := make(map[string]*T, len(parts))
 	for i := range parts {
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/printer"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
@@ -51,6 +52,9 @@
 func TestPrintedForm(t *testing.T) {
 	c := parse(t, string(read(t, "valid.toml")))
 	golden(t, "valid.golden", c.Text())
+	if got := printer.Text(c.Venture()); !bytes.Equal(got, c.Text()) {
+		t.Errorf("printed by package printer: got\n%s\nwant\n%s", got, c.Text())
+	}
 	again := parse(t, string(c.Text()))
 	if !bytes.Equal(again.Text(), c.Text()) || !bytes.Equal(again.Digest(), c.Digest()) {
 		t.Errorf("printed again: got\n%s\nwant\n%s", again.Text(), c.Text())
@@ -157,6 +161,9 @@
 		{"kind", &wire.Section{Kind: "boat", Name: "a"}, "unknown kind"},
 		{"name", &wire.Section{Kind: "model", Name: "a", Text: []byte("[[models]]\nname = \"b\"")}, "exactly this part"},
 		{"syntax", &wire.Section{Kind: "model", Name: "a", Text: []byte("[[models]]\nnom = 1")}, "line 2: models[0].nom: unknown key"},
+		{"two parts", &wire.Section{Kind: "model", Name: "a", Text: []byte("[[models]]\nname = \"a\"\noutput = 1\ncontext = 1\n[[models]]\nname = \"b\"")}, "more than this part"},
+		{"duplicate key", &wire.Section{Kind: "account", Name: "inn", Text: []byte("[[accounts]]\nname = \"inn\"\nkeys = [\"0011223344556677:2222222222222222222222222222222222222222222222222222222222222222\"]")}, "account inn: the key is used twice, also by account mill"},
+		{"duplicate top-up", &wire.Section{Kind: "account", Name: "inn", Text: []byte("[[accounts]]\nname = \"inn\"\n[[accounts.topups]]\nname = \"march\"\ntokens = 1")}, "top-up march is defined twice, also in account mill"},
 		{"head", &wire.Section{Kind: "venture"}, "exactly this part"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/configuration/difference.go
+++ b/internal/configuration/difference.go
@@ -6,28 +6,22 @@
 	"slices"
 	"strings"
 
-	"github.com/papayapond/papayapond/internal/wire"
 	"github.com/papayapond/papayapond/pkg/account"
 )
 
 // Difference returns what is different in other, one line per difference.
 // Hashes of keys are not shown.
 func (c *Configuration) Difference(other *Configuration) []string {
-	before := map[string]*wire.Section{}
-	for _, s := range c.Sections() {
-		before[s.Kind+" "+s.Name] = s
-	}
 	var lines []string
-	for _, s := range other.Changes(c) {
-		id := strings.TrimSpace(s.Kind + " " + s.Name)
-		old, ok := before[s.Kind+" "+s.Name]
+	for _, p := range pairs(c, other) {
+		id := strings.TrimSpace(p.kind + " " + p.name)
 		switch {
-		case len(s.Text) == 0:
+		case p.text == nil:
 			lines = append(lines, id+": removed")
-		case !ok:
+		case p.old == nil:
 			lines = append(lines, id+": added")
 		default:
-			for _, d := range compare(old.Text, s.Text) {
+			for _, d := range compare(p.old, p.text) {
 				lines = append(lines, id+": "+d)
 			}
 		}
@@ -105,10 +99,9 @@
 	if c.venture.Version <= previous.venture.Version {
 		report("version: %d, expected a number above %d", c.venture.Version, previous.venture.Version)
 	}
-	for i := range c.venture.Accounts {
-		a := &c.venture.Accounts[i]
-		old, ok := previous.accounts[a.Name]
-		if !ok {
+	for a := range c.Accounts(previous) {
+		old := previous.account(a.Name)
+		if old == nil {
 			continue
 		}
 		if a.Budget < old.Budget {
--- a/internal/configuration/section.go
+++ b/internal/configuration/section.go
@@ -1,13 +1,11 @@
 package configuration
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"strings"
 
 	"github.com/papayapond/papayapond/internal/wire"
-	"github.com/papayapond/papayapond/pkg/account"
 	"github.com/papayapond/papayapond/pkg/group"
 	"github.com/papayapond/papayapond/pkg/model"
 	"github.com/papayapond/papayapond/pkg/printer"
@@ -34,54 +32,14 @@
 	s = list(s, modelKind, v.Models, func(m *model.Model) string { return m.Name }, printer.Model)
 	s = list(s, serviceKind, v.Services, func(s *service.Service) string { return s.Name }, printer.Service)
 	s = list(s, groupKind, v.Groups, func(g *group.Group) string { return g.Name }, printer.Group)
-	s = list(s, accountKind, v.Accounts, func(a *account.Account) string { return a.Name }, printer.Account)
-	return list(s, objectiveKind, v.Objectives, func(o *venture.Objective) string { return o.Name }, printer.Objective)
-}
-
-// Changes returns the sections that lead from an earlier configuration to
-// this one. A section without text is removed.
-func (c *Configuration) Changes(from *Configuration) []*wire.Section {
-	before := map[string]*wire.Section{}
-	for _, s := range from.Sections() {
-		before[s.Kind+" "+s.Name] = s
-	}
-	var changes []*wire.Section
-	for _, s := range c.Sections() {
-		id := s.Kind + " " + s.Name
-		if old, ok := before[id]; !ok || !bytes.Equal(old.Text, s.Text) {
-			changes = append(changes, s)
-		}
-		delete(before, id)
-	}
-	for _, s := range from.Sections() {
-		if _, ok := before[s.Kind+" "+s.Name]; ok {
-			changes = append(changes, &wire.Section{Kind: s.Kind, Name: s.Name})
-		}
-	}
-	return changes
-}
-
-// With returns the configuration after the given sections have replaced or
-// removed theirs, under a new version that replaces this one. The error wraps
-// fault.Malformed and lists every problem.
-func (c *Configuration) With(sections []*wire.Section, version uint64) (*Configuration, error) {
-	v := c.venture
-	v.Version, v.Replaces = version, c.venture.Version
-	var problems []problem
-	for _, s := range sections {
-		problems = append(problems, apply(&v, s)...)
-	}
-	for _, p := range check(v) {
-		problems = append(problems, problem{text: p.text})
+	for a := range c.Accounts(nil) {
+		s = append(s, &wire.Section{Kind: accountKind, Name: a.Name, Text: printer.Account(*a)})
 	}
-	if len(problems) > 0 {
-		return nil, malformed(problems)
-	}
-	normalise(&v)
-	return index(v), nil
+	return list(s, objectiveKind, v.Objectives, func(o *venture.Objective) string { return o.Name }, printer.Objective)
 }
 
-// apply changes v by one section. It returns the problems of the section.
+// apply changes v by one section and returns the problems of the section.
+// An account is left as the only one of v.
 func apply(v *venture.Venture, s *wire.Section) []problem {
 	part := venture.Venture{Reserve: v.Reserve}
 	d := newDecoder(s.Text)
@@ -93,6 +51,9 @@
 		return d.problems
 	}
 	normalise(&part)
+	if !isSingle(&part, s.Kind == headKind) {
+		return []problem{{text: fmt.Sprintf("%s %q: the section holds more than this part", s.Kind, s.Name)}}
+	}
 	var ok bool
 	switch s.Kind {
 	case headKind:
@@ -107,7 +68,8 @@
 	case groupKind:
 		ok = replace(&v.Groups, part.Groups, s, func(g *group.Group) string { return g.Name })
 	case accountKind:
-		ok = replace(&v.Accounts, part.Accounts, s, func(a *account.Account) string { return a.Name })
+		v.Accounts = part.Accounts
+		ok = len(part.Accounts) == min(len(s.Text), 1) && (len(s.Text) == 0 || part.Accounts[0].Name == s.Name)
 	case objectiveKind:
 		ok = replace(&v.Objectives, part.Objectives, s, func(o *venture.Objective) string { return o.Name })
 	default:
@@ -119,6 +81,15 @@
 	return nil
 }
 
+// isSingle tells whether what a section holds is a head or at most one part.
+func isSingle(v *venture.Venture, isHead bool) bool {
+	n := len(v.Operators) + len(v.Models) + len(v.Services) + len(v.Groups) + len(v.Accounts) + len(v.Objectives)
+	if isHead {
+		return n == 0 && v.Version == 0
+	}
+	return n <= 1 && v.Version == 0 && v.Replaces == 0 && v.Name == "" && v.Start.IsZero() && v.End.IsZero()
+}
+
 // replace puts the part of a section into the sorted parts, which it copies.
 // It returns false if the section holds another number of parts or a part of
 // another name.
--- a/internal/controller/configure.go
+++ b/internal/controller/configure.go
@@ -29,7 +29,7 @@
 func (s *state) configure(m *wire.Configure) (proto.Message, error) {
 	next, entry, err := s.read(m)
 	if entry != nil {
-		if known := s.find(entry.Version); known != nil && isSame(known, entry) {
+		if known := s.find(entry.Version); known != nil && s.isSame(known, entry) {
 			return &wire.ConfigureResult{Version: known.Version, Digest: known.Digest}, nil
 		}
 		if s.current != nil && (entry.Version <= s.version() || m.Replaces != s.version()) {
@@ -66,11 +66,7 @@
 		}
 		// A version that is too low loses; its content is still compared.
 		next, err := s.current.With(m.Sections, max(m.Version, s.version()+1))
-		if err != nil {
-			return nil, entry, err
-		}
-		entry.Digest = next.Digest()
-		return next, entry, nil
+		return next, entry, err
 	}
 	next, err := configuration.Parse(m.Document)
 	if err != nil {
@@ -91,11 +87,16 @@
 }
 
 // isSame tells whether a submission has the content of an accepted version.
-// Sections are compared as submitted, since their base may be gone.
-func isSame(known, entry *wire.Accepted) bool {
+// Sections are compared as submitted, since their base may be gone. A version
+// that came as sections has no stored digest, since printing all accounts
+// takes longer than the change; as a document it is known while in force.
+func (s *state) isSame(known, entry *wire.Accepted) bool {
 	if entry.Content != nil {
 		return bytes.Equal(known.Content, entry.Content)
 	}
+	if known.Content != nil && known.Version == s.version() {
+		return bytes.Equal(s.current.Digest(), entry.Digest)
+	}
 	return bytes.Equal(known.Digest, entry.Digest)
 }
 
@@ -140,7 +141,7 @@
 	if s.current != nil {
 		lines = next.Follow(s.current)
 	}
-	for _, a := range next.Venture().Accounts {
+	for a := range next.Accounts(s.current) {
 		var before account.Account
 		if s.current != nil {
 			before, _ = s.current.Account(a.Name)
@@ -173,7 +174,7 @@
 
 // accept brings a checked configuration into force.
 func (s *state) accept(next *configuration.Configuration, entry *wire.Accepted) {
-	for _, a := range next.Venture().Accounts {
+	for a := range next.Accounts(s.current) {
 		p := s.pools[a.Name]
 		if p == nil {
 			p = &pool{}
