--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -10,11 +10,12 @@
 	"strings"
 
 	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
 	"github.com/papayapond/papayapond/pkg/service"
-	"github.com/rotisserie/eris"
 )
 
 // serviceCall is one call to a plain service.
