--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/crc64"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -96,10 +97,14 @@
 	if n.cancel != nil {
 		return
 	}
+	members := c.names
+	if !slices.Contains(members, name) {
+		members = append(slices.Clone(members), name)
+	}
 	d, s := n.disk, &state{c: c, Values: map[string]string{}}
 	d.revive()
 	member, err := New(Config{
-		Name: name, Members: c.names, Path: d.path,
+		Name: name, Members: members, Path: d.path,
 		Apply: s.apply, Snapshot: s.snapshot, Restore: s.restore,
 		Vote: func(ctx context.Context, peer string, q *wire.VoteRequest) (*wire.VoteReply, error) {
 			return send(ctx, c, name, peer, q, (*Replicator).Vote)
--- a/internal/replicator/install.go
+++ b/internal/replicator/install.go
@@ -24,10 +24,13 @@
 		return r.fail(err)
 	}
 	r.cfg.Logger.Info("send snapshot", zap.String("to", p.member), zap.Uint64("index", image.Index), zap.Int("bytes", len(data)))
-	q := &wire.InstallRequest{Term: reign.term, Leader: r.vote().Member, To: p.member, Index: image.Index, Last: image.Term}
-	for !q.Done {
-		end := min(q.Offset+uint64(r.cfg.Chunk), uint64(len(data)))
-		q.Data, q.Done = data[q.Offset:end], end == uint64(len(data))
+	self := r.vote().Member
+	for offset, size := uint64(0), uint64(len(data)); offset < size; {
+		end := min(offset+uint64(r.cfg.Chunk), size)
+		q := &wire.InstallRequest{
+			Term: reign.term, Leader: self, To: p.member, Index: image.Index, Last: image.Term,
+			Offset: offset, Data: data[offset:end], Done: end == size,
+		}
 		sent := r.cfg.Now()
 		call, cancel := context.WithTimeout(ctx, r.cfg.Election/2)
 		reply, err := r.cfg.Install(call, instance(p.member), q)
@@ -39,18 +42,18 @@
 			r.adopt(reply.Term)
 			return nil
 		}
+		if reply.Offset != end {
+			return eris.Wrapf(fault.Unavailable, "snapshot: peer expects offset %d, not %d", reply.Offset, end)
+		}
 		r.mu.Lock()
 		p.contact = sent
-		if q.Done && reply.Offset == end {
+		if q.Done {
 			p.match = max(p.match, image.Index)
 			p.next = p.match + 1
 		}
 		r.notify()
 		r.mu.Unlock()
-		if reply.Offset != end {
-			return eris.Wrapf(fault.Unavailable, "snapshot: peer expects offset %d, not %d", reply.Offset, end)
-		}
-		q.Offset = end
+		offset = end
 	}
 	return nil
 }
--- a/internal/replicator/random_test.go
+++ b/internal/replicator/random_test.go
@@ -91,6 +91,8 @@
 	for id := range 4 {
 		clients.group.Go(func() { clients.run(ctx, id) })
 	}
+	defer clients.group.Wait()
+	defer cancel()
 	if seed%4 > 0 { // else the faults begin before the first start
 		c.settle()
 	}
--- a/internal/replicator/reign.go
+++ b/internal/replicator/reign.go
@@ -145,6 +145,10 @@
 	}
 	p.contact = sent
 	p.round = max(p.round, reply.Round)
+	if !reply.Success && q.Index == p.match && p.match > 0 {
+		r.cfg.Logger.Error("peer lost entries that it acknowledged", zap.String("peer", p.member), zap.Uint64("index", p.match))
+		return false, eris.Wrapf(fault.Broken, "peer %s has lost entry %d", p.member, p.match)
+	}
 	if reply.Success {
 		p.match = max(p.match, reply.Index)
 		p.next = p.match + 1
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -276,3 +277,76 @@
 		})
 	}
 }
+
+// An instance is replaced by another one while both run; the log goes on
+// with the new one after the old one is gone.
+func TestReplace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 11, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, m := c.leader()
+		if err := m.Replace(t.Context(), "a", "d"); !errors.Is(err, fault.Unavailable) {
+			t.Errorf("replace by a member that has not asked: got %v, want unavailable", err)
+		}
+		c.nodes["d"] = &node{name: "d", disk: newDisk(t, 12), frozen: closed()}
+		c.start("d")
+		defer c.crash("d")
+		time.Sleep(3 * defaultElection)
+		if err := m.Replace(t.Context(), name, "d"); !errors.Is(err, fault.Conflict) {
+			t.Errorf("replace the leader: got %v, want conflict", err)
+		}
+		others := c.nodes[name].member.others()
+		if err := m.Replace(t.Context(), others[0], "d"); err != nil {
+			t.Fatal(err)
+		}
+		c.crash(others[0])
+		c.names = []string{name, others[1], "d"}
+		c.settle()
+		c.crash(others[1])
+		c.propose("k=v")
+		c.start(others[1])
+		c.settle()
+	})
+}
+
+// Entries of earlier terms that a majority holds can still be replaced by a
+// leader with a later last term; counting them as committed loses them.
+func TestCommitNeedsEntryOfTerm(t *testing.T) {
+	r := &Replicator{
+		ballot:  &wire.Ballot{Member: "a", Term: 4},
+		lists:   []membership{{0, &wire.Members{Voters: []string{"a", "b", "c"}}}},
+		log:     &entries{list: []*wire.Entry{{Term: 1, Index: 1}, {Term: 2, Index: 2}, {Term: 4, Index: 3}}},
+		changed: make(chan struct{}), committed: make(chan struct{}, 1),
+	}
+	b := &peer{match: 2}
+	r.reign = &reign{term: 4, peers: map[string]*peer{"b": b, "c": {}}}
+	for _, want := range []uint64{0, 3} {
+		if r.advance(); r.commit != want {
+			t.Errorf("majority holds entry %d: got commit %d, want %d", b.match, r.commit, want)
+		}
+		b.match = 3
+	}
+}
+
+// A leader that was frozen while another one took over must not answer a
+// read from its old state in the moment it resumes.
+func TestBarrierAfterFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 13, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, m := c.leader()
+		c.freeze(name)
+		c.names = slices.DeleteFunc(c.names, func(n string) bool { return n == name })
+		time.Sleep(3 * defaultElection)
+		c.propose("k=new")
+		c.names = append(c.names, name)
+		c.thaw(name)
+		if err := m.Barrier(t.Context()); !errors.Is(err, fault.Isolated) {
+			t.Errorf("barrier: got %v, want isolated", err)
+		}
+	})
+}
