--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -45,7 +45,8 @@
 
 	mu       sync.Mutex
 	accounts map[string]*rights
-	running  sync.WaitGroup
+	stopped  bool
+	running  sync.WaitGroup // requests that nobody waits for
 }
 
 // rights is what the holder remembers about one account.
@@ -78,7 +79,13 @@
 	g.account(name).demand.add(now, amount)
 }
 
-func (g *grants) wait() { g.running.Wait() }
+// stop ends the requests that nobody waits for.
+func (g *grants) stop() {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
+	g.running.Wait()
+}
 
 // refill asks for rights in the background when the free rights are below the
 // demand of the last window.
@@ -89,7 +96,7 @@
 	defer g.mu.Unlock()
 	a := g.account(t.Account)
 	sum := a.demand.sum(now)
-	if t.Free >= sum || now.Before(a.refills) || a.flight != nil || h.closing.Load() {
+	if t.Free >= sum || now.Before(a.refills) || a.flight != nil || g.stopped || h.closing.Load() {
 		return
 	}
 	a.refills = now.Add(refillPause)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -123,7 +123,7 @@
 	group.Go(func() { every(ctx, seedInterval, func() { seeds.seed(ctx, l) }) })
 	group.Go(func() { every(ctx, mergeInterval, func() { h.mergeAll(l) }) })
 	<-ctx.Done()
-	h.grants.wait()
+	h.grants.stop()
 }
 
 func (h *Holder) close() {
--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ledger"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -148,15 +149,22 @@
 	}
 }
 
+// sendReleases stops at the first command without an answer. A refused one
+// stays listed and doesn't hold up the others.
 func (h *Holder) sendReleases(ctx context.Context, l *ledger.Ledger) error {
+	var refused error
 	for _, released := range l.Released() {
-		if _, err := h.propose(ctx, &wire.Command{Change: &wire.Command_Released{Released: released}}); err != nil {
-			return err
+		_, err := h.propose(ctx, &wire.Command{Change: &wire.Command_Released{Released: released}})
+		if err == nil {
+			err = l.Confirm(released.Sequence)
 		}
-		if err := l.Confirm(released.Sequence); err != nil {
+		if err != nil && fault.Of(err) == fault.Uncertain {
 			return err
 		}
-		h.progress.kick()
+		if err != nil {
+			refused = err
+		}
 	}
-	return nil
+	h.progress.kick()
+	return refused
 }
