Encode pools without maps and bound conflicts

A read prints the configuration after it has released the state. A conflict names at most 50 differences. A top-up of a removed account is refused as missing; before, it was accepted.

--- a/internal/controller/configure.go
+++ b/internal/controller/configure.go
@@ -20,6 +20,10 @@
 // they are resent, about 6 h at 16,000 changes a day.
 const maxAccepted = 4096
 
+// maxDifferences bounds the differences that a conflict names, so that its
+// message stays readable and below the size limit of a reply.
+const maxDifferences = 50
+
 // maxTotal bounds budget and top-ups of one account, in tokens, so that sums
 // of amounts don't overflow.
 const maxTotal = 1 << 60
@@ -128,6 +132,9 @@
 		return eris.Wrap(fault.Conflict, text)
 	}
 	lines := s.current.Difference(next)
+	if extra := len(lines) - maxDifferences; extra > 0 {
+		lines = append(lines[:maxDifferences], fmt.Sprintf("and %d more", extra))
+	}
 	if len(lines) == 0 {
 		lines = []string{"none"}
 	}
@@ -213,7 +220,7 @@
 	if m.Name == "" || m.Tokens <= 0 || m.Tokens > configuration.MaxTokens {
 		return nil, eris.Wrapf(fault.Malformed, "top-up %q of %d tokens, expected a name and 1 to %d tokens", m.Name, m.Tokens, int64(configuration.MaxTokens))
 	}
-	p, err := s.pool(m.Account)
+	p, err := s.active(m.Account)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controller/configure_test.go
+++ b/internal/controller/configure_test.go
@@ -36,12 +36,17 @@
 		{"other first after the second", document(1, 0, mill.WithWeight(2)), "conflict", "version 2 is in force"},
 		{"top-up vanishes", document(3, 2, mill.WithBudget(150)), "malformed", "top-up march of 5 tokens was accepted and is missing or changed"},
 		{"account removed", document(3, 2), "", ""},
+		{"top-up of a removed account", nil, "missing", "account mill"},
 		{"account back with less", document(4, 3, mill), "malformed", "expected 150 or more as before it was removed"},
 		{"top-up of another account", document(4, 3, account.New("bakery", 0).WithTopup("march", 5)), "malformed", "top-up march was accepted with 5 tokens for account mill"},
 		{"account back", document(4, 3, mill.WithBudget(150)), "", ""},
 	} {
 		before := b.state.version()
-		reply := b.apply(configure(step.document))
+		command := configure(step.document)
+		if step.document == nil {
+			command = topup("april", "mill", 1)
+		}
+		reply := b.apply(command)
 		if got := reply.GetFault().GetCode(); got != step.code || !strings.Contains(reply.GetFault().GetText(), step.text) {
 			t.Errorf("%s: got %q %s, want %q %s", step.name, got, reply.GetFault().GetText(), step.code, step.text)
 		}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/papayapond/papayapond/internal/fault"
@@ -153,7 +155,9 @@
 // A zone that gives back more than it got would create tokens.
 func TestViolationStopsTheAccount(t *testing.T) {
 	for _, first := range []*wire.Command{released("a", 1, 1, 201), released("b", 1, 1, 1)} {
+		core, logs := observer.New(zap.ErrorLevel)
 		b := newBench(t)
+		b.Controller = New(Config{Logger: zap.New(core)})
 		b.must(configure(document(1, 0, account.New("mill", 1200))))
 		b.must(grant("a", 1, 1, 0, 0))
 		before := b.pool()
@@ -165,6 +169,9 @@
 		if got := b.pool(); got != before {
 			t.Errorf("got %s, want %s", got, before)
 		}
+		if got := logs.All(); len(got) != 1 || !strings.Contains(fmt.Sprint(got[0].ContextMap()["command"]), "amount") {
+			t.Errorf("log: got %v, want one line with the command", got)
+		}
 		if err := b.Restore(b.Snapshot()); err != nil || !b.state.pools["mill"].stopped {
 			t.Errorf("after a restart: got %v, want a stopped account", err)
 		}
--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -92,6 +92,14 @@
 	return p, nil
 }
 
+// active is pool for an account that the configuration has not removed.
+func (s *state) active(account string) (*pool, error) {
+	if _, ok := s.current.Account(account); !ok {
+		return nil, eris.Wrapf(fault.Missing, "account %s", account)
+	}
+	return s.pool(account)
+}
+
 // verify stops the account if its invariants are violated after a command.
 func (s *state) verify(account string, p *pool, command fmt.Stringer) {
 	if !p.stopped && !p.isSound() {
@@ -127,17 +135,17 @@
 	if err := s.open(); err != nil {
 		return nil, err
 	}
-	if _, ok := s.current.Account(m.Account); !ok {
-		return nil, eris.Wrapf(fault.Missing, "account %s", m.Account)
-	}
-	p, err := s.pool(m.Account)
+	p, err := s.active(m.Account)
 	if err != nil {
 		return nil, err
 	}
 	amount := s.portion(p, m)
 	if p.share(m.Zone) == nil {
 		i, _ := p.search(m.Zone)
-		p.shares = slices.Insert(p.shares, i, share{zone: m.Zone})
+		if p.shares == nil {
+			p.shares = make([]share, 0, len(s.zones)) // growing step by step takes twice the memory
+		}
+		p.shares = slices.Insert(p.shares, i, share{zone: s.intern(m.Zone)})
 	}
 	p.share(m.Zone).amount += amount
 	p.unassigned -= amount
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -119,16 +119,30 @@
 }
 
 // loadPool adds a pool. One that is not sound must be marked as stopped.
-func (s *state) loadPool(m *wire.Pool) bool {
+func (s *state) loadPool(m *wire.PoolState) bool {
+	if len(m.Zones) != len(m.Amounts) {
+		return false
+	}
 	p := &pool{prepaid: m.Prepaid, topups: m.Topups, unassigned: m.Unassigned, refunded: m.Refunded, stopped: m.Stopped}
-	for zone, amount := range m.Zones {
-		p.shares = append(p.shares, share{zone, amount})
+	p.shares = make([]share, len(m.Zones))
+	for i, zone := range m.Zones {
+		if i > 0 && m.Zones[i-1] >= zone {
+			return false
+		}
+		p.shares[i] = share{s.intern(zone), m.Amounts[i]}
 	}
-	slices.SortFunc(p.shares, func(x, y share) int { return cmp.Compare(x.zone, y.zone) })
 	s.pools[m.Account] = p
 	return p.stopped || p.isSound()
 }
 
+// intern returns a shared copy of the name of a zone.
+func (s *state) intern(zone string) string {
+	if i, ok := slices.BinarySearch(s.zones, zone); ok {
+		return s.zones[i]
+	}
+	return zone
+}
+
 func (s *state) loadZone(m *wire.Zone) bool {
 	l := newLedger(m.Epoch)
 	l.instance, l.sequence = m.Instance, m.Sequence
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/papayapond/papayapond/internal/configuration"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -64,17 +65,24 @@
 			return &wire.ReadReply{Fault: faultOf(err)}, nil
 		}
 	}
-	leader := c.config.Leader()
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	s := c.state
-	reply := &wire.ReadReply{Version: s.version(), Leader: leader, Index: s.index, Phase: s.phase, Epochs: map[string]uint64{}}
-	if s.current != nil {
-		reply.Digest = s.current.Digest()
+	reply, current := c.read(r)
+	reply.Leader = c.config.Leader()
+	// Printing takes long with many accounts and must not hold up the log.
+	if current != nil {
+		reply.Digest = current.Digest()
 		if r.Document {
-			reply.Document = s.current.Text()
+			reply.Document = current.Text()
 		}
 	}
+	return reply, nil
+}
+
+// read returns a reply and the configuration that it belongs to.
+func (c *Controller) read(r *wire.ReadRequest) (*wire.ReadReply, *configuration.Configuration) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	s := c.state
+	reply := &wire.ReadReply{Version: s.version(), Index: s.index, Phase: s.phase, Epochs: map[string]uint64{}}
 	for zone, l := range s.ledgers {
 		reply.Epochs[zone] = l.epoch
 	}
@@ -87,7 +95,7 @@
 	if known := s.claims[identity{r.Account, r.Request}]; known != nil && r.Request != "" {
 		reply.Claim = &wire.ClaimResult{Resolved: known.Outcome != nil, Outcome: proto.CloneOf(known.Outcome), Instance: known.Claim.Instance}
 	}
-	return reply, nil
+	return reply, s.current
 }
 
 // list returns the pools that a read asks for.
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -42,8 +42,11 @@
 	for _, a := range s.accepted {
 		w.write(&wire.State{Part: &wire.State_Accepted{Accepted: a}})
 	}
+	var m wire.PoolState // reused, since the pools are most of the records
+	record := &wire.State{Part: &wire.State_Pool{Pool: &m}}
 	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
-		w.write(&wire.State{Part: &wire.State_Pool{Pool: s.pools[name].message(name)}})
+		s.pools[name].record(name, &m)
+		w.write(record)
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.topups)) {
 		w.write(&wire.State{Part: &wire.State_Topup{Topup: s.topups[name]}})
@@ -67,6 +70,17 @@
 	return append(w.b, sum[:]...)
 }
 
+// record fills the record of a pool.
+func (p *pool) record(account string, m *wire.PoolState) {
+	m.Account, m.Prepaid, m.Topups, m.Unassigned = account, p.prepaid, p.topups, p.unassigned
+	m.Refunded, m.Stopped = p.refunded, p.stopped
+	m.Zones, m.Amounts = m.Zones[:0], m.Amounts[:0]
+	for _, s := range p.shares {
+		m.Zones = append(m.Zones, s.zone)
+		m.Amounts = append(m.Amounts, s.amount)
+	}
+}
+
 func (l *ledger) write(w *writer, zone string) {
 	z := &wire.Zone{Zone: zone, Epoch: l.epoch, Instance: l.instance, Sequence: l.sequence}
 	epochs := slices.Sorted(maps.Keys(l.epochs))
--- a/pkg/printer/printer.go
+++ b/pkg/printer/printer.go
@@ -90,7 +90,7 @@
 
 // Account returns the lines of one account.
 func Account(a account.Account) []byte {
-	b := text([]byte("[[accounts]]\n"), "name", a.Name)
+	b := text(append(make([]byte, 0, 512), "[[accounts]]\n"...), "name", a.Name)
 	b = number(b, "budget", a.Budget)
 	b = number(b, "weight", a.Weight)
 	b = texts(b, "keys", a.Keys)
@@ -153,7 +153,10 @@
 
 func texts(b []byte, key string, list []string) []byte {
 	b = append(append(b, key...), " = ["...)
-	for i, s := range slices.Sorted(slices.Values(list)) {
+	if !slices.IsSorted(list) {
+		list = slices.Sorted(slices.Values(list))
+	}
+	for i, s := range list {
 		if i > 0 {
 			b = append(b, ", "...)
 		}
@@ -167,6 +170,9 @@
 func quote(b []byte, s string) []byte {
 	const hex = "0123456789abcdef"
 	b = append(b, '"')
+	if !strings.ContainsFunc(s, func(r rune) bool { return r < 0x20 || r > 0x7e || r == '"' || r == '\\' }) {
+		return append(append(b, s...), '"')
+	}
 	for _, r := range s {
 		switch {
 		case r == '"' || r == '\\':
