Keep the replaced version when sections pass over versions

An instance that misses versions gets the sections from the one it holds to the one in force. With took the held version as the replaced one, so that its printed form and digest differed from those of the accepted configuration. Changes now adds a section with the replaced version; the controller refuses one that contradicts the command.

--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -12,9 +13,10 @@
 )
 
 // With returns the configuration after the given sections have replaced or
-// removed theirs, under a new version that replaces this one. Accounts that
-// are not among the sections are shared and not checked again. The error
-// wraps fault.Malformed and lists every problem.
+// removed theirs, under a new version. It replaces this version unless one of
+// the sections, as Changes makes it, names another. Accounts that are not
+// among the sections are shared and not checked again. The error wraps
+// fault.Malformed and lists every problem.
 func (c *Configuration) With(sections []*wire.Section, version uint64) (*Configuration, error) {
 	v := c.venture
 	v.Version, v.Replaces = version, c.venture.Version
@@ -24,7 +26,7 @@
 	for _, s := range sections {
 		problems = append(problems, apply(&v, s)...)
 		if s.Kind != accountKind {
-			isWhole = true
+			isWhole = isWhole || s.Kind != replacesKind
 			continue
 		}
 		edits[s.Name] = nil
@@ -122,9 +124,13 @@
 }
 
 // Changes returns the sections that lead from an earlier configuration to
-// this one. A section without text is removed.
+// this one, also past versions between them. A section without text is
+// removed.
 func (c *Configuration) Changes(from *Configuration) []*wire.Section {
 	var changes []*wire.Section
+	if c.Replaces() != from.Version() {
+		changes = append(changes, &wire.Section{Kind: replacesKind, Text: fmt.Appendf(nil, "replaces = %d\n", c.Replaces())})
+	}
 	for _, p := range pairs(from, c) {
 		changes = append(changes, &wire.Section{Kind: p.kind, Name: p.name, Text: p.text})
 	}
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -124,11 +124,11 @@
 // configurations of one version.
 func TestSections(t *testing.T) {
 	c := parse(t, string(read(t, "valid.toml")))
-	text := strings.Replace(string(c.Text()), "version = 2\nreplaces = 1", "version = 3\nreplaces = 2", 1)
+	text := strings.Replace(string(c.Text()), "version = 2\nreplaces = 1", "version = 5\nreplaces = 4", 1)
 	text = strings.Replace(text, "budget = 1000", "budget = 2000", 1)
 	text = strings.Replace(text, "bakery", "cafe", 1)
 	next := parse(t, text)
-	got, err := c.With(next.Changes(c), 3)
+	got, err := c.With(next.Changes(c), 5)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -164,6 +164,8 @@
 		{"two parts", &wire.Section{Kind: "model", Name: "a", Text: []byte("[[models]]\nname = \"a\"\noutput = 1\ncontext = 1\n[[models]]\nname = \"b\"")}, "more than this part"},
 		{"duplicate key", &wire.Section{Kind: "account", Name: "inn", Text: []byte("[[accounts]]\nname = \"inn\"\nkeys = [\"0011223344556677:2222222222222222222222222222222222222222222222222222222222222222\"]")}, "account inn: the key is used twice, also by account mill"},
 		{"duplicate top-up", &wire.Section{Kind: "account", Name: "inn", Text: []byte("[[accounts]]\nname = \"inn\"\n[[accounts.topups]]\nname = \"march\"\ntokens = 1")}, "top-up march is defined twice, also in account mill"},
+		{"head in an account", &wire.Section{Kind: "account", Name: "inn", Text: []byte("name = \"x\"\n[[accounts]]\nname = \"inn\"")}, "more than this part"},
+		{"replaces", &wire.Section{Kind: "replaces", Text: []byte("replaces = 3")}, "expected a number below version 3"},
 		{"head", &wire.Section{Kind: "venture"}, "exactly this part"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/configuration/section.go
+++ b/internal/configuration/section.go
@@ -13,9 +13,10 @@
 	"github.com/papayapond/papayapond/pkg/venture"
 )
 
-// Kinds of sections. There is one section of headKind, with an empty name.
+// Kinds of sections. Those of headKind and replacesKind have an empty name.
 const (
 	headKind      = "venture"
+	replacesKind  = "replaces"
 	operatorKind  = "operator"
 	modelKind     = "model"
 	serviceKind   = "service"
@@ -51,7 +52,7 @@
 		return d.problems
 	}
 	normalise(&part)
-	if !isSingle(&part, s.Kind == headKind) {
+	if !isSingle(&part, s.Kind) {
 		return []problem{{text: fmt.Sprintf("%s %q: the section holds more than this part", s.Kind, s.Name)}}
 	}
 	var ok bool
@@ -59,6 +60,9 @@
 	case headKind:
 		ok = len(s.Text) > 0
 		v.Name, v.Start, v.End, v.Reserve = part.Name, part.Start, part.End, part.Reserve
+	case replacesKind:
+		ok = len(s.Text) > 0
+		v.Replaces = part.Replaces
 	case operatorKind:
 		ok = replace(&v.Operators, part.Operators, s, func(o *venture.Operator) string { return o.Name })
 	case modelKind:
@@ -81,13 +85,15 @@
 	return nil
 }
 
-// isSingle tells whether what a section holds is a head or at most one part.
-func isSingle(v *venture.Venture, isHead bool) bool {
+// isSingle tells whether what a section holds is at most what its kind may
+// hold.
+func isSingle(v *venture.Venture, kind string) bool {
 	n := len(v.Operators) + len(v.Models) + len(v.Services) + len(v.Groups) + len(v.Accounts) + len(v.Objectives)
-	if isHead {
-		return n == 0 && v.Version == 0
+	if kind == headKind || kind == replacesKind {
+		n++
 	}
-	return n <= 1 && v.Version == 0 && v.Replaces == 0 && v.Name == "" && v.Start.IsZero() && v.End.IsZero()
+	isHead := v.Name != "" || !v.Start.IsZero() || !v.End.IsZero()
+	return n <= 1 && v.Version == 0 && (kind == replacesKind || v.Replaces == 0) && (kind == headKind || !isHead)
 }
 
 // replace puts the part of a section into the sorted parts, which it copies.
--- a/internal/controller/configure.go
+++ b/internal/controller/configure.go
@@ -36,7 +36,8 @@
 		if known := s.find(entry.Version); known != nil && s.isSame(known, entry) {
 			return &wire.ConfigureResult{Version: known.Version, Digest: known.Digest}, nil
 		}
-		if s.current != nil && (entry.Version <= s.version() || m.Replaces != s.version()) {
+		isNext := entry.Version > s.version() && m.Replaces == s.version() && (next == nil || next.Replaces() == m.Replaces)
+		if s.current != nil && !isNext {
 			return nil, s.conflict(entry.Version, m.Replaces, next)
 		}
 	}
