--- a/internal/configuration/change_test.go
+++ b/internal/configuration/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,13 +21,13 @@
 		return rapid.SliceOfNDistinct(rapid.SampledFrom(from), 0, 1, rapid.ID).Draw(t, label)
 	}
 	a := account.New(name, rapid.Int64Range(-1, 20).Draw(t, "budget"))
-	for _, key := range some("key", "k1", "k2", "k3", "k4", "k5", "k6") {
+	for _, key := range some("key", "k0", "k1", "k2", "k3", "k4", "k5") {
 		a = a.WithKeys(account.Hash([]byte("saltsalt"), key))
 	}
-	for _, topup := range some("topup", "t1", "t2", "t3", "t4", "t5", "t6") {
+	for _, topup := range some("topup", "t0", "t1", "t2", "t3", "t4", "t5") {
 		a = a.WithTopup(topup, 1)
 	}
-	return a.WithModels(some("model", "m1", "m2", "m3", "m4", "m5", "none")...)
+	return a.WithModels(some("model", "m1", "m2", "m3", "m4", "m5", "m6")...)
 }
 
 // The quick check of edited accounts must accept exactly what Parse accepts,
@@ -47,12 +48,13 @@
 			}
 			return v
 		}
-		for _, name := range []string{"a", "b", "c"} {
-			accounts[name] = draw(t, name)
+		for i, name := range []string{"a", "b", "c"} {
+			key := account.Hash([]byte("saltsalt"), fmt.Sprint("k", i))
+			accounts[name] = account.New(name, 1).WithKeys(key).WithTopup(fmt.Sprint("t", i), 1)
 		}
 		c, err := Parse(printer.Text(all(1)))
 		if err != nil {
-			return
+			t.Fatal(err)
 		}
 		var sections []*wire.Section
 		for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "d", "e"}), 0, 3, rapid.ID).Draw(t, "edited") {
