Hand out nothing from books that don't add up

A command whose result violates an invariant stopped the account but was still answered with success, so that a zone could get rights from unsound books. It is now answered as broken, and a grant keeps no receipt.

A top-up's name must be one that a configuration can list; the test that used a name with a space has another name now.

--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -26,6 +26,9 @@
 	validMethod = regexp.MustCompile(`^[A-Z]{1,16}$`)
 )
 
+// IsName tells whether a name can stand in a configuration.
+func IsName(name string) bool { return validName.MatchString(name) }
+
 // checker collects the problems of a venture with the paths of the values.
 type checker struct {
 	problems []problem
@@ -80,7 +83,7 @@
 	} else if v.Replaces >= v.Version {
 		c.report("replaces", "replaces: %d, expected a number below version %d", v.Replaces, v.Version)
 	}
-	if !validName.MatchString(v.Name) {
+	if !IsName(v.Name) {
 		c.report("name", "name: %q, expected a name", v.Name)
 	}
 	for _, t := range []struct {
@@ -107,7 +110,7 @@
 	known := make(map[string]bool, len(parts))
 	for i := range parts {
 		n := name(&parts[i])
-		if !validName.MatchString(n) {
+		if !IsName(n) {
 			c.report(fmt.Sprintf("%s[%d].name", list, i), "%s[%d].name: %q, expected a name", list, i, n)
 			continue
 		}
@@ -201,7 +204,7 @@
 	c.references(path, a.Name, "groups", a.Groups, c.groups)
 	for i, t := range a.Topups {
 		at := path(fmt.Sprintf("topups[%d]", i))
-		if !validName.MatchString(t.Name) {
+		if !IsName(t.Name) {
 			c.report(at+".name", "account %s: top-up %q, expected a name", a.Name, t.Name)
 		} else if other, ok := c.topups[t.Name]; ok {
 			c.report(at+".name", "account %s: top-up %s is defined twice, also in account %s", a.Name, t.Name, other)
@@ -227,7 +230,7 @@
 	if o.Account != "" && !c.accounts(o.Account) {
 		c.report(path+".account", "objective %s: %q is not among the accounts", o.Name, o.Account)
 	}
-	if o.Class != "" && !validName.MatchString(o.Class) {
+	if o.Class != "" && !IsName(o.Class) {
 		c.report(path+".class", "objective %s: class %q, expected a name", o.Name, o.Class)
 	}
 	if o.Account != "" && o.Class != "" {
--- a/internal/controller/closing.go
+++ b/internal/controller/closing.go
@@ -44,7 +44,9 @@
 		p := s.pools[b.Account]
 		p.refunded += p.unassigned
 		p.unassigned = 0
-		s.verify(b.Account, p, m)
+		if err := s.verify(b.Account, p, m); err != nil {
+			return nil, err
+		}
 		s.statement.Balances = append(s.statement.Balances, b)
 	}
 	slices.SortFunc(s.statement.Balances, func(x, y *wire.Balance) int { return strings.Compare(x.Account, y.Account) })
--- a/internal/controller/configure.go
+++ b/internal/controller/configure.go
@@ -197,7 +197,7 @@
 				p.unassigned += t.Tokens
 			}
 		}
-		s.verify(a.Name, p, entry)
+		_ = s.verify(a.Name, p, entry) // stops the account; the other parts are in force
 	}
 	s.current = next
 	s.accepted = append(s.accepted, entry)
@@ -218,7 +218,7 @@
 	if err := s.open(); err != nil {
 		return nil, err
 	}
-	if m.Name == "" || m.Tokens <= 0 || m.Tokens > configuration.MaxTokens {
+	if !configuration.IsName(m.Name) || m.Tokens <= 0 || m.Tokens > configuration.MaxTokens {
 		return nil, eris.Wrapf(fault.Malformed, "top-up %q of %d tokens, expected a name and 1 to %d tokens", m.Name, m.Tokens, int64(configuration.MaxTokens))
 	}
 	p, err := s.active(m.Account)
@@ -232,6 +232,5 @@
 	s.topups[m.Name] = known
 	p.topups += m.Tokens
 	p.unassigned += m.Tokens
-	s.verify(m.Account, p, m)
-	return known, nil
+	return known, s.verify(m.Account, p, m)
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -178,6 +178,22 @@
 	}
 }
 
+// Books that don't add up must not hand out rights.
+func TestUnsoundBooksStopTheAccount(t *testing.T) {
+	for _, m := range []*wire.Command{grant("b", 1, 1, 1, 1), released("a", 1, 1, 1), topup("t", "mill", 1)} {
+		b := newBench(t)
+		b.must(configure(document(1, 0, account.New("mill", 1200))))
+		b.must(grant("a", 1, 1, 0, 0))
+		b.state.pools["mill"].unassigned++
+		if got := b.do(m, nil); got != fault.Broken.Code() {
+			t.Errorf("%v: got %q, want broken", m, got)
+		}
+		if !b.state.pools["mill"].stopped {
+			t.Errorf("%v: the account isn't stopped", m)
+		}
+	}
+}
+
 // A top-up that is resent after a lost answer must not be credited twice.
 func TestTopups(t *testing.T) {
 	b := newBench(t)
--- a/internal/controller/machine_test.go
+++ b/internal/controller/machine_test.go
@@ -259,7 +259,7 @@
 			slices.Reverse(names)
 		}
 		for _, n := range names {
-			b.must(topup("for "+n, n, 1))
+			b.must(topup("for-"+n, n, 1))
 		}
 		if i == 0 {
 			want = b.Snapshot()
--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -100,11 +100,16 @@
 	return s.pool(account)
 }
 
-// verify stops the account if its invariants are violated after a command.
-func (s *state) verify(account string, p *pool, command fmt.Stringer) {
-	if !p.stopped && !p.isSound() {
+// verify stops the account if its invariants are violated after a command. The
+// error wraps fault.Broken, so that no rights are handed out from such books.
+func (s *state) verify(account string, p *pool, command fmt.Stringer) error {
+	if p.isSound() {
+		return nil
+	}
+	if !p.stopped {
 		s.stop(account, p, command)
 	}
+	return eris.Wrapf(fault.Broken, "account %s is stopped", account)
 }
 
 func (s *state) stop(account string, p *pool, command fmt.Stringer) {
@@ -150,9 +155,11 @@
 	p.share(m.Zone).amount += amount
 	p.unassigned -= amount
 	s.ledgers[m.Zone] = l
+	if err := s.verify(m.Account, p, m); err != nil {
+		return nil, err
+	}
 	l.receipts(m.Epoch).grants[m.Sequence] = receipt{account: m.Account, amount: amount, unassigned: p.unassigned}
 	l.receipts(m.Epoch).confirm(m.Confirmed, 0)
-	s.verify(m.Account, p, m)
 	return &wire.GrantResult{Amount: amount, Unassigned: p.unassigned, Sequence: m.Sequence}, nil
 }
 
@@ -204,8 +211,7 @@
 	r := l.receipts(m.Epoch)
 	r.releases[m.Sequence] = receipt{account: m.Account, amount: m.Amount}
 	r.confirm(0, m.Confirmed)
-	s.verify(m.Account, p, m)
-	return nil
+	return s.verify(m.Account, p, m)
 }
 
 // isReleased tells whether a release was applied before, also under an epoch
