--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -13,6 +13,8 @@
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
+var _ wire.DRPCControlServer = (*Controller)(nil)
+
 // Propose replicates a command and returns the reply of Apply. A member that
 // can't replicate forwards to the leader. Errors are in the reply; one that
 // wraps fault.Isolated leaves open whether the command will be applied, and
