--- a/internal/controller/configure.go
+++ b/internal/controller/configure.go
@@ -20,6 +20,10 @@
 // they are resent, about 6 h at 16,000 changes a day.
 const maxAccepted = 4096
 
+// maxDifferences bounds the differences that a conflict names, so that its
+// message stays readable and below the size limit of a reply.
+const maxDifferences = 50
+
 // maxTotal bounds budget and top-ups of one account, in tokens, so that sums
 // of amounts don't overflow.
 const maxTotal = 1 << 60
@@ -32,7 +36,8 @@
 		if known := s.find(entry.Version); known != nil && s.isSame(known, entry) {
 			return &wire.ConfigureResult{Version: known.Version, Digest: known.Digest}, nil
 		}
-		if s.current != nil && (entry.Version <= s.version() || m.Replaces != s.version()) {
+		isNext := entry.Version > s.version() && m.Replaces == s.version() && (next == nil || next.Replaces() == m.Replaces)
+		if s.current != nil && !isNext {
 			return nil, s.conflict(entry.Version, m.Replaces, next)
 		}
 	}
@@ -128,6 +133,9 @@
 		return eris.Wrap(fault.Conflict, text)
 	}
 	lines := s.current.Difference(next)
+	if extra := len(lines) - maxDifferences; extra > 0 {
+		lines = append(lines[:maxDifferences], fmt.Sprintf("and %d more", extra))
+	}
 	if len(lines) == 0 {
 		lines = []string{"none"}
 	}
@@ -189,7 +197,7 @@
 				p.unassigned += t.Tokens
 			}
 		}
-		s.verify(a.Name, p, entry)
+		_ = s.verify(a.Name, p, entry) // stops the account; the other parts are in force
 	}
 	s.current = next
 	s.accepted = append(s.accepted, entry)
@@ -210,10 +218,10 @@
 	if err := s.open(); err != nil {
 		return nil, err
 	}
-	if m.Name == "" || m.Tokens <= 0 || m.Tokens > configuration.MaxTokens {
+	if !configuration.IsName(m.Name) || m.Tokens <= 0 || m.Tokens > configuration.MaxTokens {
 		return nil, eris.Wrapf(fault.Malformed, "top-up %q of %d tokens, expected a name and 1 to %d tokens", m.Name, m.Tokens, int64(configuration.MaxTokens))
 	}
-	p, err := s.pool(m.Account)
+	p, err := s.active(m.Account)
 	if err != nil {
 		return nil, err
 	}
@@ -224,6 +232,5 @@
 	s.topups[m.Name] = known
 	p.topups += m.Tokens
 	p.unassigned += m.Tokens
-	s.verify(m.Account, p, m)
-	return known, nil
+	return known, s.verify(m.Account, p, m)
 }
