--- a/internal/replicator/apply.go
+++ b/internal/replicator/apply.go
@@ -11,6 +11,10 @@
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
+// snapshotBytes of commands lead to a snapshot before SnapshotEvery entries
+// do, since the entries between snapshots are kept in memory.
+const snapshotBytes = 16 << 20
+
 // apply hands committed entries and installed snapshots to the state, and
 // takes snapshots.
 func (r *Replicator) apply(ctx context.Context) {
@@ -60,6 +64,7 @@
 		}
 		r.mu.Lock()
 		r.applied = entry.Index
+		r.grown += len(entry.Command)
 		if p := r.waiting[entry.Index]; p != nil {
 			p.done <- outcome{index: entry.Index, result: result}
 			delete(r.waiting, entry.Index)
@@ -77,7 +82,8 @@
 func (r *Replicator) compact() {
 	r.mu.Lock()
 	image := &wire.Image{Index: r.applied, Term: r.log.term(r.applied), Members: r.membersAt(r.applied)}
-	due := r.failed == nil && r.restore == nil && r.applied >= r.log.image+r.cfg.SnapshotEvery
+	due := r.failed == nil && r.restore == nil && r.applied > r.log.image &&
+		(r.applied >= r.log.image+r.cfg.SnapshotEvery || r.grown >= snapshotBytes)
 	r.mu.Unlock()
 	if !due {
 		return
@@ -103,6 +109,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.grown = 0
 	r.log.image = image.Index
 	r.log.trim()
 	r.condense(image.Index)
--- a/internal/replicator/ballot.go
+++ b/internal/replicator/ballot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -22,6 +24,8 @@
 	// ballotMagic starts the file; a CRC-32C of the message follows.
 	ballotMagic  = "PPBALLOT"
 	ballotHeader = len(ballotMagic) + 4
+	// keepEvery bounds the syncs that only store the commit index.
+	keepEvery = time.Second
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -84,6 +88,7 @@
 func (r *Replicator) save(b *wire.Ballot) error {
 	r.mu.Lock()
 	old, failed := r.ballot, r.failed
+	b.Commit = r.commit
 	r.mu.Unlock()
 	if failed != nil {
 		return failed
@@ -108,6 +113,26 @@
 	return nil
 }
 
+// keep stores the commit index now and then, so that a member that restarts
+// without a quorum applies the entries that it knew to be committed.
+func (r *Replicator) keep(ctx context.Context) {
+	for r.pause(ctx, keepEvery, nil) {
+		r.keepCommit()
+	}
+}
+
+func (r *Replicator) keepCommit() {
+	r.disk.Lock()
+	defer r.disk.Unlock()
+	b := r.vote()
+	r.mu.Lock()
+	due := r.failed == nil && b.Started && r.commit > b.Commit
+	r.mu.Unlock()
+	if due {
+		_ = r.save(b) // a failure stops the member
+	}
+}
+
 // adopt moves to a higher term seen in a reply.
 func (r *Replicator) adopt(term uint64) {
 	r.disk.Lock()
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -319,6 +319,7 @@
 // propose retries until a command is acknowledged by a leader.
 func (c *cluster) propose(command string) uint64 {
 	c.t.Helper()
+	var last error
 	for range 1000 {
 		_, m := c.leader()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -327,8 +328,10 @@
 		if err == nil {
 			return index
 		}
+		last = err
+		time.Sleep(20 * time.Millisecond)
 	}
-	c.t.Fatalf("%q is never accepted", command)
+	c.t.Fatalf("%q is never accepted: %v: %s", command, last, c.describe())
 	return 0
 }
 
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -57,6 +57,8 @@
 	if r.reign != nil {
 		if !r.answers(r.members().Voters) {
 			r.stepDown("no quorum")
+		} else if r.writing && now.Sub(r.began) > 2*r.cfg.Election {
+			r.stepDown("slow disk")
 		}
 		return r.cfg.Heartbeat
 	}
--- a/internal/replicator/entries.go
+++ b/internal/replicator/entries.go
@@ -12,6 +12,8 @@
 const (
 	// batchBytes bounds the commands of one Append; one entry is always sent.
 	batchBytes = 1 << 20
+	// tailBytes bounds the commands kept in memory before a snapshot.
+	tailBytes = 4 << 20
 	// readRecords is the number of records read at once when the log opens.
 	readRecords = 1024
 )
@@ -141,6 +143,11 @@
 		return
 	}
 	cut := e.image - e.tail
+	for size, i := 0, e.image; i > cut; i-- {
+		if size += len(e.list[i-e.base-1].Command); size > tailBytes {
+			cut = i
+		}
+	}
 	e.baseTerm = e.term(cut)
 	e.list = append([]*wire.Entry(nil), e.list[cut-e.base:]...)
 	e.base = cut
--- a/internal/replicator/propose.go
+++ b/internal/replicator/propose.go
@@ -108,7 +108,7 @@
 	defer r.disk.Unlock()
 	r.mu.Lock()
 	reign, batch := r.reign, r.queue
-	r.queue, r.writing = nil, len(batch) > 0
+	r.queue, r.writing, r.began = nil, len(batch) > 0, r.cfg.Now()
 	list := make([]*wire.Entry, len(batch))
 	for i, p := range batch {
 		p.entry.Index, p.entry.Term = r.log.last()+1+uint64(i), reign.term
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -127,6 +127,9 @@
 	if err != nil || proto.Equal(before, after) {
 		return err
 	}
+	if n := differing(before.Voters, after.Voters); n > 1 {
+		return r.fail(eris.Wrapf(fault.Broken, "membership change of %d voters at once", n))
+	}
 	data, err := proto.Marshal(after)
 	if err != nil {
 		return eris.Wrap(err, "encode members")
@@ -157,6 +160,22 @@
 	})
 }
 
+// differing returns the number of voters that only one of the lists has.
+func differing(a, b []string) int {
+	n := 0
+	for _, v := range a {
+		if !slices.Contains(b, v) {
+			n++
+		}
+	}
+	for _, v := range b {
+		if !slices.Contains(a, v) {
+			n++
+		}
+	}
+	return n
+}
+
 func addLearner(m *wire.Members, old, next string) {
 	if isVoter(m, next) || learnerOf(m, next) != nil {
 		return
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -35,10 +35,12 @@
 	tried   time.Time // last election or step down
 	commit  uint64
 	applied uint64
+	grown   int   // bytes of commands applied since the last snapshot
 	failed  error // why this member no longer votes or accepts
 	reign   *reign
 	queue   []*proposal
-	writing bool // the batch before the queue is being written
+	writing bool      // the batch before the queue is being written
+	began   time.Time // when writing was set
 	waiting map[uint64]*proposal
 	joiners map[string]string // folders that asked to join, by instance
 	restore *wire.Image       // snapshot that Restore has not seen yet
@@ -97,6 +99,10 @@
 		r.lists = []membership{{image.Index, image.Members}}
 		r.commit, r.applied = image.Index, image.Index
 	}
+	if r.ballot.Commit > log.last() {
+		return eris.Wrapf(fault.Corrupt, "journal ends at entry %d, committed up to %d", log.last(), r.ballot.Commit)
+	}
+	r.commit = max(r.commit, r.ballot.Commit)
 	return r.enforce(log.list)
 }
 
@@ -106,7 +112,9 @@
 	r.group.Go(func() { r.join(ctx) })
 	r.group.Go(func() { r.write(ctx) })
 	r.group.Go(func() { r.apply(ctx) })
+	r.group.Go(func() { r.keep(ctx) })
 	<-ctx.Done()
+	r.keepCommit()
 	r.mu.Lock()
 	if r.failed == nil {
 		r.failed = eris.Wrap(fault.Draining, "replicator: stopped")
@@ -129,6 +137,14 @@
 	return r.knownLeader()
 }
 
+// Status returns the term, the commit index and the identities of the
+// voters as this member knows them.
+func (r *Replicator) Status() (term, commit uint64, voters []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ballot.Term, r.commit, slices.Clone(r.members().Voters)
+}
+
 // knownLeader is Leader for callers that hold mu.
 func (r *Replicator) knownLeader() string {
 	if r.reign != nil {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -30,8 +30,8 @@
 					if got, want := c.nodes[name].state.Count, uint64(201); got != want {
 						t.Errorf("%s applied %d commands, want %d", name, got, want)
 					}
-					if got := c.nodes[name].disk.ballot; len(got) == 0 {
-						t.Errorf("%s stored no ballot", name)
+					if _, err := c.nodes[name].disk.load(""); err != nil {
+						t.Errorf("%s stored no ballot: %v", name, err)
 					}
 				}
 			})
@@ -147,8 +147,14 @@
 					c.propose(fmt.Sprintf("%d=%d", i%7, i))
 				}
 				c.settle()
+				time.Sleep(keepEvery)
 				want := string(c.nodes["a"].state.snapshot())
 				c.stopAll()
+				c.start("a")
+				time.Sleep(time.Second)
+				if got := string(c.nodes["a"].state.snapshot()); got != want {
+					t.Errorf("without a quorum: got %s, want %s", got, want)
+				}
 				c.startAll()
 				c.leader()
 				time.Sleep(time.Second)
@@ -282,7 +288,8 @@
 // with the new one after the old one is gone.
 func TestReplace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 11, "a", "b", "c")
+		c := newCluster(t, 11, "a", "b", "c", "d")
+		c.names = []string{"a", "b", "c"}
 		c.startAll()
 		defer c.stopAll()
 		c.settle()
@@ -290,7 +297,6 @@
 		if err := m.Replace(t.Context(), "a", "d"); !errors.Is(err, fault.Unavailable) {
 			t.Errorf("replace by a member that has not asked: got %v, want unavailable", err)
 		}
-		c.nodes["d"] = &node{name: "d", disk: newDisk(t, 12), frozen: closed()}
 		c.start("d")
 		defer c.crash("d")
 		time.Sleep(3 * defaultElection)
