Settle with another ledger when the own one doesn't answer

Cause: after the holder of a zone died, the other instances went on to reserve from its allowances; each request ran, waited 5 s for the settle and was refused as unsettled. Ruled out: keeping the bills in memory and reporting success, since they would be lost with the instance. Change: a holder whose calls fail is avoided by reservations too until it answers; a bill without an outcome after 1 s is settled with another ledger, from rights drawn there. Conclusion: a zone keeps serving without its holder while another zone can be reached.

--- a/internal/reserver/account.go
+++ b/internal/reserver/account.go
@@ -48,11 +48,12 @@
 	early      time.Time // no draw ahead of time before
 }
 
-// take reserves from the first allowance that has enough. The nearest holder
+// take reserves from the first allowance that has enough, without those of
+// holders to be avoided: they couldn't settle the bill. The nearest holder
 // comes first, because draws are made there first.
-func (a *account) take(amount int64, now time.Time) (uint64, bool) {
+func (a *account) take(amount int64, now time.Time, avoided func(holder string) bool) (uint64, bool) {
 	for _, l := range a.allowances {
-		if !l.void && l.free >= amount {
+		if !l.void && l.free >= amount && !avoided(l.holder) {
 			l.free -= amount
 			l.reserved += amount
 			l.used = now
--- a/internal/reserver/draw.go
+++ b/internal/reserver/draw.go
@@ -104,7 +104,7 @@
 	a.drop(r.cfg.Holding())
 	left := a.waiters[:0]
 	for _, w := range a.waiters {
-		if id, ok := a.take(w.amount, now); ok {
+		if id, ok := a.take(w.amount, now, r.avoided); ok {
 			w.finish(id, nil)
 		} else {
 			left = append(left, w)
@@ -178,7 +178,7 @@
 	s := source{holder: holder, instance: h.Instance, incarnation: h.Incarnation, epoch: reply.Epoch}
 	a.credit(s, reply.Amount, r.cfg.Now())
 	for _, l := range a.allowances {
-		if !l.void && l.free >= amount {
+		if !l.void && l.free >= amount && !r.avoided(l.holder) {
 			return nil
 		}
 	}
@@ -196,6 +196,7 @@
 		return nil, eris.Wrapf(fault.Unavailable, "draw from %s: %v", holder, err)
 	}
 	if reply.Fault == nil {
+		r.trust(holder)
 		return reply, nil
 	}
 	kind := fault.Parse(reply.Fault.Code)
@@ -211,7 +212,33 @@
 func (r *Reserver) shun(holder string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.avoid[holder] = r.cfg.Now().Add(avoidTime)
+	until := r.cfg.Now().Add(avoidTime)
+	r.avoid[holder] = until
+	r.failed.Store(max(r.failed.Load(), until.UnixNano()))
+}
+
+// trust ends the avoidance of a holder that has answered.
+func (r *Reserver) trust(holder string) {
+	if r.failed.Load() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.avoid, holder)
+	if len(r.avoid) == 0 {
+		r.failed.Store(0)
+	}
+}
+
+// avoided tells whether a holder failed lately.
+func (r *Reserver) avoided(holder string) bool {
+	now := r.cfg.Now()
+	if now.UnixNano() >= r.failed.Load() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.avoid[holder])
 }
 
 // order returns the holders, the nearest first, and those that failed lately
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -47,6 +47,7 @@
 	senders map[string]*sender
 	returns map[string]*returner
 	avoid   map[string]time.Time // holders that failed, until when they come last
+	failed  atomic.Int64         // latest end of an entry of avoid, so that the hot path takes no lock
 }
 
 type shard struct {
@@ -104,7 +105,7 @@
 	a.demand.add(now, amount)
 	a.drop(r.cfg.Holding())
 	if len(a.waiters) == 0 {
-		if id, ok := a.take(amount, now); ok {
+		if id, ok := a.take(amount, now, r.avoided); ok {
 			r.ahead(a, now)
 			s.mu.Unlock()
 			return id, nil
--- a/internal/reserver/settle.go
+++ b/internal/reserver/settle.go
@@ -57,8 +57,8 @@
 
 // Settle bills an answered request and ends its reservation. It returns after
 // the reply of the ledger that issued the allowance. While the outcome is
-// unknown, the bill is resent for 5 s; then Settle fails with
-// fault.Unsettled. It also does so when ctx ends before the reply; the bill is
+// unknown, the bill is resent, and after 1 s it is settled with another ledger
+// too; after 5 s without an outcome Settle fails with fault.Unsettled. It also does so when ctx ends before the reply; the bill is
 // then sent all the same.
 func (r *Reserver) Settle(ctx context.Context, id uint64, bill *wire.Bill) (wire.Outcome, error) {
 	s := &r.shards[id&(shards-1)]
@@ -77,11 +77,15 @@
 	bill.Reserved = t.amount
 	x := &settlement{ticket: t, bill: bill, deadline: r.cfg.Now().Add(settleLimit), done: make(chan struct{})}
 	r.enqueue(r.sender(t.allowance.holder), x)
+	timer := time.NewTimer(failoverDelay)
+	defer timer.Stop()
 	select {
 	case <-x.done:
 		return x.outcome, x.err
 	case <-ctx.Done():
 		return wire.Outcome_OUTCOME_NONE, eris.Wrapf(fault.Unsettled, "request %s: %v", bill.Request, ctx.Err())
+	case <-timer.C:
+		return r.failover(ctx, x)
 	}
 }
 
@@ -119,6 +123,7 @@
 			s.mu.Lock()
 			s.queue = append(batch, s.queue...)
 			s.mu.Unlock()
+			r.shun(s.holder)
 			time.Sleep(pause)
 			pause = min(2*pause, settlePauseLimit)
 			continue
@@ -178,6 +183,7 @@
 		}
 		return err
 	}
+	r.trust(s.holder)
 	s.keep(l.source, request, reply)
 	for i, x := range batch {
 		r.conclude(x, reply.Outcomes[i])
--- /dev/null
+++ b/test/fleet/money_test.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// books is the part of the books of the venture that the tests look at.
+type books struct {
+	Phase    string
+	Missing  []string
+	Accounts []struct {
+		Account                                                                               string
+		Prepaid, Topups, Unassigned, Assigned, Free, Allowances, Billed, Stranded, Refundable int64
+	}
+}
+
+func (f *fleet) books(i int) (books, error) {
+	var b books
+	text, err := f.client(i).Call(f.t.Context(), http.MethodGet, "/v1/books", nil)
+	if err != nil {
+		return b, err
+	}
+	return b, json.Unmarshal(text, &b)
+}
+
+// balanced checks that the books of all accounts add up.
+func (b books) balanced() error {
+	for _, a := range b.Accounts {
+		if a.Prepaid+a.Topups != a.Unassigned+a.Assigned+a.Refundable {
+			return fmt.Errorf("account %s: %+v: log does not add up", a.Account, a)
+		}
+		if a.Assigned != a.Free+a.Allowances+a.Billed+a.Stranded {
+			return fmt.Errorf("account %s: %+v: zones do not add up", a.Account, a)
+		}
+	}
+	return nil
+}
+
+// A holder that loses its data folder, and loses it again after the repair,
+// must come back with every bill and without new tokens.
+func TestLostDiskTwice(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 100_000, false)
+	f.engine("engine-a", "a", []int{0, 1})
+	f.routes(0)
+	f.routes(1)
+	sent := 0
+	for range 2 {
+		for range 3 {
+			f.eventually("serve", func() error {
+				if a := f.chat(1, "hello", 4, false, fmt.Sprintf("chat-%d", sent)); a.status != http.StatusOK {
+					return fmt.Errorf("got %d %s", a.status, a.body)
+				}
+				return nil
+			})
+			sent++
+		}
+		f.bills(1, sent)
+		f.kill("a1")
+		if err := os.RemoveAll(filepath.Join(f.dir, "data", "a1")); err != nil {
+			t.Fatal(err)
+		}
+		f.serve(0)
+		s := f.bills(1, sent)
+		if s.Prepaid != s.Unassigned+s.Assigned {
+			t.Errorf("after the loss: %+v does not add up", s)
+		}
+	}
+	f.eventually("balance", func() error {
+		b, err := f.books(1)
+		if err == nil {
+			err = b.balanced()
+		}
+		return err
+	})
+}
+
+// While the holder of a zone is down, the other instances of the zone must go
+// on serving, and what they bill meanwhile must be on the statement.
+func TestHolderDies(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 100_000, false)
+	f.engine("engine-a", "a", []int{1})
+	f.routes(1)
+	for n := range 3 {
+		if a := f.chat(1, "hello", 4, false, ""); a.status != http.StatusOK {
+			t.Fatalf("request %d: got %d %s", n, a.status, a.body)
+		}
+	}
+	f.kill("a1")
+	served := 0
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) && served < 5 {
+		if a := f.chat(1, "hello", 4, false, ""); a.status == http.StatusOK {
+			served++
+		} else if _, run := a.code(); run == "" {
+			t.Errorf("refusal without the truth: %d %q", a.status, a.body)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if served < 5 {
+		t.Errorf("served %d requests in 10 s without the holder, want 5", served)
+	}
+	f.serve(0)
+	f.bills(1, 3+served)
+}
+
+// The venture must close with books that add up to the token, and closing
+// again must change nothing.
+func TestDissolution(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 100_000, false)
+	f.engine("engine-a", "a", []int{0})
+	f.routes(0)
+	f.routes(2)
+	for n := range 6 {
+		if a := f.chat(n%3, "hello", 4, false, ""); a.status != http.StatusOK {
+			t.Fatalf("request %d: got %d %s", n, a.status, a.body)
+		}
+	}
+	billed := f.bills(0, 6).Billed
+	var closed books
+	for range 2 {
+		if _, err := f.client(0).Call(t.Context(), http.MethodPost, "/v1/dissolution", nil); err != nil {
+			t.Fatal(err)
+		}
+		f.eventually("close", func() (err error) {
+			closed, err = f.books(0)
+			if err == nil && closed.Phase != "closed" {
+				err = fmt.Errorf("phase %s, %+v", closed.Phase, closed.Accounts)
+			}
+			return err
+		})
+		for _, a := range closed.Accounts {
+			if a.Prepaid+a.Topups != a.Billed+a.Refundable {
+				t.Errorf("account %s: prepaid %d, top-ups %d, billed %d, refundable %d do not add up", a.Account, a.Prepaid, a.Topups, a.Billed, a.Refundable)
+			}
+			if a.Account == "wondimu" && a.Billed != billed {
+				t.Errorf("billed: got %d, want %d", a.Billed, billed)
+			}
+		}
+	}
+	f.eventually("refuse after the end", func() error {
+		a := f.chat(1, "hello", 4, false, "")
+		if code, run := a.code(); code != "closed" || run != "no" {
+			return fmt.Errorf("got %d %s run=%s", a.status, code, run)
+		}
+		return nil
+	})
+}
