Tell all instances of a blocked content at once

Cause: a content that had crashed two targets was known to the other instances only at the next tick of their streams, up to 1 s later, and an entry that grew from one target to two was not sent at all, since only the number of entries was compared. Ruled out: asking the holder before each dispatch, which costs a round trip per request. Change: the blocker numbers its changes and wakes the publisher; the refusal of a request that has just crashed targets waits 250 ms, so that a retry elsewhere finds the content blocked. Grants and releases carry what the holder has confirmed, so that the log can drop receipts.

--- a/internal/blocker/blocker.go
+++ b/internal/blocker/blocker.go
@@ -35,6 +35,11 @@
 	mu      sync.Mutex
 	entries map[string]*wire.Poison
 	fresh   map[string]bool
+	// changes numbers the changes; order holds the number of the last change
+	// of each entry, and changed is closed at the next one.
+	changes uint64
+	order   map[string]uint64
+	changed chan struct{}
 }
 
 // New returns an empty blocker.
@@ -42,7 +47,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Blocker{cfg: cfg, entries: map[string]*wire.Poison{}, fresh: map[string]bool{}}
+	return &Blocker{cfg: cfg, entries: map[string]*wire.Poison{}, fresh: map[string]bool{}, order: map[string]uint64{}, changed: make(chan struct{})}
 }
 
 // IsBlocked tells whether the content has reached the limit.
@@ -69,6 +74,7 @@
 	defer b.mu.Unlock()
 	if p := b.entries[string(digest)]; p != nil && len(p.Targets) < Limit {
 		delete(b.entries, string(digest))
+		delete(b.order, string(digest))
 		delete(b.fresh, string(digest))
 	}
 }
@@ -91,7 +97,14 @@
 				b.fresh[string(p.Digest)] = true
 			}
 		}
+		if len(targets) == len(own.Targets) {
+			continue
+		}
 		b.entries[string(p.Digest)] = &wire.Poison{Digest: p.Digest, Targets: targets, Until: max(own.Until, p.Until)}
+		b.changes++
+		b.order[string(p.Digest)] = b.changes
+		close(b.changed)
+		b.changed = make(chan struct{})
 	}
 }
 
@@ -110,18 +123,19 @@
 	return ps
 }
 
-// All returns all entries that have not ended.
-func (b *Blocker) All() []*wire.Poison {
+// Since returns the entries that changed after the given number, the present
+// number, and a channel that is closed at the next change.
+func (b *Blocker) Since(number uint64) ([]*wire.Poison, uint64, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.cfg.Now().UnixNano()
 	var ps []*wire.Poison
-	for _, p := range b.entries {
-		if p.Until > now {
+	for digest, p := range b.entries {
+		if b.order[digest] > number && p.Until > now {
 			ps = append(ps, p)
 		}
 	}
-	return ps
+	return ps, b.changes, b.changed
 }
 
 func (b *Blocker) makeRoom() {
@@ -133,6 +147,7 @@
 	for digest, p := range b.entries {
 		if p.Until <= now {
 			delete(b.entries, digest)
+			delete(b.order, digest)
 			continue
 		}
 		if first == "" || p.Until < b.entries[first].Until {
@@ -141,5 +156,6 @@
 	}
 	if len(b.entries) >= capacity {
 		delete(b.entries, first)
+		delete(b.order, first)
 	}
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -31,6 +31,9 @@
 	keepAlive = 5 * time.Second
 	// maxAttempts bounds the targets that one request is sent to.
 	maxAttempts = 3
+	// spreadTime is the time in which a blocked content becomes known to all
+	// instances that can be reached: two streams with 50 ms between updates.
+	spreadTime = 250 * time.Millisecond
 	// firstDelay and lastDelay bound the pause between two attempts.
 	firstDelay = 20 * time.Millisecond
 	lastDelay  = 500 * time.Millisecond
@@ -114,6 +117,11 @@
 	var last error
 	for n := 1; n <= maxAttempts; n++ {
 		if d.cfg.Blocked(job.Digest) {
+			if sent {
+				// The caller may retry through another instance, which has to
+				// know the blocked content by then.
+				sleep(ctx, spreadTime)
+			}
 			return "", refuse(fault.Poison, sent, last)
 		}
 		target, err := d.cfg.Pick(job.Model, job.Service, func(name string) bool { return !failed[name] && job.Allowed(name) })
--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -202,7 +202,7 @@
 	if !h.aligned(account) {
 		return 0, eris.Wrapf(fault.Unavailable, "account %s is not aligned with the log", account)
 	}
-	grant := &wire.Grant{Account: account, Zone: h.cfg.Zone, Epoch: l.Epoch(), Sequence: g.next, Need: need, Want: want}
+	grant := &wire.Grant{Account: account, Zone: h.cfg.Zone, Epoch: l.Epoch(), Sequence: g.next, Need: need, Want: want, Confirmed: g.next - 1}
 	if err := h.storePending(grant); err != nil {
 		return 0, err
 	}
--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ledger"
@@ -153,7 +154,12 @@
 // stays listed and doesn't hold up the others.
 func (h *Holder) sendReleases(ctx context.Context, l *ledger.Ledger) error {
 	var refused error
-	for _, released := range l.Released() {
+	open := l.Released()
+	for _, released := range open {
+		// The log may drop the receipts of the releases before the first open
+		// one. The ledger shares its records, so a copy is changed.
+		released = proto.CloneOf(released)
+		released.Confirmed = open[0].Sequence - 1
 		_, err := h.propose(ctx, &wire.Command{Change: &wire.Command_Released{Released: released}})
 		if err == nil {
 			err = l.Confirm(released.Sequence)
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -83,7 +83,7 @@
 	defer tick.Stop()
 	for {
 		changed := p.cfg.Changed()
-		update, targets, err := p.update(ctx, w)
+		update, err := p.update(ctx, w)
 		if err != nil {
 			return err
 		}
@@ -94,7 +94,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-		case <-targets:
+		case <-w.targets:
+		case <-w.contents:
 		case <-tick.C:
 		}
 		time.Sleep(coalesce)
@@ -107,24 +108,27 @@
 	version  uint64
 	sequence uint64
 	first    bool
-	poisons  int
+	poisons  uint64
+	// targets and contents are closed at the next change of a target and of a
+	// blocked content.
+	targets, contents <-chan struct{}
 }
 
-// update returns what has changed for a watcher, and a channel that is closed
-// at the next change of a target.
-func (p *Publisher) update(ctx context.Context, w *watcher) (*wire.Update, <-chan struct{}, error) {
+// update returns what has changed for a watcher.
+func (p *Publisher) update(ctx context.Context, w *watcher) (*wire.Update, error) {
 	state, err := p.cfg.Read(ctx, &wire.ReadRequest{Stale: true, Document: true})
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	u := &wire.Update{Version: state.Version, Phase: state.Phase, Time: p.cfg.Now().UnixNano(), Quorum: p.cfg.Quorum()}
 	if state.Version > w.version && len(state.Document) > 0 {
 		if err := p.fill(u, w.version, state); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		w.version = state.Version
 	}
 	targets, sequence, changed := p.cfg.Registry.Since(w.zone, w.sequence)
+	w.targets = changed
 	if w.first {
 		targets = slices.DeleteFunc(targets, func(t *wire.Target) bool { return t.State == registry.Gone })
 		u.Snapshot = true
@@ -132,11 +136,8 @@
 	}
 	u.Targets = targets
 	w.sequence = sequence
-	if all := p.cfg.Blocker.All(); len(all) != w.poisons {
-		u.Poisons = all
-		w.poisons = len(all)
-	}
-	return u, changed, nil
+	u.Poisons, w.poisons, w.contents = p.cfg.Blocker.Since(w.poisons)
+	return u, nil
 }
 
 // fill adds the configuration: the changed sections if the version that the
