Apply versions that change no section

Cause: a version whose content equals the one before has no changed section, and the subscriber took the update for an empty one. c1 stayed at version 6 of 7 in TestIsolatedLeader. Ruled out: a lost wake-up of the publisher; it had sent the update. Change: an update that builds on the held version is applied also without sections; one that builds on another version ends the stream. Conclusion: the version in force no longer depends on the content.

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -218,10 +218,17 @@
 		}
 		s.cfg.Blocker.Merge(u.Poisons)
 	}
-	if u.Version <= s.Version() || len(u.Document) == 0 && len(u.Sections) == 0 {
+	held := s.Version()
+	switch {
+	case u.Version <= held:
 		return nil
+	case len(u.Document) > 0, u.Replaces == held && held > 0:
+		// A new version may change no section at all.
+		return s.install(u)
+	case u.Replaces > 0:
+		return eris.Wrapf(fault.Conflict, "update to version %d builds on version %d, held is %d", u.Version, u.Replaces, held)
 	}
-	return s.install(u)
+	return nil
 }
 
 // install makes the configuration of an update durable, if there is a disk,
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -215,7 +215,7 @@
 	for name := range f.procs {
 		text, _ := os.ReadFile(filepath.Join(f.dir, name+".log"))
 		lines := strings.Split(strings.TrimSpace(string(text)), "\n")
-		f.t.Logf("last lines of %s:\n%s", name, strings.Join(lines[max(0, len(lines)-15):], "\n"))
+		f.t.Logf("last lines of %s:\n%s", name, strings.Join(lines[max(0, len(lines)-30):], "\n"))
 	}
 }
 
