--- a/cmd/papayaload/baseline.go
+++ b/cmd/papayaload/baseline.go
@@ -114,7 +114,7 @@
 	}
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	line := func(format string, a ...any) { _, _ = fmt.Fprintf(t, format+"\n", a...) } // Flush reports the error
-	line("round\tleg\tok\tfailed\tanswers/s\toutput tokens/s\tfirst p50 ms\tp99 ms\tviolations")
+	line("round\tleg\tok\tfailed\tanswers/s\toutput tokens/s\tfirst byte p50 ms\tp99 ms\tchat p50 ms\tp99 ms\tviolations")
 	for _, m := range all {
 		tokens, violations := 0, 0
 		for _, a := range m.Result.Accounts {
@@ -123,9 +123,9 @@
 		for _, n := range m.Result.Violations {
 			violations += n
 		}
-		line("%d\t%s\t%d\t%d\t%.1f\t%.0f\t%.2f\t%.2f\t%d", m.Round, m.Leg, m.Result.OK, m.Result.Sent-m.Result.OK,
+		line("%d\t%s\t%d\t%d\t%.1f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%d", m.Round, m.Leg, m.Result.OK, m.Result.Sent-m.Result.OK,
 			float64(m.Result.OK)/m.Result.Seconds, float64(tokens)/m.Result.Seconds,
-			m.Result.First(50), m.Result.First(99), violations)
+			m.Result.First("all", 50), m.Result.First("all", 99), m.Result.First("chat", 50), m.Result.First("chat", 99), violations)
 	}
 	return t.Flush()
 }
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -33,7 +33,7 @@
 // complete serves POST /v1/chat/completions.
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	var q question
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&q); err != nil {
+	if err := read(r, &q); err != nil {
 		refuse(w, http.StatusBadRequest, "malformed", err.Error())
 		return
 	}
@@ -164,7 +164,7 @@
 // cancel serves POST /v1/cancel with the request id in the field request.
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	var q question
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&q); err != nil {
+	if err := read(r, &q); err != nil {
 		refuse(w, http.StatusBadRequest, "malformed", err.Error())
 		return
 	}
@@ -181,7 +181,7 @@
 // tokenize serves POST /tokenize for messages and tools, or a plain prompt.
 func (e *Engine) tokenize(w http.ResponseWriter, r *http.Request) {
 	var q question
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&q); err != nil {
+	if err := read(r, &q); err != nil {
 		refuse(w, http.StatusBadRequest, "malformed", err.Error())
 		return
 	}
@@ -230,6 +230,16 @@
 	}
 }
 
+// read decodes the body of a request. It reads the body to its end, since
+// net/http notices a caller that is gone only after that.
+func read(r *http.Request, body any) error {
+	text, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, body)
+}
+
 // reset closes the connection of a request with a TCP reset.
 func reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -25,7 +23,7 @@
 		return
 	}
 	var o order
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&o); err != nil {
+	if err := read(r, &o); err != nil {
 		refuse(w, http.StatusBadRequest, "malformed", err.Error())
 		return
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -62,9 +62,10 @@
 		wg.Go(func() { h.cfg.Serve(work) })
 	}
 	wg.Go(func() { a.Run(work) })
-	server := &http.Server{Handler: h.cfg.Handler, ReadHeaderTimeout: 10 * time.Second}
+	l := newListener(h.cfg.Listener)
+	server := &http.Server{Handler: l.route(h.cfg.Handler), ReadHeaderTimeout: 10 * time.Second}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(h.cfg.Listener) }()
+	go func() { served <- server.Serve(l) }()
 	select {
 	case err := <-served:
 		return eris.Wrapf(fault.Unavailable, "serve: %v", err)
--- /dev/null
+++ b/internal/host/listener.go
@@ -0,0 +1,101 @@
+package host
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+// listener can make all connections that are open go silent permanently, while
+// new ones work: a silent connection stays open, takes what is written to it,
+// and delivers nothing.
+type listener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+type conn struct {
+	net.Conn
+	l      *listener
+	silent atomic.Bool
+}
+
+func newListener(l net.Listener) *listener {
+	return &listener{Listener: l, conns: map[*conn]bool{}}
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	wrapped := &conn{Conn: c, l: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[wrapped] = true
+	return wrapped, nil
+}
+
+// route adds POST /v1/silence, which silences all open connections but its
+// own.
+func (l *listener) route(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/silence" || r.Method != http.MethodPost {
+			next.ServeHTTP(w, r)
+			return
+		}
+		l.silence(r.RemoteAddr)
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+func (l *listener) silence(but string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.RemoteAddr().String() != but {
+			c.silent.Store(true)
+			delete(l.conns, c)
+		}
+	}
+}
+
+// Read discards what arrives once the connection is silent.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if !c.silent.Load() {
+			return n, err
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// Write discards the bytes once the connection is silent.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.l.mu.Lock()
+	delete(c.l.conns, c)
+	c.l.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// SetLinger sets the behaviour of Close; see net.TCPConn.
+func (c *conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -98,7 +98,7 @@
 	defer wg.Wait()
 	for index := 0; l.cfg.Count == 0 || index < l.cfg.Count; index++ {
 		due = due.Add(time.Duration(arrivals.ExpFloat64() / l.cfg.Rate * float64(time.Second)))
-		if due.Sub(start) > l.cfg.Time || !sleep(ctx, time.Until(due)) {
+		if due.Sub(start) > l.cfg.Time {
 			break
 		}
 		at := due
@@ -106,6 +106,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if !sleep(ctx, time.Until(at)) {
+			break
+		}
 		select {
 		case slots <- struct{}{}:
 			wg.Go(func() {
--- a/internal/loader/result.go
+++ b/internal/loader/result.go
@@ -165,10 +165,10 @@
 // Broken reports whether any promise to a caller was broken.
 func (res *Result) Broken() bool { return len(res.Violations) > 0 }
 
-// First returns a percentile of the time to the first token or byte, over all
-// classes, in milliseconds.
-func (res *Result) First(percentile float64) float64 {
-	if t := res.Classes[allClasses]; t != nil {
+// First returns a percentile of the time to the first token or byte of a class
+// in milliseconds, and 0 if it had no answer. The class "all" has all requests.
+func (res *Result) First(class string, percentile float64) float64 {
+	if t := res.Classes[class]; t != nil {
 		return t.First.at(percentile)
 	}
 	return 0
