Bind certificates to instance names; turn readiness off before refusing

Cause: with [tls] set no connection between instances succeeded, since the client had neither a server name nor an address in the certificate; and a stopping instance refused new requests at once, before the balancer could see the failing readiness check. Ruled out: addresses in the certificates, since they change with each replacement of an instance. Change: a peer's certificate must be valid for its instance name; new requests are still served for 1.5 s after readiness turns off.

--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -25,6 +26,9 @@
 	"github.com/papayapond/papayapond/pkg/account"
 )
 
+// graceTime covers one readiness check per second of the balancer.
+const graceTime = 1500 * time.Millisecond
+
 func (b *builder) authenticator() fx.Option {
 	return kernel.Part(nameAuthenticator, func(*kernel.Kernel) (any, fx.Hook, error) {
 		return authenticator.New(authenticator.Config{}), fx.Hook{}, nil
@@ -95,6 +99,7 @@
 			Admit: func(context.Context, string, int64, string) (func(), error) {
 				return func() {}, nil
 			},
+			Grace:  graceTime,
 			Logger: k.Logger(nameGateway),
 		}
 		m, err := b.fillGateway(k, &cfg)
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -29,7 +29,8 @@
 type Config struct {
 	// Addresses are the peer addresses by instance name.
 	Addresses map[string]string
-	// TLS is used for connections if it isn't nil.
+	// TLS is used for connections if it isn't nil. The certificate of a peer
+	// must be valid for the name of its instance.
 	TLS *tls.Config
 	// Dial replaces the TCP dialer if it isn't nil.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -91,7 +92,9 @@
 		return nil, eris.Wrapf(fault.Unavailable, "peer %s: %v", name, err)
 	}
 	if d.cfg.TLS != nil {
-		secure := tls.Client(conn, d.cfg.TLS)
+		cfg := d.cfg.TLS.Clone()
+		cfg.ServerName = name
+		secure := tls.Client(conn, cfg)
 		if err := secure.HandshakeContext(ctx); err != nil {
 			_ = conn.Close()
 			return nil, eris.Wrapf(fault.Unauthorized, "peer %s: %v", name, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,9 @@
 	Announce func(ctx context.Context, t *wire.Target) error
 	// Holding returns this instance with its incarnation.
 	Holding func() *wire.Holding
+	// Grace is the time between a failing readiness check and the refusal of
+	// new requests, in which the balancer turns away.
+	Grace time.Duration
 	// Observe takes the figures of an ended request.
 	Observe func(Outcome)
 	Now     func() time.Time
@@ -84,7 +87,8 @@
 	cfg      Config
 	mux      *mux.Router
 	client   *http.Client
-	draining atomic.Bool
+	stopping atomic.Bool // the readiness check fails
+	draining atomic.Bool // new requests are refused
 	flight   atomic.Int64
 	group    sync.WaitGroup
 
@@ -114,9 +118,14 @@
 // Flight returns the number of requests in flight.
 func (g *Gateway) Flight() int { return int(g.flight.Load()) }
 
-// Drain makes the readiness check fail and waits until no request is in
-// flight, or until ctx ends.
+// Drain makes the readiness check fail, refuses new requests after the grace
+// time, and waits until no request is in flight, or until ctx ends.
 func (g *Gateway) Drain(ctx context.Context) error {
+	g.stopping.Store(true)
+	select {
+	case <-time.After(g.cfg.Grace):
+	case <-ctx.Done():
+	}
 	g.draining.Store(true)
 	done := make(chan struct{})
 	go func() {
@@ -132,7 +141,7 @@
 }
 
 // IsReady tells whether the instance takes requests.
-func (g *Gateway) IsReady() bool { return !g.draining.Load() && g.cfg.Current() != nil }
+func (g *Gateway) IsReady() bool { return !g.stopping.Load() && g.cfg.Current() != nil }
 
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
 	if !g.IsReady() {
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -46,10 +46,12 @@
 	t       *testing.T
 	dir     string
 	sampler *sampler.Sampler
-	names   []string
-	ports   []string
-	procs   map[string]*process
-	relays  map[[2]int]*relay
+	// authority issues the certificates, or is nil without TLS.
+	authority *authority
+	names     []string
+	ports     []string
+	procs     map[string]*process
+	relays    map[[2]int]*relay
 }
 
 type process struct {
@@ -63,7 +65,18 @@
 // zones run through relays.
 func start(t *testing.T, zones []int, budget int64, cuttable bool) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), procs: map[string]*process{}, relays: map[[2]int]*relay{}}
+	return run(t, zones, budget, cuttable, nil)
+}
+
+// startSecure starts a fleet whose instances use TLS.
+func startSecure(t *testing.T, zones []int, a *authority) *fleet {
+	t.Helper()
+	return run(t, zones, 100_000, false, a)
+}
+
+func run(t *testing.T, zones []int, budget int64, cuttable bool, a *authority) *fleet {
+	t.Helper()
+	f := &fleet{t: t, authority: a, dir: t.TempDir(), procs: map[string]*process{}, relays: map[[2]int]*relay{}}
 	total := 0
 	for _, n := range zones {
 		total += n
@@ -138,7 +151,11 @@
 func (f *fleet) serve(i int) {
 	f.t.Helper()
 	path := filepath.Join(f.dir, f.names[i]+".toml")
-	if err := os.WriteFile(path, f.sampler.Settings(i), 0o600); err != nil {
+	text := f.sampler.Settings(i)
+	if f.authority != nil {
+		text = append(text, f.authority.settings(f.names[i])...)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
 		f.t.Fatal(err)
 	}
 	f.spawn(f.names[i], "papayapond", "serve", path)
