Restart instances one after the other without a failed request

Cause: a restarted instance was ready before it knew any target; a holder that restarted made the other zones drop its targets at once; and a target that was removed and passed on again stayed expired in the registry. Ruled out: slow starts; the refusals came from instances that were up. Change: readiness waits for the state of a holder and for a target of each model, 3 s at most; the targets of a zone are dropped 3 s after its holder was last heard; a target that returns is no longer expired.

--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -152,6 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.Synced = synced(s, targets)
 	cfg.Current, cfg.Phase, cfg.Announce = s.Current, s.Phase, s.Announce
 	cfg.Skew, cfg.Holding = m.Skew, m.Holding
 	cfg.Account, cfg.Group = a.Account, a.Group
@@ -162,6 +163,28 @@
 	return m, nil
 }
 
+// synced returns the readiness condition of the gateway: a holder has sent its
+// state, and each model has a target, or there was time enough for the targets
+// to announce themselves.
+func synced(s *subscriber.Subscriber, targets *registry.Registry) func() bool {
+	start := time.Now()
+	return func() bool {
+		c := s.Current()
+		if c == nil || !s.IsSynced() {
+			return false
+		}
+		if time.Since(start) > registry.TTL {
+			return true
+		}
+		for _, m := range c.Venture().Models {
+			if len(targets.Ready("", m.Name, "")) == 0 {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 func (b *builder) operator() fx.Option {
 	return kernel.Part("operator", func(k *kernel.Kernel) (any, fx.Hook, error) {
 		a, err := kernel.Find[*authenticator.Authenticator](k, nameAuthenticator)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,8 @@
 	Zone string
 	// Current returns the configuration in force, or nil.
 	Current func() *configuration.Configuration
+	// Synced tells whether this instance knows the state of the fleet.
+	Synced func() bool
 	// Phase returns the phase of the venture.
 	Phase func() string
 	// Skew returns the measured difference to the clock of a holder.
@@ -141,7 +143,7 @@
 }
 
 // IsReady tells whether the instance takes requests.
-func (g *Gateway) IsReady() bool { return !g.stopping.Load() && g.cfg.Current() != nil }
+func (g *Gateway) IsReady() bool { return !g.stopping.Load() && g.cfg.Current() != nil && g.cfg.Synced() }
 
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
 	if !g.IsReady() {
--- a/internal/neighbor/neighbor.go
+++ b/internal/neighbor/neighbor.go
@@ -11,8 +11,13 @@
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
-// retryDelay is the pause between two streams.
-const retryDelay = time.Second
+const (
+	// retryDelay is the pause between two streams.
+	retryDelay = 250 * time.Millisecond
+	// absence is the time without a stream after which the targets of the zone
+	// are removed. A planned restart of its holder takes less.
+	absence = 3 * time.Second
+)
 
 // Config configures a Neighbor.
 type Config struct {
@@ -35,13 +40,19 @@
 // New returns a neighbor.
 func New(cfg Config) *Neighbor { return &Neighbor{cfg: cfg} }
 
-// Run follows the holder until ctx ends. While the holder can't be reached,
-// the targets of its zone are removed here, since their departure could not
-// be told.
+// Run follows the holder until ctx ends. When the holder can't be reached, the
+// targets of its zone are removed here, since their departure could not be
+// told.
 func (n *Neighbor) Run(ctx context.Context) {
+	contact := time.Now()
+	known := false
 	for ctx.Err() == nil {
 		received, _ := n.cfg.Follow(ctx, n.cfg.Holder, &wire.WatchRequest{Instance: n.cfg.Name, Local: true}, n.take)
-		if received && ctx.Err() == nil {
+		if received {
+			contact, known = time.Now(), true
+		}
+		if known && time.Since(contact) > absence && ctx.Err() == nil {
+			known = false
 			n.cfg.Logger.Info("Zone is out of reach.", zap.String("zone", n.cfg.Zone))
 			n.cfg.Registry.Replace(n.cfg.Zone, nil)
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -153,7 +153,7 @@
 	}
 	changed := !isSame(old, t)
 	e.target = t
-	if !expires.IsZero() || t.State == Gone {
+	if !expires.IsZero() || t.State == Gone || old.State == Gone {
 		e.expires = expires
 	}
 	if changed {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -75,3 +75,15 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// A target that a holder removed and passes on again must be ready again, else
+// a zone stays without targets after its holder was restarted.
+func TestReturn(t *testing.T) {
+	r := New(Config{})
+	r.Pass(target("e", "a", Ready, 1))
+	r.Replace("a", nil)
+	r.Pass(target("e", "a", Ready, 1))
+	if got, want := names(r.Ready("a", "", "")), "e:ready "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -111,6 +111,9 @@
 	return s.cfg.Now().Sub(time.Unix(0, s.quorum.Load())) > staleAfter
 }
 
+// IsSynced tells whether a holder has sent its state since the start.
+func (s *Subscriber) IsSynced() bool { return s.Phase() != "" }
+
 // Changed returns a channel that is closed at the next configuration.
 func (s *Subscriber) Changed() <-chan struct{} {
 	s.mu.Lock()
