--- /dev/null
+++ b/internal/ledger/bench_test.go
@@ -0,0 +1,136 @@
+package ledger
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/journal"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+var budgets = []int{10, 3700, 190000}
+
+// The cost of a settle must not grow with the number of accounts.
+func BenchmarkSettle(b *testing.B) {
+	for _, n := range budgets {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			before := heap()
+			l := filled(b, n, func() time.Time { return now })
+			size := float64(heap()-before) / float64(n)
+			h := holding("entry", 1)
+			bills := []*wire.Bill{{Digest: make([]byte, 32), Model: "model", Target: "target", Amount: 1}}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				// About 100,000 identities are kept.
+				now = now.Add(identityTime / 100000)
+				bills[0].Account, bills[0].Request = name(i*7919%n), fmt.Sprint("request-", i)
+				got, _, err := l.Settle(h, 1, bills)
+				if err != nil || got[0] != billed {
+					b.Fatalf("got %v, %v", got, err)
+				}
+			}
+			b.ReportMetric(size, "B/budget")
+			runtime.KeepAlive(l)
+		})
+	}
+}
+
+// A compaction stops the ledger while it encodes the state.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range budgets {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := filled(b, n, time.Now)
+			var size int
+			for b.Loop() {
+				data, err := l.encodeState()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size)/float64(n), "B/budget")
+		})
+	}
+}
+
+// Group commit on a real file: many callers share each sync.
+func BenchmarkGroupCommit(b *testing.B) {
+	for _, callers := range []int{1, 64, 512} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			var syncs, requests atomic.Int64
+			j, err := journal.Open(journal.Config{Path: filepath.Join(b.TempDir(), "journal"), Sync: func(f *os.File) error {
+				syncs.Add(1)
+				return f.Sync()
+			}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer j.Close()
+			l := newFilled(b, j, 10, time.Now)
+			syncs.Store(0)
+			b.SetParallelism(max(1, callers/runtime.GOMAXPROCS(0)))
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				h := holding("entry", 1)
+				for pb.Next() {
+					n := requests.Add(1)
+					bill := &wire.Bill{Account: name(int(n % 10)), Request: fmt.Sprint(n), Digest: make([]byte, 32), Amount: 1}
+					if _, _, err := l.Settle(h, 1, []*wire.Bill{bill}); err != nil {
+						b.Errorf("settle: %v", err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/float64(syncs.Load()), "bills/sync")
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "bills/s")
+		})
+	}
+}
+
+// filled returns a ledger on a journal that stores nothing.
+func filled(b *testing.B, n int, now func() time.Time) *Ledger {
+	b.Helper()
+	j, err := journal.Open(journal.Config{
+		Path:  filepath.Join(b.TempDir(), "journal"),
+		Write: func(_ *os.File, data []byte) (int, error) { return len(data), nil },
+		Sync:  func(*os.File) error { return nil },
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = j.Close() })
+	return newFilled(b, j, n, now)
+}
+
+func newFilled(b *testing.B, j *journal.Journal, n int, now func() time.Time) *Ledger {
+	b.Helper()
+	l, err := New(Config{Zone: "z", Journal: j, Now: now, Compact: 1 << 60})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := range n {
+		if err := l.Grant(name(i), 1, 1<<40); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := l.Draw(holding("entry", 1), name(i), 1<<30, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return l
+}
+
+func name(i int) string { return fmt.Sprintf("account-%06d", i) }
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
