holder: lose disks with lagging copies in the randomised run

Cause: the run waited for whole copies before each loss, so it passed with a ledger that wasn't aligned with the log and with acknowledgements without a copy.

Change: a disk is lost at any moment, and a zone can be cut off from the other holders alone; the fake log refuses a sequence of another account, as the controller does.

--- a/internal/holder/fake_test.go
+++ b/internal/holder/fake_test.go
@@ -23,10 +23,11 @@
 	pools   map[string]*wire.Pool
 	epochs  map[string]uint64
 	results map[string][]byte // by zone, epoch, kind and sequence
+	owners  map[string]string // account of a grant, by the same
 }
 
 func newControl(budgets map[string]int64) *control {
-	c := &control{pools: map[string]*wire.Pool{}, epochs: map[string]uint64{}, results: map[string][]byte{}}
+	c := &control{pools: map[string]*wire.Pool{}, epochs: map[string]uint64{}, results: map[string][]byte{}, owners: map[string]string{}}
 	for name, budget := range budgets {
 		c.pools[name] = &wire.Pool{Account: name, Prepaid: budget, Unassigned: budget, Zones: map[string]int64{}}
 	}
@@ -45,11 +46,15 @@
 		}
 		key := fmt.Sprintf("%s/%d/grant/%d", g.Zone, g.Epoch, g.Sequence)
 		if old, ok := c.results[key]; ok {
+			if c.owners[key] != g.Account {
+				return &wire.ProposeReply{Fault: wireFault(fault.Conflict)}
+			}
 			return &wire.ProposeReply{Result: old}
 		}
 		if c.pools[g.Account] == nil {
 			return &wire.ProposeReply{Fault: wireFault(fault.Missing)}
 		}
+		c.owners[key] = g.Account
 		result = c.grant(g)
 		c.results[key], _ = proto.Marshal(result)
 	case command.GetReleased() != nil:
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -54,7 +54,8 @@
 
 // A restart must neither lose bills nor use the sequence of a grant twice.
 func TestRestart(t *testing.T) {
-	c := newCluster(t, map[string]int64{"acme": 6000})
+	c := newCluster(t, map[string]int64{"acme": 6000, "other": 6000})
+	c.seeded()
 	for i := range 3 {
 		epoch := mustDraw(t, c.holder("a"), 1000)
 		mustSettle(t, c.holder("a"), epoch, fmt.Sprint(i), 1000)
--- a/internal/holder/random_test.go
+++ b/internal/holder/random_test.go
@@ -22,6 +22,7 @@
 	entries map[string]*instance
 
 	mu      sync.Mutex
+	lost    bool             // a disk since the copies were whole
 	billed  map[string]int64 // requests that were acknowledged, by identity
 	durable map[string]bool  // those that were on two disks then
 }
@@ -42,9 +43,13 @@
 		r := newRandom(t)
 		for range rapid.IntRange(5, 20).Draw(t, "steps") {
 			zone := rapid.SampledFrom(zones).Draw(t, "zone")
-			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			switch rapid.IntRange(0, 11).Draw(t, "action") {
 			case 0:
 				r.net.isolate(zone, true)
+			case 6, 7:
+				// The log can be reached and the copies can't.
+				r.net.isolate(zone, true)
+				r.net.set(zone+"-log", false)
 			case 1:
 				r.heal()
 			case 2:
@@ -169,16 +174,21 @@
 	}
 }
 
-// loseDisks replaces the disk of a zone, and another one right after the
-// repair. The entry instances hand over what they kept, and the zone frees its
-// stranded rights.
+// loseDisks replaces the disk of a zone at any moment, or, with whole copies,
+// another one right after the repair as well. The entry instances hand over
+// what they kept, and the zone frees its stranded rights.
 func (r *random) loseDisks(first string) {
-	r.heal()
-	r.replicated()
 	lost := []string{first}
 	if second := rapid.SampledFrom(zones).Draw(r.t, "second"); second != first {
 		lost = append(lost, second)
 	}
+	if r.lost || len(lost) > 1 {
+		r.heal()
+		r.replicated()
+	}
+	r.lost = true
+	r.stop(first)
+	r.heal()
 	for _, zone := range lost {
 		r.lose(zone)
 		h := r.ready(zone)
