holder: refuse calls of an epoch whose successor is being copied

Cause: a delayed call of the replaced epoch still changed the copy in front while the copy of its successor was incomplete.

Change: the check of the epoch comes first; tests of the copy alone.

Conclusion: the new test failed before and passes now; all tests of the package pass with -race.

--- a/internal/holder/replica.go
+++ b/internal/holder/replica.go
@@ -100,12 +100,12 @@
 // new epoch.
 func (r *replica) choose(epoch uint64) (*journal.Journal, error) {
 	front, back := r.state.Front, 1-r.state.Front
-	if epoch == r.state.Epochs[front] {
-		return r.journals[front], nil
-	}
 	if epoch < r.state.Epochs[front] || epoch < r.state.Epochs[back] {
 		return nil, eris.Wrapf(fault.Fenced, "epoch %d has been replaced", epoch)
 	}
+	if epoch == r.state.Epochs[front] {
+		return r.journals[front], nil
+	}
 	if epoch == r.state.Epochs[back] {
 		return r.journals[back], nil
 	}
--- /dev/null
+++ b/internal/holder/replica_test.go
@@ -0,0 +1,85 @@
+package holder
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// A zone whose disk is lost again while a copy of its new epoch is being sent
+// must find the whole copy of the epoch before, also after a restart of this
+// holder. A delayed call of the old epoch must change nothing.
+func TestReplicaKeepsFront(t *testing.T) {
+	path := t.TempDir()
+	r := mustOpenReplica(t, path)
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 1, Records: records("a", 5)}, 5)
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 1, Position: 5}, 5)
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 2, Position: math.MaxUint64}, 0)
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 2, Records: records("b", 2)}, 2)
+	r.close()
+	r = mustOpenReplica(t, path)
+	defer r.close()
+	expect(t, r, 1, "a", 5)
+	if _, err := r.write(&wire.CopyRequest{Epoch: 1, Position: 5, Records: records("a", 1)}, 1); fault.Of(err) != fault.Fenced {
+		t.Errorf("old epoch: got %v, want %v", err, fault.Fenced)
+	}
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 2, Position: 1, Records: records("b", 3)}, 4)
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 2, Position: 9, Records: records("b", 3)}, 4)
+	expect(t, r, 1, "a", 5)
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 2, Position: 4}, 4)
+	expect(t, r, 2, "b", 4)
+}
+
+// A compacted journal must reach a copy that is behind it, and one that isn't
+// must keep the records after the snapshot.
+func TestReplicaSnapshot(t *testing.T) {
+	r := mustOpenReplica(t, t.TempDir())
+	defer r.close()
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 1, Position: 3, Snapshot: []byte("s"), Records: records("a", 4)}, 7)
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 1, Position: 7}, 7)
+	mustWrite(t, r, &wire.CopyRequest{Epoch: 1, Position: 5, Snapshot: []byte("t"), Records: records("a", 1)}, 7)
+	reply, err := r.read(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := fmt.Sprintf("%s %d %d", reply.Snapshot, reply.Position, len(reply.Records)), "t 5 2"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+func mustOpenReplica(t *testing.T, path string) *replica {
+	t.Helper()
+	r, err := openReplica(path, true, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func mustWrite(t *testing.T, r *replica, request *wire.CopyRequest, want uint64) {
+	t.Helper()
+	if got, err := r.write(request, 1); err != nil || got != want {
+		t.Fatalf("position: got %d, %v, want %d", got, err, want)
+	}
+}
+
+func expect(t *testing.T, r *replica, epoch uint64, text string, count int) {
+	t.Helper()
+	reply, err := r.read(0)
+	if err != nil || reply.Epoch != epoch || len(reply.Records) != count || string(reply.Records[0]) != text {
+		t.Fatalf("copy: got %v, %v, want %d times %s of epoch %d", reply, err, count, text, epoch)
+	}
+}
+
+func records(text string, count int) [][]byte {
+	records := make([][]byte, count)
+	for i := range records {
+		records[i] = []byte(text)
+	}
+	return records
+}
