holder: test reservers over holders under load

Cause: the two packages were tested against fakes of each other only.

Change: three reservers over three holders with real ledgers, with lost, repeated and late calls, a restart and an isolated zone.

--- /dev/null
+++ b/internal/holder/reserver_test.go
@@ -0,0 +1,149 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/reserver"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// fleet is one entry instance per zone over the holders of a cluster.
+type fleet struct {
+	*cluster
+	reserved  atomic.Int64 // requests that could reserve
+	refused   atomic.Int64
+	billed    atomic.Int64 // tokens of acknowledged bills
+	unsettled atomic.Int64 // tokens of bills without an outcome
+}
+
+// Entry instances and holders must agree on each token, also when replies are
+// lost, a holder restarts and a zone is isolated in the middle of the load.
+func TestReserverOverHolders(t *testing.T) {
+	f := &fleet{cluster: newCluster(t, map[string]int64{"acme": 3_000_000})}
+	f.seeded()
+	var source sync.Mutex
+	random := rand.New(rand.NewSource(1))
+	f.net.disturb(func(string) trouble {
+		source.Lock()
+		defer source.Unlock()
+		return trouble(max(random.Intn(30)-26, 0))
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, zone := range zones {
+		group.Go(func() { f.serve(ctx, zone) })
+	}
+	sleep(ctx, 500*time.Millisecond)
+	f.stop("a")
+	f.start("a")
+	sleep(ctx, 500*time.Millisecond)
+	f.net.isolate("b", true)
+	sleep(ctx, 500*time.Millisecond)
+	f.net.isolate("b", false)
+	group.Wait()
+	f.net.disturb(nil)
+	f.verify()
+	left := f.fence()
+	f.verify()
+	var billed, allowances int64
+	for _, zone := range zones {
+		tally := tally(f.holder(zone).Ledger(), "acme")
+		billed += tally.Billed
+		allowances += tally.Allowances
+	}
+	least, most := f.billed.Load(), f.billed.Load()+f.unsettled.Load()
+	if billed < least || billed > most {
+		t.Errorf("billed: got %d, want %d to %d", billed, least, most)
+	}
+	if allowances != 0 {
+		t.Errorf("allowances of fenced incarnations: got %d tokens, want 0", allowances)
+	}
+	t.Logf("%d reserved, %d refused, %d tokens billed, %d without an outcome, %d left in allowances before the fence",
+		f.reserved.Load(), f.refused.Load(), billed, f.unsettled.Load(), left)
+}
+
+// fence fences all entry instances and returns the tokens that were left in
+// their allowances. A lost reply to a draw leaves some there.
+func (f *fleet) fence() int64 {
+	var left int64
+	for _, zone := range zones {
+		l := f.holder(zone).Ledger()
+		left += tally(l, "acme").Allowances
+		for _, other := range zones {
+			if err := l.Fence("entry-"+other, 1); err != nil {
+				f.t.Fatal(err)
+			}
+		}
+	}
+	return left
+}
+
+// serve runs the reserver of a zone under load until ctx ends, and lets it
+// return its allowances.
+func (f *fleet) serve(ctx context.Context, zone string) {
+	r := f.newReserver(zone)
+	run, stop := context.WithCancel(context.Background())
+	var running, load sync.WaitGroup
+	running.Go(func() { r.Run(run) })
+	for worker := range 4 {
+		load.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				f.request(r, fmt.Sprintf("%s-%d-%d", zone, worker, i))
+			}
+		})
+	}
+	load.Wait()
+	stop()
+	running.Wait()
+}
+
+func (f *fleet) request(r *reserver.Reserver, name string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	id, err := r.Reserve(ctx, "acme", 100)
+	if err != nil {
+		f.refused.Add(1)
+		return
+	}
+	f.reserved.Add(1)
+	if len(name)%5 == 0 {
+		r.Cancel(id)
+		return
+	}
+	const amount = 60
+	outcome, err := r.Settle(context.Background(), id, &wire.Bill{Account: "acme", Request: name, Amount: amount})
+	switch {
+	case err != nil:
+		f.unsettled.Add(amount)
+	case outcome == wire.Outcome_OUTCOME_BILLED || outcome == wire.Outcome_OUTCOME_DUPLICATE:
+		f.billed.Add(amount)
+	}
+}
+
+func (f *fleet) newReserver(zone string) *reserver.Reserver {
+	order := []string{zone}
+	for _, other := range zones {
+		if other != zone {
+			order = append(order, other)
+		}
+	}
+	holding := &wire.Holding{Instance: "entry-" + zone, Incarnation: 1}
+	return reserver.New(reserver.Config{
+		Holding: func() *wire.Holding { return holding },
+		Holders: func() []string { return order },
+		Draw:    forward(f.cluster, zone, func(h *Holder) serve[wire.DrawRequest, wire.DrawReply] { return h.Draw }),
+		Return:  forward(f.cluster, zone, func(h *Holder) serve[wire.ReturnRequest, wire.ReturnReply] { return h.Return }),
+		Settle:  forward(f.cluster, zone, func(h *Holder) serve[wire.SettleRequest, wire.SettleReply] { return h.Settle }),
+		Now:     time.Now,
+		Logger:  zap.NewNop(),
+	})
+}
