Test the step down on a slow disk, and answer its proposals

Cause: the step down after a write of two election timeouts had no test, and the proposals of that write waited for the disk or the caller's deadline. Ruled out: a synctest bubble, whose time stands still while a goroutine waits for a mutex. Change: a step down answers the batch that is being written with uncertain.

--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"hash/crc64"
 	"math/rand/v2"
@@ -16,7 +15,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -33,7 +31,8 @@
 	cut      map[[2]string]bool // one-way links that lose messages
 	delay    time.Duration      // longest delay of a message
 	repeats  float64            // share of requests that arrive twice
-	every    uint64             // SnapshotEvery
+	election time.Duration
+	every    uint64 // SnapshotEvery
 	installs atomic.Int64
 	states   map[*Replicator]*state
 	history  [][]byte // commands by index, as first applied
@@ -64,7 +63,7 @@
 var crcTable = crc64.MakeTable(crc64.ECMA)
 
 func newCluster(t testing.TB, seed uint64, names ...string) *cluster {
-	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, names: names, cut: map[[2]string]bool{}, states: map[*Replicator]*state{}, every: 50}
+	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, names: names, cut: map[[2]string]bool{}, states: map[*Replicator]*state{}, every: 50, election: defaultElection}
 	for _, name := range names {
 		c.nodes[name] = &node{name: name, disk: newDisk(t, seed), frozen: closed()}
 	}
@@ -118,7 +117,7 @@
 		},
 		After:  func(d time.Duration) <-chan time.Time { return c.after(n, d) },
 		Random: c.uint64, Journal: d.open, Load: d.load, Store: d.store,
-		SnapshotEvery: c.every, Chunk: 64, Logger: zap.NewNop(),
+		Heartbeat: c.election / 5, Election: c.election, SnapshotEvery: c.every, Chunk: 64, Logger: zap.NewNop(),
 	})
 	if err != nil {
 		c.t.Fatalf("start %s: %v", name, err)
@@ -198,88 +197,6 @@
 	return c.random.Uint64()
 }
 
-// after is a timer that doesn't fire while the process is frozen.
-func (c *cluster) after(n *node, d time.Duration) <-chan time.Time {
-	ch := make(chan time.Time, 1)
-	time.AfterFunc(d, func() {
-		_, gate := c.running(n.name)
-		<-gate
-		ch <- time.Now()
-	})
-	return ch
-}
-
-// passes tells whether a message gets through and after which delay.
-func (c *cluster) passes(from, to string) (bool, time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	wait := time.Duration(0)
-	if c.delay > 0 {
-		wait = time.Duration(c.random.Int64N(int64(c.delay)))
-	}
-	return !c.cut[[2]string{from, to}], wait
-}
-
-func (c *cluster) repeated() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.random.Float64() < c.repeats
-}
-
-func (c *cluster) isolate(name string, cut bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, other := range c.names {
-		c.cut[[2]string{name, other}], c.cut[[2]string{other, name}] = cut, cut
-	}
-}
-
-func (c *cluster) link(from, to string, cut bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cut[[2]string{from, to}] = cut
-}
-
-var errLost = errors.New("no answer")
-
-// send carries a call. A request whose caller gave up still arrives later,
-// and some arrive twice, so requests also overtake one another.
-func send[Q, R proto.Message](ctx context.Context, c *cluster, from, to string, q Q, serve func(*Replicator, context.Context, Q) (R, error)) (R, error) {
-	var none R
-	answers := make(chan R, 2)
-	deliver := func() {
-		if _, gate := c.running(from); gate != nil {
-			<-gate
-		}
-		ok, wait := c.passes(from, to)
-		time.Sleep(wait)
-		member, gate := c.running(to)
-		if !ok || member == nil {
-			return
-		}
-		<-gate
-		reply, err := serve(member, context.Background(), proto.CloneOf(q))
-		ok, wait = c.passes(to, from)
-		time.Sleep(wait)
-		if err != nil || !ok {
-			return
-		}
-		answers <- proto.CloneOf(reply)
-	}
-	go deliver()
-	if c.repeated() {
-		go deliver()
-	}
-	select {
-	case reply := <-answers:
-		_, gate := c.running(from)
-		<-gate
-		return reply, nil
-	case <-ctx.Done():
-		return none, errLost
-	}
-}
-
 // leader waits until a running member leads and can commit.
 func (c *cluster) leader() (string, *Replicator) {
 	c.t.Helper()
--- a/internal/replicator/disk_test.go
+++ b/internal/replicator/disk_test.go
@@ -26,8 +26,9 @@
 	ballot  []byte
 	written map[*os.File]int64 // size before the unsynced writes
 	dead    bool
-	left    int  // operations until the power fails, 0 for none planned
-	fail    bool // syncs fail, and the process goes on
+	left    int           // operations until the power fails, 0 for none planned
+	fail    bool          // syncs fail, and the process goes on
+	hang    chan struct{} // if set, syncs wait until it is closed
 }
 
 func newDisk(t testing.TB, seed uint64) *disk {
@@ -104,6 +105,12 @@
 }
 
 func (d *disk) sync(f *os.File) error {
+	d.mu.Lock()
+	hang := d.hang
+	d.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.refuse() {
--- a/internal/replicator/propose.go
+++ b/internal/replicator/propose.go
@@ -108,7 +108,7 @@
 	defer r.disk.Unlock()
 	r.mu.Lock()
 	reign, batch := r.reign, r.queue
-	r.queue, r.writing, r.began = nil, len(batch) > 0, r.cfg.Now()
+	r.queue, r.writing, r.began = nil, batch, r.cfg.Now()
 	list := make([]*wire.Entry, len(batch))
 	for i, p := range batch {
 		p.entry.Index, p.entry.Term = r.log.last()+1+uint64(i), reign.term
@@ -118,20 +118,16 @@
 	if len(batch) == 0 {
 		return
 	}
-	err := r.store(list)
-	r.mu.Lock()
-	r.writing = false
-	if err == nil && r.reign == reign {
-		r.announce(batch)
-		r.mu.Unlock()
-		return
-	}
-	r.mu.Unlock()
-	if err != nil {
+	// A step down during the write, and fail, answer the batch.
+	if err := r.store(list); err != nil {
 		_ = r.fail(err)
+		return
 	}
-	for _, p := range batch {
-		p.done <- outcome{err: uncertain(p.entry.Index)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reign == reign {
+		r.writing = nil
+		r.announce(batch)
 	}
 }
 
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -104,6 +104,9 @@
 			t.Errorf("propose: got %v, want isolated", err)
 		}
 		c.propose("z")
+		if got := m.Leader(); got == "" || got == name {
+			t.Errorf("leader on the stopped member: got %q, want another member", got)
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if _, err := m.Vote(ctx, &wire.VoteRequest{}); err == nil {
@@ -112,6 +115,31 @@
 	})
 }
 
+// A leader whose disk hangs accepts nothing; if it kept sending heartbeats,
+// nobody else would lead. This test runs in real time, since a goroutine that
+// waits for the disk holds a mutex, and a synctest bubble then stands still.
+func TestSlowDiskStepsDown(t *testing.T) {
+	c := newCluster(t, 14, "a", "b", "c")
+	c.election = 100 * time.Millisecond
+	c.startAll()
+	defer c.stopAll()
+	c.settle()
+	name, m := c.leader()
+	hang := make(chan struct{})
+	d := c.nodes[name].disk
+	d.mu.Lock()
+	d.hang = hang
+	d.mu.Unlock()
+	defer close(hang)
+	if _, _, err := m.Propose(t.Context(), []byte("x")); !errors.Is(err, fault.Uncertain) {
+		t.Errorf("propose: got %v, want uncertain", err)
+	}
+	if next, _ := c.leader(); next == name {
+		t.Errorf("%s still leads", name)
+	}
+	c.propose("y")
+}
+
 // A planned stop without a transfer leaves the log without a leader for an
 // election timeout.
 func TestTransfer(t *testing.T) {
