Fence what still holds allowances when the venture closes

Cause: the books close only when no allowance is outstanding; an instance that is frozen, gone, or lost the reply of a draw would keep them open for good. Ruled out: closing with outstanding allowances, since they could still be billed. Conclusion: a late answer of a fenced instance is refused and not billed.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -58,13 +58,15 @@
 // books, it stores and returns copies only, and all other calls are answered
 // with fault.Unavailable. It is safe for concurrent use.
 type Holder struct {
-	cfg      Config
-	journal  *journal.Journal
-	ledger   atomic.Pointer[ledger.Ledger]
-	closing  atomic.Bool
-	progress *progress
-	grants   *grants
-	proofs   *proofs
+	cfg     Config
+	journal *journal.Journal
+	ledger  atomic.Pointer[ledger.Ledger]
+	closing atomic.Bool
+	// closingSince is the time of the first call that closes, in nanoseconds.
+	closingSince atomic.Int64
+	progress     *progress
+	grants       *grants
+	proofs       *proofs
 
 	releasing chan struct{} // held while releases are confirmed
 
--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -23,8 +23,8 @@
 	if err != nil {
 		return &wire.ReleaseReply{Fault: wireFault(err)}, nil
 	}
-	if request.Closing {
-		h.closing.Store(true)
+	if request.Closing && h.closing.CompareAndSwap(false, true) {
+		h.closingSince.Store(h.cfg.Now().UnixNano())
 	}
 	amount, err := h.release(ctx, l, request)
 	h.confirm(ctx, l)
@@ -56,6 +56,7 @@
 // releases that the log may not have.
 func (h *Holder) sendAll(ctx context.Context, l *ledger.Ledger) {
 	if h.closing.Load() {
+		h.fenceAll(l)
 		if _, err := h.release(ctx, l, &wire.ReleaseRequest{Closing: true}); err != nil {
 			h.cfg.Logger.Warn("rights are not released", zap.Error(err))
 		}
--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -127,3 +127,25 @@
 	}
 	return nil
 }
+
+// Holdings returns the latest incarnation of each instance that holds unspent
+// tokens of this ledger.
+func (l *Ledger) Holdings() []*wire.Holding {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []*wire.Holding
+	for name, i := range l.instances {
+		var last uint64
+		for n, held := range i.incarnations {
+			for _, al := range held {
+				if al.amount > 0 {
+					last = max(last, n)
+				}
+			}
+		}
+		if last > 0 {
+			list = append(list, &wire.Holding{Instance: name, Incarnation: last})
+		}
+	}
+	return list
+}
--- a/test/fleet/money_test.go
+++ b/test/fleet/money_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -151,3 +153,33 @@
 		return nil
 	})
 }
+
+// An instance that is frozen while the venture is dissolved must not keep the
+// books open, and what it answers afterwards must not be billed.
+func TestDissolutionWithFrozenInstance(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 100_000, false)
+	f.engine("engine-a", "a", []int{0}, slow...)
+	f.routes(1)
+	stream := f.later(1, 40, "")
+	f.signal("a2", syscall.SIGSTOP)
+	if _, err := f.client(0).Call(t.Context(), http.MethodPost, "/v1/dissolution", nil); err != nil {
+		t.Fatal(err)
+	}
+	var closed books
+	f.eventually("close", func() (err error) {
+		closed, err = f.books(0)
+		if err == nil && closed.Phase != "closed" {
+			err = fmt.Errorf("phase %s, %+v", closed.Phase, closed.Accounts)
+		}
+		return err
+	})
+	f.signal("a2", syscall.SIGCONT)
+	if a := <-stream; strings.Contains(a.body, "[DONE]") {
+		t.Errorf("stream after the closing: got %q, want no success", a.body)
+	}
+	for _, a := range closed.Accounts {
+		if a.Billed != 0 || a.Refundable != a.Prepaid+a.Topups {
+			t.Errorf("account %s: billed %d, refundable %d; want nothing billed", a.Account, a.Billed, a.Refundable)
+		}
+	}
+}
