--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,7 +143,9 @@
 }
 
 // IsReady tells whether the instance takes requests.
-func (g *Gateway) IsReady() bool { return !g.stopping.Load() && g.cfg.Current() != nil && g.cfg.Synced() }
+func (g *Gateway) IsReady() bool {
+	return !g.stopping.Load() && g.cfg.Current() != nil && g.cfg.Synced()
+}
 
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
 	if !g.IsReady() {
