--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -209,6 +209,17 @@
 // wait returns the error of the process when it has ended.
 func (p *process) wait() error { return <-p.done }
 
+// hasEnded tells whether the process has ended.
+func (p *process) hasEnded() bool {
+	select {
+	case err := <-p.done:
+		p.done <- err
+		return true
+	default:
+		return false
+	}
+}
+
 // kill ends a process at once and waits for its end.
 func (f *fleet) kill(name string) {
 	f.t.Helper()
--- a/test/fleet/target_test.go
+++ b/test/fleet/target_test.go
@@ -122,11 +122,8 @@
 	}
 	dead := 0
 	for n := range 5 {
-		select {
-		case <-f.procs[fmt.Sprintf("engine-%d", n)].done:
-			f.procs[fmt.Sprintf("engine-%d", n)].done <- nil
+		if f.procs[fmt.Sprintf("engine-%d", n)].hasEnded() {
 			dead++
-		default:
 		}
 	}
 	if dead > 2 {
