--- a/internal/holder/fake_test.go
+++ b/internal/holder/fake_test.go
@@ -214,12 +214,13 @@
 	stops   map[string]func()
 	paths   map[string]string
 	reserve atomic.Uint64 // percent
+	options []func(*Config)
 }
 
-func newCluster(t tb, budgets map[string]int64) *cluster {
+func newCluster(t tb, budgets map[string]int64, options ...func(*Config)) *cluster {
 	c := &cluster{
 		t: t, log: newControl(budgets), net: &network{cut: map[string]bool{}},
-		holders: map[string]*Holder{}, stops: map[string]func(){}, paths: map[string]string{},
+		holders: map[string]*Holder{}, stops: map[string]func(){}, paths: map[string]string{}, options: options,
 	}
 	c.reserve.Store(25)
 	path, err := os.MkdirTemp("", "holder")
@@ -252,7 +253,11 @@
 // start starts the holder of a zone over its data folder.
 func (c *cluster) start(zone string) {
 	c.t.Helper()
-	h, err := New(c.config(zone))
+	cfg := c.config(zone)
+	for _, option := range c.options {
+		option(&cfg)
+	}
+	h, err := New(cfg)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -40,6 +40,9 @@
 	// zone. Stranded rights become free when all of them have handed over
 	// their records; without the function they stay stranded.
 	Instances func() []string
+	// Compact is the journal size in bytes that starts a compaction; 0 for the
+	// default of the ledger.
+	Compact int64
 	// Reserve returns the share of the last grant that stays in the zone.
 	Reserve func() float64
 	// Propose and Read call the service Control.
--- a/internal/holder/random_test.go
+++ b/internal/holder/random_test.go
@@ -72,8 +72,10 @@
 }
 
 func newRandom(t *rapid.T) *random {
+	// A small bound makes the journals compact several times in a run.
+	compact := rapid.SampledFrom([]int64{0, 2 << 10}).Draw(t, "compact")
 	r := &random{
-		cluster: newCluster(t, map[string]int64{"acme": randomBudget}), t: t,
+		cluster: newCluster(t, map[string]int64{"acme": randomBudget}, func(cfg *Config) { cfg.Compact = compact }), t: t,
 		entries: map[string]*instance{}, billed: map[string]int64{}, durable: map[string]bool{},
 	}
 	for _, zone := range zones {
@@ -209,12 +211,13 @@
 }
 
 // replicated waits until each zone has a whole copy on all others.
-func (r *random) replicated() {
-	waitFor(r.t, "copies", func() bool {
+func (c *cluster) replicated() {
+	c.t.Helper()
+	waitFor(c.t, "copies", func() bool {
 		for _, zone := range zones {
-			h := r.holder(zone)
+			h := c.holder(zone)
 			for _, other := range h.cfg.Others {
-				copied, err := r.holder(other).replica(zone, false)
+				copied, err := c.holder(other).replica(zone, false)
 				if err != nil || copied == nil || !copied.holds(h.Ledger().Epoch(), h.journal.Next()) {
 					return false
 				}
--- a/internal/holder/replica_test.go
+++ b/internal/holder/replica_test.go
@@ -52,6 +52,32 @@
 	}
 }
 
+// Copies of a compacted journal must be built from its snapshot, and the books
+// must come back from such a copy.
+func TestCopyAfterCompaction(t *testing.T) {
+	c := newCluster(t, map[string]int64{"acme": 60_000}, func(cfg *Config) { cfg.Compact = 4 << 10 })
+	epoch := mustDraw(t, c.holder("a"), 10_000)
+	for i := range 200 {
+		mustSettle(t, c.holder("a"), epoch, fmt.Sprint(i), 10)
+	}
+	if c.holder("a").journal.First() == 0 {
+		t.Fatal("the journal isn't compacted")
+	}
+	c.replicated()
+	for _, zone := range []string{"b", "c", "a"} {
+		c.lose(zone)
+		c.ready(zone)
+		c.replicated()
+	}
+	if got, want := tally(c.holder("a").Ledger(), "acme").Billed, int64(2000); got != want {
+		t.Errorf("billed: got %d, want %d", got, want)
+	}
+	if bill, _ := c.holder("b").Ledger().Find("acme", "0", nil); bill == nil {
+		t.Error("bill in the snapshot: not known in the other zone")
+	}
+	c.verify()
+}
+
 func mustOpenReplica(t *testing.T, path string) *replica {
 	t.Helper()
 	r, err := openReplica(path, true, zap.NewNop())
