Hand kept bills to restored ledgers; raise the message limit

Ruled out: calling Keep from the reserver, which doesn't know the epochs. Change: the resubmitter hands over kept bills when the epoch of a ledger changes; messages of 256 MiB; the proof asks all instances; a bill whose second ledger refuses it goes on waiting for the first. Conclusion: rights stranded by a lost disk still wait for the dissolution when the holder itself served callers, since it can't prove what it kept.

--- a/internal/daemon/part_books.go
+++ b/internal/daemon/part_books.go
@@ -10,6 +10,7 @@
 	"github.com/papayapond/papayapond/internal/kernel"
 	"github.com/papayapond/papayapond/internal/member"
 	"github.com/papayapond/papayapond/internal/reserver"
+	"github.com/papayapond/papayapond/internal/resubmitter"
 	"github.com/papayapond/papayapond/internal/subscriber"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -23,7 +24,7 @@
 		h, err := holder.New(holder.Config{
 			Name: b.settings.Name, Zone: b.settings.Zone, Path: b.settings.Data,
 			Others:    b.others(),
-			Instances: b.zoneInstances,
+			Instances: b.instances,
 			Reserve: func() float64 {
 				if v := s.Current(); v != nil {
 					return v.Venture().Reserve
@@ -54,17 +55,49 @@
 	})
 }
 
-// zoneInstances returns the names of the instances of this zone.
-func (b *builder) zoneInstances() []string {
+// instances returns the names of all instances. Each of them may draw from
+// each holder, and so may keep bills of it.
+func (b *builder) instances() []string {
 	var names []string
 	for _, p := range b.settings.Peers {
-		if p.Zone == b.settings.Zone {
-			names = append(names, p.Name)
-		}
+		names = append(names, p.Name)
 	}
 	return names
 }
 
+func (b *builder) resubmitter() fx.Option {
+	return kernel.Part("resubmitter", func(k *kernel.Kernel) (any, fx.Hook, error) {
+		m, err := kernel.Find[*member.Member](k, nameMember)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		res, err := kernel.Find[*reserver.Reserver](k, nameReserver)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		read := b.peers.read(b.holders())
+		r := resubmitter.New(resubmitter.Config{
+			Holding: m.Holding,
+			Started: uint64(time.Now().UnixNano()),
+			Holders: b.holdersByZone(),
+			Epochs: func(ctx context.Context) (map[string]uint64, error) {
+				state, err := read(ctx, &wire.ReadRequest{Stale: true})
+				return state.GetEpochs(), err
+			},
+			Kept:   res.Kept,
+			Forget: res.Forget,
+			Keep: func(ctx context.Context, holder string, q *wire.KeepRequest) error {
+				ctx, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
+				_, err := unwrap(b.peers.books(holder).Keep(ctx, q))
+				return err
+			},
+			Logger: k.Logger("resubmitter"),
+		})
+		return r, kernel.Hook(r.Run), nil
+	})
+}
+
 func (b *builder) reserver() fx.Option {
 	return kernel.Part(nameReserver, func(k *kernel.Kernel) (any, fx.Hook, error) {
 		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/papayapond/papayapond/internal/dialer"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/kernel"
 	"github.com/papayapond/papayapond/internal/settings"
@@ -59,7 +60,7 @@
 // while the later parts are being built.
 func (b *builder) peerServer() fx.Option {
 	return kernel.Part(nameMux, func(k *kernel.Kernel) (any, fx.Hook, error) {
-		server := drpcserver.New(b.mux)
+		server := drpcserver.NewWithOptions(b.mux, drpcserver.Options{Manager: dialer.Options()})
 		serve := func(ctx context.Context, l net.Listener) {
 			if err := server.Serve(ctx, l); err != nil && ctx.Err() == nil {
 				k.Logger("peer").Error("Serving peers failed.", zap.Error(err))
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -9,7 +9,9 @@
 
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/papayapond/papayapond/internal/fault"
 )
@@ -21,8 +23,11 @@
 	idleTimeout = time.Minute
 	// keepAlive detects connections that a middlebox has dropped silently.
 	keepAlive = 5 * time.Second
-	// connections that are kept open per peer.
+	// keptPerPeer is the number of connections that are kept open per peer.
 	keptPerPeer = 16
+	// maxMessage bounds a message, in bytes. The largest ones are snapshots of
+	// a ledger, about 300 bytes per account.
+	maxMessage = 256 << 20
 )
 
 // Config configures a Dialer.
@@ -101,7 +106,12 @@
 		}
 		conn = secure
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: Options()}), nil
+}
+
+// Options returns the options for both ends of a connection.
+func Options() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
 }
 
 func newPool() *drpcpool.Pool[string, *drpcconn.Conn] {
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -44,8 +44,8 @@
 	Isolated
 	// Expired is a deadline that passed before the request was sent.
 	Expired
-	// Unsettled is a request that ran and whose bill could not be stored; it
-	// is not billed.
+	// Unsettled is a request that ran and whose bill is not known to be
+	// stored: the ledger refused it or didn't answer in time.
 	Unsettled
 	// Interrupted is an answer that broke off; it is not billed.
 	Interrupted
@@ -94,7 +94,7 @@
 	Unavailable:  {"unavailable", "no target or ledger is ready", http.StatusServiceUnavailable, runNo, 7, zapcore.WarnLevel, time.Second},
 	Isolated:     {"isolated", "the quorum can't be reached", http.StatusServiceUnavailable, runNo, 7, zapcore.WarnLevel, 2 * time.Second},
 	Expired:      {"expired", "the deadline passed before the request was sent", http.StatusGatewayTimeout, runNo, 7, zapcore.InfoLevel, 0},
-	Unsettled:    {"unsettled", "the request ran, its bill could not be stored; it is not billed", http.StatusServiceUnavailable, runYes, 7, zapcore.WarnLevel, time.Second},
+	Unsettled:    {"unsettled", "the request ran, its bill is not known to be stored; a retry with the same Idempotency-Key is billed once", http.StatusServiceUnavailable, runYes, 7, zapcore.WarnLevel, time.Second},
 	Interrupted:  {"interrupted", "the answer broke off; it is not billed", http.StatusBadGateway, runYes, 7, zapcore.WarnLevel, 0},
 	Uncertain:    {"uncertain", "the request may have run", http.StatusGatewayTimeout, runMaybe, 7, zapcore.WarnLevel, 0},
 	Fenced:       {"fenced", "the incarnation has been replaced", http.StatusServiceUnavailable, runNo, 7, zapcore.WarnLevel, time.Second},
--- a/internal/reserver/failover.go
+++ b/internal/reserver/failover.go
@@ -42,20 +42,24 @@
 	delete(s.tickets, id)
 	s.mu.Unlock()
 	r.cfg.Logger.Info("ledger doesn't answer, settling with another one", zap.String("holder", first), zap.String("other", t.allowance.holder), zap.String("request", x.bill.Request))
-	r.prolong(x)
 	y := &settlement{ticket: t, bill: x.bill, deadline: r.cfg.Now().Add(settleLimit), done: make(chan struct{})}
 	r.enqueue(r.sender(t.allowance.holder), y)
 	select {
 	case <-x.done:
 		return x.outcome, x.err
 	case <-y.done:
+		if y.err != nil || y.outcome == wire.Outcome_OUTCOME_FENCED || y.outcome == wire.Outcome_OUTCOME_REFUSED {
+			return x.wait(ctx)
+		}
+		r.prolong(x)
 		return y.outcome, y.err
 	case <-ctx.Done():
 		return wire.Outcome_OUTCOME_NONE, eris.Wrapf(fault.Unsettled, "request %s: %v", x.bill.Request, ctx.Err())
 	}
 }
 
-// prolong lets the first ledger have more time for its outcome.
+// prolong lets the first ledger have more time for its outcome, so that the
+// tokens of its allowance are accounted for.
 func (r *Reserver) prolong(x *settlement) {
 	s := r.sender(x.ticket.allowance.holder)
 	s.mu.Lock()
--- a/internal/reserver/settle.go
+++ b/internal/reserver/settle.go
@@ -119,7 +119,11 @@
 			return
 		}
 		if err := r.sendBatch(s, batch); err != nil {
-			r.cfg.Logger.Warn("settle has no outcome, resending", zap.String("holder", s.holder), zap.Int("bills", len(batch)), zap.Error(err))
+			level := zap.DebugLevel
+			if pause == settlePause {
+				level = zap.WarnLevel
+			}
+			r.cfg.Logger.Log(level, "settle has no outcome, resending", zap.String("holder", s.holder), zap.Int("bills", len(batch)), zap.Error(err))
 			s.mu.Lock()
 			s.queue = append(batch, s.queue...)
 			s.mu.Unlock()
--- /dev/null
+++ b/internal/resubmitter/resubmitter.go
@@ -0,0 +1,100 @@
+package resubmitter
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// interval is the time between two looks at the epochs of the ledgers.
+const interval = 2 * time.Second
+
+// Config configures a Resubmitter.
+type Config struct {
+	// Holding returns this instance with its incarnation.
+	Holding func() *wire.Holding
+	// Started is the start of this process in Unix nanoseconds. The instance
+	// has kept all its records since then, over changes of the incarnation.
+	Started uint64
+	// Holders are the names of the holders by zone.
+	Holders map[string]string
+	// Epochs returns the epochs of the ledgers by zone.
+	Epochs func(ctx context.Context) (map[string]uint64, error)
+	// Kept returns the bills kept for a holder and the number of bills that
+	// were dropped; Forget drops those of an epoch.
+	Kept   func(holder string) ([]*wire.KeepRequest, uint64)
+	Forget func(holder string, epoch uint64)
+	// Keep calls a holder.
+	Keep   func(ctx context.Context, holder string, request *wire.KeepRequest) error
+	Logger *zap.Logger
+}
+
+// Resubmitter hands over kept bills.
+type Resubmitter struct {
+	cfg    Config
+	handed map[string]uint64 // epoch by zone to which everything was handed over
+}
+
+// New returns a resubmitter.
+func New(cfg Config) *Resubmitter {
+	return &Resubmitter{cfg: cfg, handed: map[string]uint64{}}
+}
+
+// Run looks for restored ledgers until ctx ends.
+func (r *Resubmitter) Run(ctx context.Context) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			r.check(ctx)
+		}
+	}
+}
+
+// check hands over to each ledger whose epoch has changed. The first epoch of
+// a zone follows no other one.
+func (r *Resubmitter) check(ctx context.Context) {
+	epochs, err := r.cfg.Epochs(ctx)
+	if err != nil {
+		return
+	}
+	for zone, epoch := range epochs {
+		holder := r.cfg.Holders[zone]
+		if epoch <= 1 || epoch == r.handed[zone] || holder == "" {
+			continue
+		}
+		if err := r.handOver(ctx, holder, zone, epoch); err != nil {
+			r.cfg.Logger.Debug("Records are not handed over yet.", zap.String("holder", holder), zap.Error(err))
+			continue
+		}
+		r.handed[zone] = epoch
+		r.cfg.Logger.Info("Records handed over.", zap.String("holder", holder), zap.Uint64("epoch", epoch))
+	}
+}
+
+// handOver sends the bills of earlier epochs and then the statement that
+// there are no more. The statement is left out if bills were dropped.
+func (r *Resubmitter) handOver(ctx context.Context, holder, zone string, epoch uint64) error {
+	requests, dropped := r.cfg.Kept(holder)
+	for _, q := range requests {
+		if q.Epoch >= epoch {
+			continue
+		}
+		q.Zone = zone
+		if err := r.cfg.Keep(ctx, holder, q); err != nil {
+			return err
+		}
+		r.cfg.Forget(holder, q.Epoch)
+	}
+	last := &wire.KeepRequest{Holding: r.cfg.Holding(), Zone: zone, Epoch: epoch - 1}
+	if dropped == 0 {
+		last.Since = r.cfg.Started
+	}
+	return r.cfg.Keep(ctx, holder, last)
+}
