Free stranded rights when the venture closes

Cause: the rights that a lost disk strands kept the books open; the venture of TestDissolutionAfterLostDisk did not close within 30 s. Ruled out: closing with stranded rights, since they belong to the account. Conclusion: a lost disk no longer prevents the closing.

--- a/internal/holder/closing.go
+++ b/internal/holder/closing.go
@@ -28,4 +28,21 @@
 		}
 		h.cfg.Logger.Info("instance is fenced, the venture closes", zap.String("instance", held.Instance))
 	}
+	h.freeStranded(l)
+}
+
+// freeStranded frees the rights that a lost disk has stranded. When the
+// venture closes nothing can be spent any more, since bills of the lost epoch
+// are refused, so rights without a bill belong to the account.
+func (h *Holder) freeStranded(l *ledger.Ledger) {
+	for _, t := range l.Tally("") {
+		if t.Stranded == 0 || !h.aligned(t.Account) {
+			continue
+		}
+		if err := l.Free(t.Account); err != nil {
+			h.cfg.Logger.Warn("stranded rights are not free", zap.String("account", t.Account), zap.Error(err))
+			continue
+		}
+		h.cfg.Logger.Info("stranded rights are free", zap.String("account", t.Account), zap.Int64("tokens", t.Stranded))
+	}
 }
--- a/internal/holder/proof.go
+++ b/internal/holder/proof.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/papayapond/papayapond/internal/ledger"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -83,14 +81,5 @@
 	if h.cfg.Instances == nil || !h.proofs.complete(h.cfg.Instances()) {
 		return
 	}
-	for _, t := range l.Tally("") {
-		if t.Stranded == 0 || !h.aligned(t.Account) {
-			continue
-		}
-		if err := l.Free(t.Account); err != nil {
-			h.cfg.Logger.Warn("stranded rights are not free", zap.String("account", t.Account), zap.Error(err))
-			continue
-		}
-		h.cfg.Logger.Info("stranded rights are free", zap.String("account", t.Account), zap.Int64("tokens", t.Stranded))
-	}
+	h.freeStranded(l)
 }
--- a/test/fleet/money_test.go
+++ b/test/fleet/money_test.go
@@ -183,3 +183,39 @@
 		}
 	}
 }
+
+// After a lost disk the venture must still close, with the stranded rights
+// refunded.
+func TestDissolutionAfterLostDisk(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 100_000, false)
+	f.engine("engine-a", "a", []int{0, 1})
+	f.routes(1)
+	for n := range 3 {
+		if a := f.chat(1, "hello", 4, false, ""); a.status != http.StatusOK {
+			t.Fatalf("request %d: got %d %s", n, a.status, a.body)
+		}
+	}
+	billed := f.bills(1, 3).Billed
+	f.kill("a1")
+	if err := os.RemoveAll(filepath.Join(f.dir, "data", "a1")); err != nil {
+		t.Fatal(err)
+	}
+	f.serve(0)
+	f.bills(1, 3)
+	if _, err := f.client(1).Call(t.Context(), http.MethodPost, "/v1/dissolution", nil); err != nil {
+		t.Fatal(err)
+	}
+	var closed books
+	f.eventually("close", func() (err error) {
+		closed, err = f.books(1)
+		if err == nil && closed.Phase != "closed" {
+			err = fmt.Errorf("phase %s, %+v", closed.Phase, closed.Accounts)
+		}
+		return err
+	})
+	for _, a := range closed.Accounts {
+		if a.Account == "wondimu" && (a.Billed != billed || a.Refundable != a.Prepaid-billed) {
+			t.Errorf("got %+v, want %d billed and the rest refundable", a, billed)
+		}
+	}
+}
