Register a proposal before its entry is written

Cause: a proposal was registered for its answer after its entry was in memory. A majority that answered in between let the entry be applied unnoticed, and the caller waited for its deadline and got "uncertain". Ruled out: lost wake-ups of the writer and of the apply goroutine. Change: the proposal is registered when its index is assigned, before the write. A step down and a failed write answer all registered proposals.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -57,7 +57,7 @@
 	if r.reign != nil {
 		if !r.answers(r.members().Voters) {
 			r.stepDown("no quorum")
-		} else if len(r.writing) > 0 && now.Sub(r.began) > 2*r.cfg.Election {
+		} else if r.writing && now.Sub(r.began) > 2*r.cfg.Election {
 			r.stepDown("slow disk")
 		}
 		return r.cfg.Heartbeat
@@ -242,10 +242,7 @@
 	for _, p := range r.queue {
 		p.done <- outcome{err: r.isolated()}
 	}
-	for _, p := range r.writing {
-		p.done <- outcome{err: uncertain(p.entry.Index)}
-	}
-	r.queue, r.writing = nil, nil
+	r.queue = nil
 	for index, p := range r.waiting {
 		p.done <- outcome{err: uncertain(index)}
 		delete(r.waiting, index)
--- a/internal/replicator/propose.go
+++ b/internal/replicator/propose.go
@@ -108,36 +108,36 @@
 	defer r.disk.Unlock()
 	r.mu.Lock()
 	reign, batch := r.reign, r.queue
-	r.queue, r.writing, r.began = nil, batch, r.cfg.Now()
+	r.queue, r.writing, r.began = nil, len(batch) > 0, r.cfg.Now()
 	list := make([]*wire.Entry, len(batch))
 	for i, p := range batch {
 		p.entry.Index, p.entry.Term = r.log.last()+1+uint64(i), reign.term
 		list[i] = p.entry
+		// Before the write: a fast majority commits the entry as soon as it
+		// is in memory.
+		r.waiting[p.entry.Index] = p
 	}
 	r.mu.Unlock()
 	if len(batch) == 0 {
 		return
 	}
-	// A step down during the write, and fail, answer the batch.
 	if err := r.store(list); err != nil {
 		_ = r.fail(err)
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.writing = false
 	if r.reign == reign {
-		r.writing = nil
-		r.announce(batch)
+		r.announce(list[0].Index)
 	}
 }
 
-// announce makes written proposals wait for commit. The caller holds mu.
-func (r *Replicator) announce(batch []*proposal) {
-	for _, p := range batch {
-		r.waiting[p.entry.Index] = p
-	}
+// announce has written entries sent, from the given index on. The caller
+// holds mu.
+func (r *Replicator) announce(index uint64) {
 	if r.reign.first == 0 {
-		r.reign.first = batch[0].entry.Index
+		r.reign.first = index
 	}
 	r.reconcile()
 	r.advance()
--- a/internal/replicator/reign.go
+++ b/internal/replicator/reign.go
@@ -176,7 +176,7 @@
 // proposal has been answered and the peer holds all entries. The caller
 // holds mu.
 func (r *Replicator) handsOver(reign *reign, p *peer) bool {
-	return reign.heir == p.member && p.match == r.log.last() && len(r.queue)+len(r.writing)+len(r.waiting) == 0
+	return reign.heir == p.member && p.match == r.log.last() && len(r.queue)+len(r.waiting) == 0
 }
 
 // wakePeers makes the peers' goroutines send at once. The caller holds mu.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -39,8 +39,8 @@
 	failed  error // why this member no longer votes or accepts
 	reign   *reign
 	queue   []*proposal
-	writing []*proposal // the batch that is being written
-	began   time.Time   // when the write began
+	writing bool      // a batch is being written
+	began   time.Time // when the write began
 	waiting map[uint64]*proposal
 	joiners map[string]string // folders that asked to join, by instance
 	restore *wire.Image       // snapshot that Restore has not seen yet
