Complete the metrics with bounded label sets

Cause: the first set of metrics had no account, no run value and nothing about reservations, round trips to holders, the log, targets and the books. Ruled out: a label for each account. At the future size that is 190,000 series per metric and instance; 64 accounts have one, those of objectives first. Change: metrics by class, by account, of calls and of the state of the parts; docs/metrics.md, compared with the code by a test. The class of a request is compared without regard to case, but was kept as the caller wrote it: the label set was not bounded, and the engine got no priority. Requests refused before their body is read (unknown key, draining) were not counted at all. Conclusion: the burn report can read each objective from these metrics.

--- a/internal/daemon/part_books.go
+++ b/internal/daemon/part_books.go
@@ -9,6 +9,7 @@
 	"github.com/papayapond/papayapond/internal/holder"
 	"github.com/papayapond/papayapond/internal/kernel"
 	"github.com/papayapond/papayapond/internal/member"
+	"github.com/papayapond/papayapond/internal/reporter"
 	"github.com/papayapond/papayapond/internal/reserver"
 	"github.com/papayapond/papayapond/internal/subscriber"
 	"github.com/papayapond/papayapond/internal/wire"
@@ -75,17 +76,30 @@
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
+		report, err := kernel.Find[*reporter.Reporter](k, nameReporter)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
 		r := reserver.New(reserver.Config{
 			Holding: m.Holding,
 			Holders: s.Holders,
 			Draw: func(ctx context.Context, name string, q *wire.DrawRequest) (*wire.DrawReply, error) {
-				return b.peers.books(name).Draw(ctx, q)
+				start := time.Now()
+				reply, err := b.peers.books(name).Draw(ctx, q)
+				report.Called("draw", start, reply.GetFault(), err)
+				return reply, err
 			},
 			Return: func(ctx context.Context, name string, q *wire.ReturnRequest) (*wire.ReturnReply, error) {
-				return b.peers.books(name).Return(ctx, q)
+				start := time.Now()
+				reply, err := b.peers.books(name).Return(ctx, q)
+				report.Called("return", start, reply.GetFault(), err)
+				return reply, err
 			},
 			Settle: func(ctx context.Context, name string, q *wire.SettleRequest) (*wire.SettleReply, error) {
-				return b.peers.books(name).Settle(ctx, q)
+				start := time.Now()
+				reply, err := b.peers.books(name).Settle(ctx, q)
+				report.Called("settle", start, reply.GetFault(), err)
+				return reply, err
 			},
 			Now:    time.Now,
 			Logger: k.Logger(nameReserver),
--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -150,7 +151,19 @@
 	cfg.Current, cfg.Phase, cfg.Announce = s.Current, s.Phase, s.Announce
 	cfg.Skew, cfg.Holding = m.Skew, m.Holding
 	cfg.Account, cfg.Group = a.Account, a.Group
-	cfg.Reserve, cfg.Settle, cfg.Cancel = r.Reserve, r.Settle, r.Cancel
+	cfg.Reserve = func(ctx context.Context, name string, amount int64) (uint64, error) {
+		ticket, err := r.Reserve(ctx, name, amount)
+		report.Reserved(err)
+		return ticket, err
+	}
+	find := cfg.Find
+	cfg.Find = func(ctx context.Context, q *wire.FindRequest) (*wire.FindReply, error) {
+		start := time.Now()
+		reply, err := find(ctx, q)
+		report.Called("find", start, reply.GetFault(), err)
+		return reply, err
+	}
+	cfg.Settle, cfg.Cancel = r.Settle, r.Cancel
 	cfg.Do = d.Do
 	cfg.Observe = report.Observe
 	cfg.Ready = targets.Ready
--- a/internal/daemon/part_report.go
+++ b/internal/daemon/part_report.go
@@ -1,13 +1,21 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
+	"sync/atomic"
 
 	"go.uber.org/fx"
 
+	"github.com/papayapond/papayapond/internal/configuration"
+	"github.com/papayapond/papayapond/internal/controller"
+	"github.com/papayapond/papayapond/internal/holder"
 	"github.com/papayapond/papayapond/internal/kernel"
+	"github.com/papayapond/papayapond/internal/registry"
+	"github.com/papayapond/papayapond/internal/replicator"
 	"github.com/papayapond/papayapond/internal/reporter"
 	"github.com/papayapond/papayapond/internal/subscriber"
+	"github.com/papayapond/papayapond/internal/wire"
 )
 
 func (b *builder) reporter() fx.Option {
@@ -16,10 +24,19 @@
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
-		r := reporter.New(reporter.Config{Gauges: map[string]func() float64{
-			"papayapond_configuration_version": func() float64 { return float64(s.Version()) },
-			"papayapond_requests_in_flight":    func() float64 { return float64(b.flight()) },
-		}})
+		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		cfg := reporter.Config{
+			Flight: b.flight, Version: s.Version, Stale: s.IsStale, Targets: targets.Count, Pinned: pinned(s.Current),
+		}
+		if b.settings.Disk {
+			if err := b.reportBooks(k, &cfg); err != nil {
+				return nil, fx.Hook{}, err
+			}
+		}
+		r := reporter.New(cfg)
 		if b.settings.Metrics == "" {
 			return r, fx.Hook{}, nil
 		}
@@ -28,3 +45,72 @@
 		return r, b.httpServer(nameReporter, b.settings.Metrics, handler), nil
 	})
 }
+
+// reportBooks connects the reporter to the parts of a holder.
+func (b *builder) reportBooks(k *kernel.Kernel, cfg *reporter.Config) error {
+	h, err := kernel.Find[*holder.Holder](k, nameHolder)
+	if err != nil {
+		return err
+	}
+	log, err := kernel.Find[*replicator.Replicator](k, nameReplicator)
+	if err != nil {
+		return err
+	}
+	control, err := kernel.Find[*controller.Controller](k, nameController)
+	if err != nil {
+		return err
+	}
+	cfg.Log = func() (bool, uint64, uint64) {
+		term, index, _ := log.Status()
+		return log.Leader() == b.settings.Name, term, index
+	}
+	cfg.Violations = func() uint64 {
+		if l := h.Ledger(); l != nil {
+			return l.Violations()
+		}
+		return 0
+	}
+	cfg.Tally = func(account string) *wire.Tally {
+		if l := h.Ledger(); l != nil {
+			for _, t := range l.Tally(account) {
+				return t
+			}
+		}
+		return nil
+	}
+	cfg.Pool = func(account string) *wire.Pool {
+		reply, err := control.Read(context.Background(), &wire.ReadRequest{Stale: true, Pools: true, Account: account})
+		if err != nil || len(reply.Pools) == 0 {
+			return nil
+		}
+		return reply.Pools[0]
+	}
+	return nil
+}
+
+// pinned returns a function for the accounts that the objectives of the
+// present configuration name. It reads each configuration once.
+func pinned(current func() *configuration.Configuration) func() []string {
+	type entry struct {
+		configuration *configuration.Configuration
+		names         []string
+	}
+	var last atomic.Pointer[entry]
+	return func() []string {
+		c := current()
+		if c == nil {
+			return nil
+		}
+		if e := last.Load(); e != nil && e.configuration == c {
+			return e.names
+		}
+		e := &entry{configuration: c}
+		for _, o := range c.Venture().Objectives {
+			if o.Account != "" {
+				e.names = append(e.names, o.Account)
+			}
+		}
+		last.Store(e)
+		return e.names
+	}
+}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -33,7 +33,6 @@
 
 // chat serves POST /v1/chat/completions.
 func (g *Gateway) chat(s *session) error {
-	s.outcome.Class = "json"
 	if err := g.isOpen(s); err != nil {
 		return err
 	}
@@ -222,7 +221,7 @@
 	if c.stream {
 		c.class = "stream"
 	}
-	if class := s.request.Header.Get("X-Class"); isClass(class) {
+	if class := strings.ToLower(s.request.Header.Get("X-Class")); isClass(class) {
 		c.class = class
 	}
 	return c, nil
@@ -250,7 +249,7 @@
 var priorities = map[string]int{"chat": 0, "tag": 0, "stream": 1, "json": 1, "quote": 2, "sheet": 2}
 
 func isClass(class string) bool {
-	_, ok := priorities[strings.ToLower(class)]
+	_, ok := priorities[class]
 	return ok
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,10 +98,10 @@
 		cfg.Now = time.Now
 	}
 	g := &Gateway{cfg: cfg, mux: mux.NewRouter().UseEncodedPath(), client: &http.Client{Timeout: time.Second}, abandoned: map[string]*wire.Resolve{}}
-	g.mux.HandleFunc("/v1/chat/completions", g.serve(g.chat)).Methods(http.MethodPost)
-	g.mux.HandleFunc("/v1/services/{name}/{path:.*}", g.serve(g.service))
-	g.mux.HandleFunc("/v1/models", g.serve(g.models)).Methods(http.MethodGet)
-	g.mux.HandleFunc("/v1/requests/{key}", g.serve(g.request)).Methods(http.MethodGet)
+	g.mux.HandleFunc("/v1/chat/completions", g.serve("json", g.chat)).Methods(http.MethodPost)
+	g.mux.HandleFunc("/v1/services/{name}/{path:.*}", g.serve("service", g.service))
+	g.mux.HandleFunc("/v1/models", g.serve("", g.models)).Methods(http.MethodGet)
+	g.mux.HandleFunc("/v1/requests/{key}", g.serve("", g.request)).Methods(http.MethodGet)
 	g.mux.HandleFunc("/v1/targets", g.announce).Methods(http.MethodPost)
 	g.mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	g.mux.HandleFunc("/readyz", g.ready)
@@ -157,14 +157,16 @@
 	started       bool // the status line has been written
 }
 
-// serve authenticates a caller, opens the session and answers its error.
-func (g *Gateway) serve(handle func(*session) error) http.HandlerFunc {
+// serve authenticates a caller, opens the session and answers its error. The
+// class counts until the request has been read; requests without one are not
+// observed.
+func (g *Gateway) serve(class string, handle func(*session) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		g.group.Add(1)
 		defer g.group.Done()
 		g.flight.Add(1)
 		defer g.flight.Add(-1)
-		s := &session{ResponseWriter: w, request: r, start: g.cfg.Now()}
+		s := &session{ResponseWriter: w, request: r, start: g.cfg.Now(), outcome: Outcome{Class: class}}
 		err := g.open(s)
 		if err == nil {
 			err = handle(s)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -31,7 +31,6 @@
 
 // service serves calls to plain services.
 func (g *Gateway) service(s *session) error {
-	s.outcome.Class = "service"
 	if err := g.isOpen(s); err != nil {
 		return err
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -106,6 +106,23 @@
 	return ready
 }
 
+// Count returns the number of targets by state. Targets that have expired
+// count as gone until they are forgotten.
+func (r *Registry) Count() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	counts := map[string]int{}
+	for _, e := range r.entries {
+		if e.isExpired(now) {
+			counts[Gone]++
+		} else {
+			counts[e.target.State]++
+		}
+	}
+	return counts
+}
+
 // Find returns the target of that name, or nil.
 func (r *Registry) Find(name string) *wire.Target {
 	r.mu.Lock()
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -2,83 +2,100 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/gateway"
+	"github.com/papayapond/papayapond/internal/wire"
 )
 
-// Objectives of the service level, in seconds. They are bucket bounds, so that
-// the part of requests within them can be read off exactly.
-const (
-	firstTokenObjective = 0.42
-	intervalObjective   = 0.049
-)
-
-// Config configures a Reporter.
+// Config configures a Reporter. Functions that are nil belong to parts that
+// this instance doesn't have; their metrics are left out.
 type Config struct {
-	// Gauges are read at each scrape.
-	Gauges map[string]func() float64
+	// Flight returns the number of requests in flight.
+	Flight func() int
+	// Version returns the version of the configuration in force, Stale tells
+	// whether no holder with a quorum has been heard lately.
+	Version func() uint64
+	Stale   func() bool
+	// Targets returns the number of targets of the zone by state.
+	Targets func() map[string]int
+	// Log returns whether this instance leads the log, the term and the index
+	// of the last committed entry.
+	Log func() (leads bool, term, index uint64)
+	// Violations returns the number of broken invariants since the start.
+	Violations func() uint64
+	// Tally returns the books of the zone for an account, Pool the state of
+	// its budget; both return nil if they don't know it.
+	Tally func(account string) *wire.Tally
+	Pool  func(account string) *wire.Pool
+	// Pinned returns the accounts that always have a label of their own.
+	Pinned func() []string
 }
 
 // Reporter holds the metrics of one instance. It is safe for concurrent use.
 type Reporter struct {
 	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	billed   prometheus.Counter
-	first    *prometheus.HistogramVec
-	interval *prometheus.HistogramVec
-	total    *prometheus.HistogramVec
+	ranking  *ranking
+	classes  classMetrics
+	accounts accountMetrics
+
+	reservations *prometheus.CounterVec
+	calls        *prometheus.CounterVec
+	callTime     *prometheus.HistogramVec
 }
 
 // New returns a reporter with all counts at zero.
 func New(cfg Config) *Reporter {
 	r := &Reporter{
-		registry: prometheus.NewRegistry(),
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "papayapond_requests_total", Help: "Requests of callers by class and answer code.",
-		}, []string{"class", "code"}),
-		billed: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "papayapond_billed_tokens_total", Help: "Tokens billed by this instance.",
-		}),
-		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "papayapond_first_token_seconds", Help: "Time to the first token that reached the caller.",
-			Buckets: []float64{0.01, 0.02, 0.05, 0.1, 0.2, firstTokenObjective, 1, 2, 5, 10, 30},
-		}, []string{"class"}),
-		interval: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "papayapond_token_interval_seconds", Help: "Time between two tokens of a stream.",
-			Buckets: []float64{0.002, 0.005, 0.01, 0.02, intervalObjective, 0.1, 0.2, 0.5, 1},
-		}, []string{"class"}),
-		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "papayapond_request_seconds", Help: "Time to the end of the answer.",
-			Buckets: []float64{0.01, 0.05, 0.1, 0.5, 1, 5, 10, 30, 60, 300},
-		}, []string{"class"}),
+		registry: prometheus.NewRegistry(), classes: newClassMetrics(), accounts: newAccountMetrics(),
+		reservations: counter("papayapond_reservations_total", "Reservations of tokens by outcome, ok or an error code.", "outcome"),
+		calls:        counter("papayapond_book_calls_total", "Round trips to holders by call and result, ok or an error code.", "call", "result"),
+		callTime:     histogram("papayapond_book_call_seconds", "Time of a round trip to a holder.", callBuckets, "call"),
 	}
-	r.registry.MustRegister(r.requests, r.billed, r.first, r.interval, r.total,
+	r.ranking = newRanking(cfg.Pinned, r.accounts.forget)
+	r.registry.MustRegister(r.reservations, r.calls, r.callTime,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	for name, read := range cfg.Gauges {
-		r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/metrics.md."}, read))
-	}
+	r.registry.MustRegister(r.classes.all()...)
+	r.registry.MustRegister(r.accounts.all()...)
+	r.registry.MustRegister(&stateCollector{cfg: cfg, labelled: r.ranking.labelled})
 	return r
 }
 
 // Observe counts an ended request.
 func (r *Reporter) Observe(o gateway.Outcome) {
-	r.requests.WithLabelValues(o.Class, o.Code).Inc()
-	r.billed.Add(float64(o.Billed))
-	r.total.WithLabelValues(o.Class).Observe(o.Total.Seconds())
-	if o.First > 0 {
-		r.first.WithLabelValues(o.Class).Observe(o.First.Seconds())
-	}
-	interval := r.interval.WithLabelValues(o.Class)
-	for _, d := range o.Between {
-		interval.Observe(d.Seconds())
-	}
+	r.classes.observe(o)
+	r.ranking.with(o.Account, func(label string) { r.accounts.observe(label, o) })
+}
+
+// Reserved counts the outcome of a reservation.
+func (r *Reporter) Reserved(err error) {
+	r.reservations.WithLabelValues(result(err, nil)).Inc()
+}
+
+// Called counts a round trip to a holder that started at the given time.
+func (r *Reporter) Called(call string, start time.Time, refused *wire.Fault, err error) {
+	r.calls.WithLabelValues(call, result(err, refused)).Inc()
+	r.callTime.WithLabelValues(call).Observe(time.Since(start).Seconds())
 }
 
 // Handler returns the handler for scrapes.
 func (r *Reporter) Handler() http.Handler {
 	return promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{Registry: r.registry})
 }
+
+// result returns the label for the outcome of a call. The codes are those of
+// the list in package fault, so that the label set is bounded.
+func result(err error, refused *wire.Fault) string {
+	switch {
+	case err != nil:
+		return fault.Of(err).Code()
+	case refused != nil:
+		return fault.Parse(refused.Code).Code()
+	}
+	return codeOK
+}
--- /dev/null
+++ b/internal/reporter/reporter_test.go
@@ -0,0 +1,123 @@
+package reporter
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/gateway"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// whole returns a reporter with all parts and at least one value in each
+// metric.
+func whole() *Reporter {
+	r := New(Config{
+		Flight: func() int { return 2 }, Version: func() uint64 { return 7 }, Stale: func() bool { return true },
+		Targets:    func() map[string]int { return map[string]int{"ready": 3} },
+		Log:        func() (bool, uint64, uint64) { return true, 4, 90 },
+		Violations: func() uint64 { return 1 },
+		Tally:      func(string) *wire.Tally { return &wire.Tally{Billed: 25} },
+		Pool:       func(string) *wire.Pool { return &wire.Pool{Prepaid: 1000} },
+		Pinned:     func() []string { return []string{"mill"} },
+	})
+	r.Observe(gateway.Outcome{Account: "mill", Class: "chat", Code: "ok", First: time.Millisecond, Between: []time.Duration{time.Millisecond}, Total: time.Second, Billed: 25})
+	r.Observe(gateway.Outcome{Account: "mill", Class: "chat", Code: fault.Exhausted.Code()})
+	r.Observe(gateway.Outcome{Class: "json", Code: fault.Unauthorized.Code()})
+	r.Reserved(nil)
+	r.Called("draw", time.Now(), &wire.Fault{Code: "made up"}, nil)
+	return r
+}
+
+func scrape(r *Reporter) string {
+	w := httptest.NewRecorder()
+	r.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return w.Body.String()
+}
+
+// It guards against figures under the wrong labels, and against codes from
+// other instances that make up new label values.
+func TestScrape(t *testing.T) {
+	got := scrape(whole())
+	for _, want := range []string{
+		`papayapond_requests_total{class="chat",code="ok",run="yes"} 1`,
+		`papayapond_requests_total{class="chat",code="exhausted",run="no"} 1`,
+		`papayapond_account_requests_total{account="(unknown)",code="unauthorized"} 1`,
+		`papayapond_budget_refusals_total{account="mill"} 1`,
+		`papayapond_billed_tokens_total{class="chat"} 25`,
+		`papayapond_reservations_total{outcome="ok"} 1`,
+		`papayapond_book_calls_total{call="draw",result="internal"} 1`,
+		`papayapond_targets{state="leaving"} 0`,
+		`papayapond_zone_tokens{account="mill",state="billed"} 25`,
+		`papayapond_budget_tokens{account="mill",state="prepaid"} 1000`,
+		`papayapond_configuration_stale 1`,
+		`papayapond_log_commit_index 90`,
+	} {
+		if !strings.Contains(got, want+"\n") {
+			t.Errorf("got no line %s", want)
+		}
+	}
+}
+
+// It guards against a number of series that grows with the accounts, and
+// against busy or pinned accounts that are lost among the others.
+func TestAccountsAreBounded(t *testing.T) {
+	r := New(Config{Pinned: func() []string { return []string{"pinned"} }})
+	for i := range 10 * maxAccounts {
+		r.Observe(gateway.Outcome{Account: fmt.Sprintf("small-%d", i), Class: "chat", Code: "ok"})
+	}
+	for range 2 * rankInterval {
+		r.Observe(gateway.Outcome{Account: "busy", Class: "chat", Code: "ok"})
+		r.Observe(gateway.Outcome{Account: "pinned", Class: "chat", Code: "ok"})
+	}
+	text := scrape(r)
+	if got, want := strings.Count(text, "papayapond_account_requests_total{"), maxAccounts+1; got != want {
+		t.Errorf("got %d series, want %d", got, want)
+	}
+	for _, want := range []string{`account="busy"`, `account="pinned"`, `account="(other)"`} {
+		if !strings.Contains(text, want) {
+			t.Errorf("got no series with %s", want)
+		}
+	}
+}
+
+// It guards against a page that names metrics which don't exist, or lacks
+// some.
+func TestPage(t *testing.T) {
+	r := whole()
+	families, err := r.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []string
+	for _, f := range families {
+		if !strings.HasPrefix(f.GetName(), "papayapond_") {
+			continue
+		}
+		var labels []string
+		for _, l := range f.GetMetric()[0].GetLabel() {
+			labels = append(labels, "`"+l.GetName()+"`")
+		}
+		kind := strings.ToLower(f.GetType().String())
+		want = append(want, fmt.Sprintf("| `%s` | %s | %s | %s |", f.GetName(), kind, strings.Join(labels, ", "), f.GetHelp()))
+	}
+	page, err := os.ReadFile("../../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for l := range strings.Lines(string(page)) {
+		if strings.HasPrefix(l, "| `papayapond_") {
+			got = append(got, strings.TrimSpace(l))
+		}
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("docs/metrics.md: got rows\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
