Report the burn rates of the objectives

Cause: nothing said how much of an objective's error budget is used up. Ruled out: reading only the instance at hand, and an estimate for instances that don't answer. What a missing instance counts is not known. Peers in the settings have an optional metrics address. Found on the way: an answer that arrives as a whole counted its whole time as the time to the first token, and apply showed its plan the wrong way round.

--- a/cmd/papayapond/main.go
+++ b/cmd/papayapond/main.go
@@ -23,6 +23,7 @@
 	Fleet     *fleetCommand     `arg:"subcommand:fleet" help:"show instances, targets and the control members"`
 	Statement *statementCommand `arg:"subcommand:statement" help:"show the books of one client account"`
 	Books     *booksCommand     `arg:"subcommand:books" help:"show the books of the venture"`
+	Burn      *burnCommand      `arg:"subcommand:burn" help:"report how fast the error budgets of the objectives are used up"`
 	Dissolve  *dissolveCommand  `arg:"subcommand:dissolve" help:"dissolve the venture and close its books"`
 }
 
--- a/cmd/papayapond/operate.go
+++ b/cmd/papayapond/operate.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	lines := next.Difference(current)
+	lines := current.Difference(next)
 	if len(lines) == 0 {
 		fmt.Println("Nothing changes.")
 	}
--- a/internal/daemon/part_report.go
+++ b/internal/daemon/part_report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"go.uber.org/fx"
@@ -88,8 +89,9 @@
 	return nil
 }
 
-// pinned returns a function for the accounts that the objectives of the
-// present configuration name. It reads each configuration once.
+// pinned returns a function for the accounts that always have a label: those
+// that the objectives of the present configuration name, and all if they are
+// few enough. It reads each configuration once.
 func pinned(current func() *configuration.Configuration) func() []string {
 	type entry struct {
 		configuration *configuration.Configuration
@@ -105,11 +107,17 @@
 			return e.names
 		}
 		e := &entry{configuration: c}
-		for _, o := range c.Venture().Objectives {
-			if o.Account != "" {
+		v := c.Venture()
+		for _, o := range v.Objectives {
+			if o.Account != "" && !slices.Contains(e.names, o.Account) {
 				e.names = append(e.names, o.Account)
 			}
 		}
+		for i := 0; i < len(v.Accounts) && len(v.Accounts) <= reporter.MaxAccounts; i++ {
+			if !slices.Contains(e.names, v.Accounts[i].Name) {
+				e.names = append(e.names, v.Accounts[i].Name)
+			}
+		}
 		last.Store(e)
 		return e.names
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,10 @@
 // Outcome holds the figures of one ended request for the metrics.
 type Outcome struct {
 	Account, Class, Code string
-	First, Total         time.Duration
+	// First is the time to the first token of a stream, 0 if there was none.
+	// An answer that arrives as a whole has no first token: its time depends
+	// on its length and would hide slow streams.
+	First, Total time.Duration
 	// Between are the times between tokens of a stream.
 	Between []time.Duration
 	Billed  int64
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -204,7 +204,6 @@
 	}
 	s.outcome.Code = "ok"
 	if r.media == "application/json" {
-		s.outcome.First = r.gateway.cfg.Now().Sub(s.start)
 		s.Header().Set("Content-Type", r.media)
 		s.WriteHeader(http.StatusOK)
 		_, _ = s.Write(r.last)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -54,7 +54,7 @@
 		ctx = context.WithoutCancel(ctx)
 		err = g.runClaimed(ctx, s, c)
 	} else {
-		err = g.send(ctx, s, c)
+		err = g.send(ctx, c)
 	}
 	if err != nil {
 		g.cfg.Cancel(ticket)
@@ -63,7 +63,7 @@
 	return g.settleCall(ctx, s, c, ticket)
 }
 
-func (g *Gateway) send(ctx context.Context, s *session, c *serviceCall) error {
+func (g *Gateway) send(ctx context.Context, c *serviceCall) error {
 	target, err := g.cfg.Do(ctx, c.job, func(_ *wire.Target, r *http.Response) (bool, error) {
 		answer, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
 		if err != nil {
@@ -73,7 +73,6 @@
 		return false, nil
 	})
 	c.target = target
-	s.outcome.First = g.cfg.Now().Sub(s.start)
 	return err
 }
 
--- a/internal/reporter/ranking.go
+++ b/internal/reporter/ranking.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// maxAccounts bounds the accounts with a label of their own. Each of them
+	// MaxAccounts bounds the accounts with a label of their own. Each of them
 	// costs about 30 series.
-	maxAccounts = 64
+	MaxAccounts = 64
 	// otherLabel stands for all other accounts, unknownLabel for requests
 	// without a known key. Neither is a name that only one account could have:
 	// the parentheses are not allowed in names of a configuration.
@@ -69,23 +69,23 @@
 	defer r.mu.Unlock()
 	names := maps.Clone(r.own)
 	pinned := r.pinned()
-	for _, n := range pinned[:min(len(pinned), maxAccounts)] {
+	for _, n := range pinned[:min(len(pinned), MaxAccounts)] {
 		names[n] = true
 	}
 	sorted := slices.Sorted(maps.Keys(names))
-	return sorted[:min(len(sorted), 2*maxAccounts)]
+	return sorted[:min(len(sorted), 2*MaxAccounts)]
 }
 
 // admit gives the account a label if there is room, if it is pinned, or if it
 // has far more requests than the least busy account that has one.
 func (r *ranking) admit(account string) {
 	count := r.counts[account]
-	if len(r.own) >= maxAccounts && count%rankInterval != 1 {
+	if len(r.own) >= MaxAccounts && count%rankInterval != 1 {
 		return
 	}
-	if len(r.own) >= maxAccounts {
+	if len(r.own) >= MaxAccounts {
 		pinned := r.pinned()
-		pinned = pinned[:min(len(pinned), maxAccounts)]
+		pinned = pinned[:min(len(pinned), MaxAccounts)]
 		least := ""
 		for name := range r.own {
 			if !slices.Contains(pinned, name) && (least == "" || r.counts[name] < r.counts[least]) {
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -69,7 +70,7 @@
 // against busy or pinned accounts that are lost among the others.
 func TestAccountsAreBounded(t *testing.T) {
 	r := New(Config{Pinned: func() []string { return []string{"pinned"} }})
-	for i := range 10 * maxAccounts {
+	for i := range 10 * MaxAccounts {
 		r.Observe(gateway.Outcome{Account: fmt.Sprintf("small-%d", i), Class: "chat", Code: "ok"})
 	}
 	for range 2 * rankInterval {
@@ -77,7 +78,7 @@
 		r.Observe(gateway.Outcome{Account: "pinned", Class: "chat", Code: "ok"})
 	}
 	text := scrape(r)
-	if got, want := strings.Count(text, "papayapond_account_requests_total{"), maxAccounts+1; got != want {
+	if got, want := strings.Count(text, "papayapond_account_requests_total{"), MaxAccounts+1; got != want {
 		t.Errorf("got %d series, want %d", got, want)
 	}
 	for _, want := range []string{`account="busy"`, `account="pinned"`, `account="(other)"`} {
@@ -107,6 +108,7 @@
 		kind := strings.ToLower(f.GetType().String())
 		want = append(want, fmt.Sprintf("| `%s` | %s | %s | %s |", f.GetName(), kind, strings.Join(labels, ", "), f.GetHelp()))
 	}
+	checkAlerts(t, strings.Join(want, "\n"))
 	page, err := os.ReadFile("../../docs/metrics.md")
 	if err != nil {
 		t.Fatal(err)
@@ -121,3 +123,20 @@
 		t.Errorf("docs/metrics.md: got rows\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
 	}
 }
+
+// checkAlerts reports metrics in the alert rules that don't exist.
+func checkAlerts(t *testing.T, rows string) {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/alerts.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range regexp.MustCompile(`papayapond_[a-z_]+`).FindAllString(string(page), -1) {
+		for _, suffix := range []string{"_bucket", "_count", "_sum"} {
+			name = strings.TrimSuffix(name, suffix)
+		}
+		if !strings.Contains(rows, "`"+name+"`") {
+			t.Errorf("docs/alerts.md: there is no metric %s", name)
+		}
+	}
+}
--- a/internal/reporter/request.go
+++ b/internal/reporter/request.go
@@ -45,7 +45,7 @@
 	return classMetrics{
 		requests: counter("papayapond_requests_total", "Requests of callers by class, answer code and run value.", "class", "code", "run"),
 		billed:   counter("papayapond_billed_tokens_total", "Tokens billed by this instance.", "class"),
-		first:    histogram("papayapond_first_token_seconds", "Time to the first token that reached the caller.", firstBuckets, "class"),
+		first:    histogram("papayapond_first_token_seconds", "Time to the first token of a stream that reached the caller.", firstBuckets, "class"),
 		interval: histogram("papayapond_token_interval_seconds", "Time between two tokens of a stream.", intervalBuckets, "class"),
 		total:    histogram("papayapond_request_seconds", "Time to the end of the answer.", totalBuckets, "class"),
 	}
@@ -85,7 +85,7 @@
 		requests: counter("papayapond_account_requests_total", "Requests by client account and answer code.", label, "code"),
 		refusals: counter("papayapond_budget_refusals_total", "Requests refused for budget by client account.", label),
 		billed:   counter("papayapond_account_billed_tokens_total", "Tokens billed by this instance by client account.", label),
-		first:    histogram("papayapond_account_first_token_seconds", "Time to the first token by client account.", firstBuckets, label),
+		first:    histogram("papayapond_account_first_token_seconds", "Time to the first token of a stream by client account.", firstBuckets, label),
 		interval: histogram("papayapond_account_token_interval_seconds", "Time between two tokens by client account.", intervalBuckets, label),
 	}
 }
@@ -119,8 +119,7 @@
 	if o.First > 0 {
 		first.WithLabelValues(label).Observe(o.First.Seconds())
 	}
-	between := interval.WithLabelValues(label)
 	for _, d := range o.Between {
-		between.Observe(d.Seconds())
+		interval.WithLabelValues(label).Observe(d.Seconds())
 	}
 }
--- a/internal/sampler/sampler.go
+++ b/internal/sampler/sampler.go
@@ -96,7 +96,7 @@
 	}
 	fmt.Fprintf(&b, "disk = %v\ndrain = \"30s\"\nlevel = \"info\"\nbootstrap = %q\n", own.disk, hash(OperatorKey))
 	for n, p := range s.instances {
-		fmt.Fprintf(&b, "\n[[peers]]\nname = %q\nzone = %q\naddress = %q\ndisk = %v\n", p.name, p.zone, s.cfg.Peer(i, n), p.disk)
+		fmt.Fprintf(&b, "\n[[peers]]\nname = %q\nzone = %q\naddress = %q\nmetrics = %q\ndisk = %v\n", p.name, p.zone, s.cfg.Peer(i, n), s.cfg.Address(n, 3), p.disk)
 	}
 	return []byte(b.String())
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,11 +44,14 @@
 	// Bootstrap is the hash of the operator key that is valid until the first
 	// configuration is accepted, as salt:hash in hex.
 	Bootstrap string `toml:"bootstrap"`
-	// Peers are all instances of the fleet, this one included.
+	// Peers are all instances of the fleet, this one included. Metrics is the
+	// address for metrics of a peer, for reports over the fleet; it may be
+	// empty.
 	Peers []struct {
 		Name    string `toml:"name"`
 		Zone    string `toml:"zone"`
 		Address string `toml:"address"`
+		Metrics string `toml:"metrics"`
 		Disk    bool   `toml:"disk"`
 	} `toml:"peers"`
 	// TLS holds the files for mutual TLS between instances. Without them only
@@ -179,6 +182,9 @@
 		} else if !secure && !isLoopback(p.Address) {
 			add("peers", "%s: address %q is not on loopback, expected [tls] files", p.Name, p.Address)
 		}
+		if p.Metrics != "" && !isAddress(p.Metrics) {
+			add("peers", "%s: metrics %q, expected an IP address and a port", p.Name, p.Metrics)
+		}
 		if p.Disk {
 			if other, ok := disks[p.Zone]; ok {
 				add("peers", "zone %s has two holders, %s and %s, expected one", p.Zone, other, p.Name)
