Change the log level at run time and trace requests

Cause: a fault in a running instance could only be looked into after a restart with another level, and the lines of one request could not be found: the attempts of a keyed request have an identity of their own, and member lines had the field instance twice. Ruled out: the metrics address for the level, since anyone may read that one. Change: GET and PUT /v1/level for operators, papayapond level; debug lines with the caller's identity from the entry instance, the holder and the control member; the other instance is the field peer. The texts of targets that refuse a request or report an error are left out of errors and logs, because they may quote the prompt. Conclusion: debug can be switched on while the fleet serves.

--- a/cmd/papayapond/demo.go
+++ b/cmd/papayapond/demo.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := demo.New(demo.Config{Data: c.Data, Zones: []int{1, 1, 1}, Budget: sampleBudget, Logger: log.Logger})
+	d, err := demo.New(demo.Config{Data: c.Data, Zones: []int{1, 1, 1}, Budget: sampleBudget, Logger: log.Logger, Level: &log.Level})
 	if err != nil {
 		return err
 	}
--- a/cmd/papayapond/main.go
+++ b/cmd/papayapond/main.go
@@ -24,6 +24,7 @@
 	Statement *statementCommand `arg:"subcommand:statement" help:"show the books of one client account"`
 	Books     *booksCommand     `arg:"subcommand:books" help:"show the books of the venture"`
 	Burn      *burnCommand      `arg:"subcommand:burn" help:"report how fast the error budgets of the objectives are used up"`
+	Level     *levelCommand     `arg:"subcommand:level" help:"show or change the log level of an instance"`
 	Dissolve  *dissolveCommand  `arg:"subcommand:dissolve" help:"dissolve the venture and close its books"`
 }
 
--- a/cmd/papayapond/operate.go
+++ b/cmd/papayapond/operate.go
@@ -213,6 +213,20 @@
 	return c.show(ctx, http.MethodGet, "/v1/books", nil)
 }
 
+type levelCommand struct {
+	remote
+	Level string `arg:"positional" help:"debug, info, warn or error; shows the present level without it"`
+}
+
+func (c *levelCommand) run(ctx context.Context) error {
+	if c.Level == "" {
+		return c.show(ctx, http.MethodGet, "/v1/level", nil)
+	}
+	return c.show(ctx, http.MethodPut, "/v1/level", struct {
+		Level string `json:"level"`
+	}{c.Level})
+}
+
 type dissolveCommand struct {
 	remote
 	Confirm bool `arg:"--confirm" help:"required: a dissolution can't be undone"`
--- a/cmd/papayapond/serve.go
+++ b/cmd/papayapond/serve.go
@@ -29,7 +29,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	d, err := daemon.New(daemon.Config{Settings: s, Logger: log.With(zap.String("instance", s.Name))})
+	d, err := daemon.New(daemon.Config{Settings: s, Logger: log.With(zap.String("instance", s.Name)), Level: &log.Level})
 	if err != nil {
 		return err
 	}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/papayapond/papayapond/internal/configuration"
@@ -57,9 +58,20 @@
 	if err := proto.Unmarshal(result, &reply); err != nil {
 		return nil, eris.Wrapf(fault.Internal, "result of command %d can't be decoded", index)
 	}
+	c.trace(command, index, reply.Fault)
 	return &reply, nil
 }
 
+// trace writes a debug line for a command that belongs to a caller's request.
+func (c *Controller) trace(command *wire.Command, index uint64, refused *wire.Fault) {
+	if m := command.GetClaim(); m != nil {
+		c.config.Logger.Debug("Claim committed.", zap.String("request", m.Request), zap.String("account", m.Account), zap.String("entry", m.Instance), zap.Uint64("index", index), zap.String("fault", refused.GetCode()))
+	}
+	if m := command.GetResolve(); m != nil {
+		c.config.Logger.Debug("Outcome committed.", zap.String("request", m.Request), zap.String("account", m.Account), zap.String("entry", m.Instance), zap.Uint64("index", index), zap.String("fault", refused.GetCode()))
+	}
+}
+
 // Read returns the state, linearizable unless stale is set.
 func (c *Controller) Read(ctx context.Context, r *wire.ReadRequest) (*wire.ReadReply, error) {
 	if !r.Stale {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,9 @@
 type Config struct {
 	Settings settings.Settings
 	Logger   *zap.Logger
+	// Level is the level of the logger, which operators can change; nil if
+	// they can't.
+	Level *zap.AtomicLevel
 	// Listen replaces net.Listen if it isn't nil.
 	Listen func(network, address string) (net.Listener, error)
 }
@@ -59,6 +62,7 @@
 type builder struct {
 	settings settings.Settings
 	logger   *zap.Logger
+	level    *zap.AtomicLevel
 	listen   func(network, address string) (net.Listener, error)
 	tls      *tls.Config
 	mux      *drpcmux.Mux
@@ -82,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &builder{settings: s, logger: cfg.Logger, listen: cfg.Listen, tls: secure, mux: drpcmux.New()}
+	b := &builder{settings: s, logger: cfg.Logger, level: cfg.Level, listen: cfg.Listen, tls: secure, mux: drpcmux.New()}
 	parts := []fx.Option{b.dialer(), b.peerServer(), b.registry(), b.blocker()}
 	if s.Disk {
 		parts = append(parts, b.controller(), b.replicator())
--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -197,6 +197,7 @@
 				})
 			},
 			Zones:  b.zones(),
+			Level:  b.level,
 			Logger: k.Logger("operator"),
 		}
 		var handler http.Handler = operator.New(cfg)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -39,6 +39,9 @@
 	// Budget is the prepaid budget of each account, in tokens.
 	Budget int64
 	Logger *zap.Logger
+	// Level is the level of the logger, shared by all instances; nil if
+	// operators can't change it.
+	Level *zap.AtomicLevel
 }
 
 // Demo is a running fleet.
@@ -94,7 +97,7 @@
 		if err != nil {
 			return err
 		}
-		built, err := daemon.New(daemon.Config{Settings: s, Logger: d.cfg.Logger.With(zap.String("instance", s.Name)), Listen: d.listen})
+		built, err := daemon.New(daemon.Config{Settings: s, Logger: d.cfg.Logger.With(zap.String("instance", s.Name)), Level: d.cfg.Level, Listen: d.listen})
 		if err != nil {
 			return err
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -56,6 +56,9 @@
 type Job struct {
 	// Request is the identity of the request.
 	Request string
+	// Identity is the identity that the caller knows. It stands in log lines,
+	// so that all lines of a request can be found with it.
+	Identity string
 	// Model or Service is what the target must serve.
 	Model, Service string
 	// Allowed tells whether the account may use a target.
@@ -122,6 +125,7 @@
 		}
 		failed[target.Name] = true
 		a := attempt{job: job, target: target, number: n}
+		d.cfg.Logger.Debug("Attempt starts.", zap.String("request", job.Identity), zap.String("attempt", a.id()), zap.String("target", target.Name), zap.String("address", target.Address))
 		relayed, err := d.run(ctx, &a, consume)
 		switch {
 		case err == nil:
@@ -137,7 +141,7 @@
 		}
 		sent = sent || a.sent.Load()
 		last = err
-		d.cfg.Logger.Info("Attempt failed.", zap.String("request", job.Request), zap.String("target", target.Name), zap.Int("attempt", n), zap.String("cause", err.Error()))
+		d.cfg.Logger.Info("Attempt failed.", zap.String("request", job.Identity), zap.String("target", target.Name), zap.String("attempt", a.id()), zap.String("cause", err.Error()))
 		if !sleep(ctx, pause.NextBackOff()) {
 			return "", refuse(fault.Expired, sent, last)
 		}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/estimator"
@@ -54,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	g.trace(s, "Tokens reserved.", zap.Int64("tokens", c.bound()))
 	return g.run(s, c, ticket)
 }
 
@@ -81,7 +83,7 @@
 	}
 	relay := &relay{gateway: g, session: s, completion: c, reserved: ticket}
 	job := dispatcher.Job{
-		Request: s.identity, Model: c.model, Method: http.MethodPost, Path: "/v1/chat/completions",
+		Request: s.identity, Identity: s.identity, Model: c.model, Method: http.MethodPost, Path: "/v1/chat/completions",
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Digest: s.digest, Repeatable: true,
 		Allowed: g.allowed(s),
 	}
--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -33,6 +33,7 @@
 	}
 	resolve := &wire.Resolve{Account: claim.Account, Request: claim.Request, Instance: claim.Instance, Incarnation: claim.Incarnation, Attempt: claim.Attempt}
 	result, err := g.claim(ctx, claim)
+	g.trace(s, "Claim proposed.", zap.Bool("granted", result.GetGranted()), zap.Error(err))
 	switch {
 	case err != nil:
 		g.abandon(resolve)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,6 +179,7 @@
 		}
 		s.outcome.Account = s.account.Name
 		s.outcome.Total = g.cfg.Now().Sub(s.start)
+		g.trace(s, "Request ended.", zap.String("code", s.outcome.Code), zap.Int64("billed", s.outcome.Billed), zap.Duration("total", s.outcome.Total))
 		if g.cfg.Observe != nil && s.outcome.Class != "" {
 			g.cfg.Observe(s.outcome)
 		}
@@ -199,6 +200,9 @@
 		return err
 	}
 	s.account = owner
+	defer func() {
+		g.trace(s, "Request arrived.", zap.String("path", s.request.URL.Path), zap.Bool("keyed", s.key != ""))
+	}()
 	if key := s.request.Header.Get("Idempotency-Key"); key != "" {
 		if len(key) > 200 {
 			return eris.Wrap(fault.Malformed, "Idempotency-Key is longer than 200 bytes")
@@ -208,6 +212,14 @@
 	return nil
 }
 
+// trace writes a debug line that belongs to a request. The lines of one
+// request on all instances have the same identity in the field request.
+func (g *Gateway) trace(s *session, text string, fields ...zap.Field) {
+	if entry := g.cfg.Logger.Check(zap.DebugLevel, text); entry != nil {
+		entry.Write(append(fields, zap.String("request", s.identity), zap.String("account", s.account.Name))...)
+	}
+}
+
 // isOpen tells whether the venture takes new work at this time.
 func (g *Gateway) isOpen(s *session) error {
 	v := s.config.Venture()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
@@ -56,8 +57,9 @@
 	r.target = target.Name
 	r.status = response.StatusCode
 	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, 1024))
-		return false, eris.Wrapf(fault.Malformed, "target %s answered %d: %s", target.Name, response.StatusCode, text)
+		// The text of the target may quote the prompt, which must not get into
+		// logs.
+		return false, eris.Wrapf(fault.Malformed, "target %s answered %d", target.Name, response.StatusCode)
 	}
 	if !r.completion.stream {
 		return false, r.consumeJSON(response.Body)
@@ -78,7 +80,7 @@
 		} `json:"choices"`
 	}
 	if err := json.Unmarshal(text, &answer); err != nil {
-		return eris.Errorf("answer: %v", err)
+		return eris.New("answer is not valid JSON")
 	}
 	if answer.Usage == nil || len(answer.Choices) == 0 || answer.Choices[0].Finish == nil {
 		return eris.New("answer is not whole")
@@ -113,10 +115,10 @@
 			} `json:"choices"`
 		}
 		if err := json.Unmarshal(data, &event); err != nil {
-			return eris.Errorf("event: %v", err)
+			return eris.New("event is not valid JSON")
 		}
 		if event.Error != nil {
-			return eris.Errorf("target reported an error: %s", event.Error)
+			return eris.New("target reported an error")
 		}
 		if event.Usage != nil {
 			r.usage, r.last = *event.Usage, bytes.Clone(data)
@@ -193,6 +195,7 @@
 	if err != nil {
 		return err
 	}
+	r.gateway.trace(s, "Bill settled.", zap.Stringer("outcome", outcome), zap.Int64("amount", bill.Amount))
 	switch outcome {
 	case wire.Outcome_OUTCOME_BILLED:
 		s.outcome.Billed = bill.Amount
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/fault"
@@ -48,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	g.trace(s, "Tokens reserved.", zap.Int64("tokens", c.service.Price))
 	ctx := s.request.Context()
 	if !c.repeatable {
 		// A claimed call runs to its end, so that its outcome is recorded.
@@ -90,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	g.trace(s, "Bill settled.", zap.Stringer("outcome", outcome), zap.Int64("amount", bill.Amount))
 	switch outcome {
 	case wire.Outcome_OUTCOME_BILLED, wire.Outcome_OUTCOME_DUPLICATE:
 	case wire.Outcome_OUTCOME_CONFLICT:
@@ -145,7 +148,7 @@
 		}
 	}
 	c.job = dispatcher.Job{
-		Request: s.identity, Service: svc.Name, Method: s.request.Method, Path: where, Header: header, Body: body,
+		Request: s.identity, Identity: s.identity, Service: svc.Name, Method: s.request.Method, Path: where, Header: header, Body: body,
 		Digest: s.digest, Repeatable: c.repeatable, Allowed: g.allowed(s),
 	}
 	return c, nil
--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -91,6 +91,7 @@
 		if err != nil {
 			return &wire.SettleReply{Fault: wireFault(err)}, nil
 		}
+		h.trace(request, reply.Outcomes)
 		if h.progress.wait(ctx, reply.Position) {
 			h.cfg.Logger.Warn("solo mode begins, no copy within 200 ms", zap.Uint64("position", reply.Position))
 		}
@@ -103,6 +104,17 @@
 	return reply, nil
 }
 
+// trace writes a debug line for each bill.
+func (h *Holder) trace(request *wire.SettleRequest, outcomes []wire.Outcome) {
+	if !h.cfg.Logger.Core().Enabled(zap.DebugLevel) {
+		return
+	}
+	for i, b := range request.Bills {
+		h.cfg.Logger.Debug("bill stored", zap.String("request", b.Request), zap.String("account", b.Account), zap.String("entry", request.Holding.GetInstance()),
+			zap.Int64("amount", b.Amount), zap.Stringer("outcome", outcomes[i]))
+	}
+}
+
 // Find tells what is known about an identity.
 func (h *Holder) Find(_ context.Context, request *wire.FindRequest) (*wire.FindReply, error) {
 	l, err := h.open()
@@ -110,6 +122,7 @@
 		return &wire.FindReply{Fault: wireFault(err)}, nil
 	}
 	bill, conflict := l.Find(request.Account, request.Request, request.Digest)
+	h.cfg.Logger.Debug("identity looked up", zap.String("request", request.Request), zap.String("account", request.Account), zap.Bool("known", bill != nil || conflict))
 	return &wire.FindReply{Known: bill != nil || conflict, Bill: bill, Conflict: conflict}, nil
 }
 
--- a/internal/member/check.go
+++ b/internal/member/check.go
@@ -84,9 +84,9 @@
 		return
 	}
 	if err := m.cfg.Fence(p.info.Name, p.info.Incarnation); err != nil {
-		m.cfg.Logger.Error("Fencing failed.", zap.String("instance", p.info.Name), zap.Error(err))
+		m.cfg.Logger.Error("Fencing failed.", zap.String("peer", p.info.Name), zap.Error(err))
 		return
 	}
 	p.fenced = p.info.Incarnation
-	m.cfg.Logger.Warn("Instance is silent. Incarnation fenced.", zap.String("instance", p.info.Name), zap.String("state", p.info.State), zap.Uint64("incarnation", p.info.Incarnation))
+	m.cfg.Logger.Warn("Instance is silent. Incarnation fenced.", zap.String("peer", p.info.Name), zap.String("state", p.info.State), zap.Uint64("incarnation", p.info.Incarnation))
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -140,7 +140,7 @@
 		state = Draining
 	}
 	if p.info.Incarnation != r.Incarnation {
-		m.cfg.Logger.Info("Instance joined.", zap.String("instance", r.Instance), zap.String("zone", r.Zone), zap.Uint64("incarnation", r.Incarnation))
+		m.cfg.Logger.Info("Instance joined.", zap.String("peer", r.Instance), zap.String("zone", r.Zone), zap.Uint64("incarnation", r.Incarnation))
 	}
 	p.info = &wire.Peer{Name: r.Instance, Zone: r.Zone, Incarnation: r.Incarnation, State: state, Version: r.Version, Address: r.Address, Public: r.Public, Flight: r.Flight}
 	p.seen, p.local = now, true
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,7 +34,9 @@
 	// List asks a holder for all instances and targets.
 	List func(ctx context.Context) (*wire.ListReply, error)
 	// Zones are the zones that have a holder.
-	Zones  []string
+	Zones []string
+	// Level is the log level of the instance; nil if it can't be changed.
+	Level  *zap.AtomicLevel
 	Logger *zap.Logger
 }
 
@@ -55,6 +57,7 @@
 	o.mux.HandleFunc("/v1/books", o.serve(o.books)).Methods(http.MethodGet)
 	o.mux.HandleFunc("/v1/dissolution", o.serve(o.dissolve)).Methods(http.MethodPost)
 	o.mux.HandleFunc("/v1/orders", o.serve(o.order)).Methods(http.MethodPost)
+	o.mux.HandleFunc("/v1/level", o.serve(o.level)).Methods(http.MethodGet, http.MethodPut)
 	return o
 }
 
