--- a/cmd/papayapond/operate.go
+++ b/cmd/papayapond/operate.go
@@ -54,6 +54,9 @@
 func (c *checkCommand) run(context.Context) error {
 	if c.Settings {
 		_, err := settings.Read(c.File)
+		if err == nil {
+			fmt.Println("The settings are valid.")
+		}
 		return err
 	}
 	_, err := readConfiguration(c.File)
