--- a/cmd/papayapond/main.go
+++ b/cmd/papayapond/main.go
@@ -25,6 +25,7 @@
 	Books     *booksCommand     `arg:"subcommand:books" help:"show the books of the venture"`
 	Burn      *burnCommand      `arg:"subcommand:burn" help:"report how fast the error budgets of the objectives are used up"`
 	Level     *levelCommand     `arg:"subcommand:level" help:"show or change the log level of an instance"`
+	Errors    *errorsCommand    `arg:"subcommand:errors" help:"print the page of all error codes"`
 	Dissolve  *dissolveCommand  `arg:"subcommand:dissolve" help:"dissolve the venture and close its books"`
 }
 
--- a/cmd/papayapond/operate.go
+++ b/cmd/papayapond/operate.go
@@ -230,6 +230,13 @@
 	}{c.Level})
 }
 
+type errorsCommand struct{}
+
+func (c *errorsCommand) run(context.Context) error {
+	_, err := os.Stdout.Write(fault.Page())
+	return eris.Wrap(err, "print")
+}
+
 type dissolveCommand struct {
 	remote
 	Confirm bool `arg:"--confirm" help:"required: a dissolution can't be undone"`
