--- a/cmd/papayapond/operate.go
+++ b/cmd/papayapond/operate.go
@@ -54,6 +54,9 @@
 func (c *checkCommand) run(context.Context) error {
 	if c.Settings {
 		_, err := settings.Read(c.File)
+		if err == nil {
+			fmt.Println("The settings are valid.")
+		}
 		return err
 	}
 	_, err := readConfiguration(c.File)
@@ -118,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	lines := next.Difference(current)
+	lines := current.Difference(next)
 	if len(lines) == 0 {
 		fmt.Println("Nothing changes.")
 	}
@@ -213,6 +216,27 @@
 	return c.show(ctx, http.MethodGet, "/v1/books", nil)
 }
 
+type levelCommand struct {
+	remote
+	Level string `arg:"positional" help:"debug, info, warn or error; shows the present level without it"`
+}
+
+func (c *levelCommand) run(ctx context.Context) error {
+	if c.Level == "" {
+		return c.show(ctx, http.MethodGet, "/v1/level", nil)
+	}
+	return c.show(ctx, http.MethodPut, "/v1/level", struct {
+		Level string `json:"level"`
+	}{c.Level})
+}
+
+type errorsCommand struct{}
+
+func (c *errorsCommand) run(context.Context) error {
+	_, err := os.Stdout.Write(fault.Page())
+	return eris.Wrap(err, "print")
+}
+
 type dissolveCommand struct {
 	remote
 	Confirm bool `arg:"--confirm" help:"required: a dissolution can't be undone"`
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/estimator"
@@ -33,7 +34,6 @@
 
 // chat serves POST /v1/chat/completions.
 func (g *Gateway) chat(s *session) error {
-	s.outcome.Class = "json"
 	if err := g.isOpen(s); err != nil {
 		return err
 	}
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	g.trace(s, "Tokens reserved.", zap.Int64("tokens", c.bound()))
 	return g.run(s, c, ticket)
 }
 
@@ -82,7 +83,7 @@
 	}
 	relay := &relay{gateway: g, session: s, completion: c, reserved: ticket}
 	job := dispatcher.Job{
-		Request: s.identity, Model: c.model, Method: http.MethodPost, Path: "/v1/chat/completions",
+		Request: s.identity, Identity: s.identity, Model: c.model, Method: http.MethodPost, Path: "/v1/chat/completions",
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Digest: s.digest, Repeatable: true,
 		Allowed: g.allowed(s),
 	}
@@ -222,7 +223,7 @@
 	if c.stream {
 		c.class = "stream"
 	}
-	if class := s.request.Header.Get("X-Class"); isClass(class) {
+	if class := strings.ToLower(s.request.Header.Get("X-Class")); isClass(class) {
 		c.class = class
 	}
 	return c, nil
@@ -250,7 +251,7 @@
 var priorities = map[string]int{"chat": 0, "tag": 0, "stream": 1, "json": 1, "quote": 2, "sheet": 2}
 
 func isClass(class string) bool {
-	_, ok := priorities[strings.ToLower(class)]
+	_, ok := priorities[class]
 	return ok
 }
 
--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -33,6 +33,7 @@
 	}
 	resolve := &wire.Resolve{Account: claim.Account, Request: claim.Request, Instance: claim.Instance, Incarnation: claim.Incarnation, Attempt: claim.Attempt}
 	result, err := g.claim(ctx, claim)
+	g.trace(s, "Claim proposed.", zap.Bool("granted", result.GetGranted()), zap.Error(err))
 	switch {
 	case err != nil:
 		g.abandon(resolve)
@@ -44,7 +45,7 @@
 	case !result.Granted:
 		return eris.Wrapf(fault.Uncertain, "an earlier attempt on instance %s has no outcome yet; ask GET /v1/requests/%s", result.Instance, s.key)
 	}
-	if err := g.send(ctx, s, c); err != nil {
+	if err := g.send(ctx, c); err != nil {
 		if fault.Of(err).Run() == "no" && !g.resolve(ctx, resolve) {
 			g.abandon(resolve)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,10 @@
 // Outcome holds the figures of one ended request for the metrics.
 type Outcome struct {
 	Account, Class, Code string
-	First, Total         time.Duration
+	// First is the time to the first token of a stream, 0 if there was none.
+	// An answer that arrives as a whole has no first token: its time depends
+	// on its length and would hide slow streams.
+	First, Total time.Duration
 	// Between are the times between tokens of a stream.
 	Between []time.Duration
 	Billed  int64
@@ -104,10 +107,10 @@
 		cfg.Now = time.Now
 	}
 	g := &Gateway{cfg: cfg, mux: mux.NewRouter().UseEncodedPath(), client: &http.Client{Timeout: time.Second}, abandoned: map[string]*wire.Resolve{}}
-	g.mux.HandleFunc("/v1/chat/completions", g.serve(g.chat)).Methods(http.MethodPost)
-	g.mux.HandleFunc("/v1/services/{name}/{path:.*}", g.serve(g.service))
-	g.mux.HandleFunc("/v1/models", g.serve(g.models)).Methods(http.MethodGet)
-	g.mux.HandleFunc("/v1/requests/{key}", g.serve(g.request)).Methods(http.MethodGet)
+	g.mux.HandleFunc("/v1/chat/completions", g.serve("json", g.chat)).Methods(http.MethodPost)
+	g.mux.HandleFunc("/v1/services/{name}/{path:.*}", g.serve("service", g.service))
+	g.mux.HandleFunc("/v1/models", g.serve("", g.models)).Methods(http.MethodGet)
+	g.mux.HandleFunc("/v1/requests/{key}", g.serve("", g.request)).Methods(http.MethodGet)
 	g.mux.HandleFunc("/v1/targets", g.announce).Methods(http.MethodPost)
 	g.mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	g.mux.HandleFunc("/readyz", g.ready)
@@ -170,14 +173,16 @@
 	started       bool // the status line has been written
 }
 
-// serve authenticates a caller, opens the session and answers its error.
-func (g *Gateway) serve(handle func(*session) error) http.HandlerFunc {
+// serve authenticates a caller, opens the session and answers its error. The
+// class counts until the request has been read; requests without one are not
+// observed.
+func (g *Gateway) serve(class string, handle func(*session) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		g.group.Add(1)
 		defer g.group.Done()
 		g.flight.Add(1)
 		defer g.flight.Add(-1)
-		s := &session{ResponseWriter: w, request: r, start: g.cfg.Now()}
+		s := &session{ResponseWriter: w, request: r, start: g.cfg.Now(), outcome: Outcome{Class: class}}
 		err := g.open(s)
 		if err == nil {
 			err = handle(s)
@@ -187,6 +192,7 @@
 		}
 		s.outcome.Account = s.account.Name
 		s.outcome.Total = g.cfg.Now().Sub(s.start)
+		g.trace(s, "Request ended.", zap.String("code", s.outcome.Code), zap.Int64("billed", s.outcome.Billed), zap.Duration("total", s.outcome.Total))
 		if g.cfg.Observe != nil && s.outcome.Class != "" {
 			g.cfg.Observe(s.outcome)
 		}
@@ -207,6 +213,9 @@
 		return err
 	}
 	s.account = owner
+	defer func() {
+		g.trace(s, "Request arrived.", zap.String("path", s.request.URL.Path), zap.Bool("keyed", s.key != ""))
+	}()
 	if key := s.request.Header.Get("Idempotency-Key"); key != "" {
 		if len(key) > 200 {
 			return eris.Wrap(fault.Malformed, "Idempotency-Key is longer than 200 bytes")
@@ -216,6 +225,14 @@
 	return nil
 }
 
+// trace writes a debug line that belongs to a request. The lines of one
+// request on all instances have the same identity in the field request.
+func (g *Gateway) trace(s *session, text string, fields ...zap.Field) {
+	if entry := g.cfg.Logger.Check(zap.DebugLevel, text); entry != nil {
+		entry.Write(append(fields, zap.String("request", s.identity), zap.String("account", s.account.Name))...)
+	}
+}
+
 // isOpen tells whether the venture takes new work at this time.
 func (g *Gateway) isOpen(s *session) error {
 	v := s.config.Venture()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/fault"
@@ -31,7 +32,6 @@
 
 // service serves calls to plain services.
 func (g *Gateway) service(s *session) error {
-	s.outcome.Class = "service"
 	if err := g.isOpen(s); err != nil {
 		return err
 	}
@@ -49,13 +49,14 @@
 	if err != nil {
 		return err
 	}
+	g.trace(s, "Tokens reserved.", zap.Int64("tokens", c.service.Price))
 	ctx := s.request.Context()
 	if !c.repeatable {
 		// A claimed call runs to its end, so that its outcome is recorded.
 		ctx = context.WithoutCancel(ctx)
 		err = g.runClaimed(ctx, s, c)
 	} else {
-		err = g.send(ctx, s, c)
+		err = g.send(ctx, c)
 	}
 	if err != nil {
 		g.cfg.Cancel(ticket)
@@ -64,7 +65,7 @@
 	return g.settleCall(ctx, s, c, ticket)
 }
 
-func (g *Gateway) send(ctx context.Context, s *session, c *serviceCall) error {
+func (g *Gateway) send(ctx context.Context, c *serviceCall) error {
 	target, err := g.cfg.Do(ctx, c.job, func(_ *wire.Target, r *http.Response) (bool, error) {
 		answer, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
 		if err != nil {
@@ -74,7 +75,6 @@
 		return false, nil
 	})
 	c.target = target
-	s.outcome.First = g.cfg.Now().Sub(s.start)
 	return err
 }
 
@@ -92,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	g.trace(s, "Bill settled.", zap.Stringer("outcome", outcome), zap.Int64("amount", bill.Amount))
 	switch outcome {
 	case wire.Outcome_OUTCOME_BILLED, wire.Outcome_OUTCOME_DUPLICATE:
 	case wire.Outcome_OUTCOME_CONFLICT:
@@ -147,7 +148,7 @@
 		}
 	}
 	c.job = dispatcher.Job{
-		Request: s.identity, Service: svc.Name, Method: s.request.Method, Path: where, Header: header, Body: body,
+		Request: s.identity, Identity: s.identity, Service: svc.Name, Method: s.request.Method, Path: where, Header: header, Body: body,
 		Digest: s.digest, Repeatable: c.repeatable, Allowed: g.allowed(s),
 	}
 	return c, nil
