Admit a bounded number of requests per model, fairly between accounts

Cause: the gateway sent every request to the targets at once. Beyond the capacity all queues grew in the engines, in the order of arrival, and a large account could fill them.

Ruled out: a strict order of classes, since a steady flow of chats would starve drafts; a fixed limit per instance, since the balancer gives the instances unequal parts of the traffic.

Change: package admitter, wired into the daemon. Classes share the admissions by 16:4:1, the accounts of a class by their weights (stride scheduling). A request whose expected wait exceeds its deadline is refused at once as overloaded, with the expected wait as Retry-After; it has not been sent.

The class of the header X-Class is now compared in lower case throughout: a value such as "Chat" was accepted, but had no priority at the engine.

Conclusion: TestBurst counts at the engine that refused requests were not sent.

--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,129 @@
+package admitter
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// fixed returns an admitter before one busy target, shared by two instances.
+func fixed(slots uint32, wait time.Duration) *Admitter {
+	target := &wire.Target{Name: "e", Models: []string{"m"}, Slots: slots, Running: slots}
+	return New(Config{
+		Ready:     func(string, string, string) []*wire.Target { return []*wire.Target{target} },
+		Instances: func(string) int { return 2 },
+		Wait:      map[string]time.Duration{"chat": wait, "quote": wait},
+	})
+}
+
+// More requests than this instance's share of the slots must not be in flight,
+// and a request that gave up must not take a place.
+func TestLimit(t *testing.T) {
+	a := fixed(4, 20*time.Millisecond)
+	var releases []func()
+	for range 2 {
+		release, err := a.Admit(t.Context(), "m", "a", 1, "chat")
+		if err != nil {
+			t.Fatal(err)
+		}
+		releases = append(releases, release)
+	}
+	_, err := a.Admit(t.Context(), "m", "a", 1, "chat")
+	var retry interface{ RetryAfter() time.Duration }
+	if fault.Of(err) != fault.Overloaded || !errors.As(err, &retry) || retry.RetryAfter() < time.Second {
+		t.Errorf("third request: got %v, want overloaded with a pause", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := a.Admit(ctx, "m", "a", 1, "chat"); fault.Of(err) != fault.Expired {
+		t.Errorf("caller has gone: got %v, want expired", err)
+	}
+	releases[0]()
+	releases[0]()
+	if got, want := a.Flight(), 1; got != want {
+		t.Errorf("in flight after a double release: got %d, want %d", got, want)
+	}
+	if _, err := a.Admit(t.Context(), "m", "a", 1, "chat"); err != nil {
+		t.Errorf("after a release: got %v, want admission", err)
+	}
+}
+
+// A request whose expected wait exceeds its deadline must be refused at once
+// instead of after the deadline.
+func TestEarlyRefusal(t *testing.T) {
+	a := fixed(2, 10*time.Second)
+	if _, err := a.Admit(t.Context(), "m", "a", 1, "chat"); err != nil {
+		t.Fatal(err)
+	}
+	a.models["m"].hold = time.Minute
+	start := time.Now()
+	_, err := a.Admit(t.Context(), "m", "a", 1, "chat")
+	if took := time.Since(start); fault.Of(err) != fault.Overloaded || took > time.Second {
+		t.Errorf("got %v after %v, want overloaded at once", err, took)
+	}
+}
+
+// A model without a ready target must not block its callers, since the
+// dispatcher tells them the truth.
+func TestNoTarget(t *testing.T) {
+	a := New(Config{
+		Ready:     func(string, string, string) []*wire.Target { return nil },
+		Instances: func(string) int { return 1 },
+	})
+	for range 3 {
+		if _, err := a.Admit(t.Context(), "m", "a", 1, "chat"); err != nil {
+			t.Errorf("got %v, want admission", err)
+		}
+	}
+}
+
+// take drains n waiters and counts them by key.
+func take(q *queue, n int, key func(*waiter) string) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		counts[key(q.take())]++
+	}
+	return counts
+}
+
+// A large backlog of one account must not crowd out another account: both get
+// admissions by their weights.
+func TestAccounts(t *testing.T) {
+	q := newQueue()
+	for i := range 100 {
+		q.put(&waiter{account: "large", weight: 1})
+		if i < 30 {
+			q.put(&waiter{account: "small", weight: 3})
+		}
+	}
+	late := &waiter{account: "late", weight: 1}
+	if got := q.ahead(late); got > 5 {
+		t.Errorf("waiters ahead of a new account: got %v, want at most 5", got)
+	}
+	counts := take(&q, 40, func(w *waiter) string { return w.account })
+	if counts["small"] < 29 || counts["large"] < 9 {
+		t.Errorf("admissions: got %v, want 30 of small and 10 of large", counts)
+	}
+	q.put(late)
+	if counts := take(&q, 3, func(w *waiter) string { return w.account }); counts["late"] != 1 {
+		t.Errorf("admissions after an idle account came: got %v, want it among them", counts)
+	}
+}
+
+// Chats must go before drafts, but a stream of chats must not starve drafts.
+func TestClasses(t *testing.T) {
+	q := newQueue()
+	for range 100 {
+		for _, class := range []string{"quote", "json", "chat"} {
+			q.put(&waiter{account: "a", weight: 1, rank: rank(class)})
+		}
+	}
+	counts := take(&q, 42, func(w *waiter) string { return []string{"chat", "json", "quote"}[w.rank] })
+	if counts["chat"] < 31 || counts["json"] < 7 || counts["quote"] < 1 {
+		t.Errorf("admissions: got %v, want shares of 16, 4 and 1", counts)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	nameReserver      = "reserver"
 	nameRouter        = "router"
 	nameDispatcher    = "dispatcher"
+	nameAdmitter      = "admitter"
 	nameGateway       = "gateway"
 	nameReporter      = "reporter"
 )
@@ -91,7 +92,7 @@
 	if s.Disk {
 		parts = append(parts, b.holder(), b.publisher(), b.neighbors(), b.dissolver())
 	}
-	parts = append(parts, b.fleet(), b.reserver(), b.reporter(), b.router(), b.dispatcher(), b.gateway(), b.operator())
+	parts = append(parts, b.fleet(), b.reserver(), b.reporter(), b.router(), b.dispatcher(), b.admitter(), b.gateway(), b.operator())
 	app := kernel.New(cfg.Logger, s.DrainTime(), parts...)
 	if err := app.Err(); err != nil {
 		return nil, eris.Wrap(err, "build")
--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/papayapond/papayapond/internal/admitter"
 	"github.com/papayapond/papayapond/internal/authenticator"
 	"github.com/papayapond/papayapond/internal/blocker"
 	"github.com/papayapond/papayapond/internal/dispatcher"
@@ -81,6 +82,29 @@
 	})
 }
 
+func (b *builder) admitter() fx.Option {
+	return kernel.Part(nameAdmitter, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		a := admitter.New(admitter.Config{Zone: b.settings.Zone, Ready: targets.Ready, Instances: b.instances})
+		return a, fx.Hook{}, nil
+	})
+}
+
+// instances returns the number of instances in a zone, or in all zones if zone
+// is empty.
+func (b *builder) instances(zone string) int {
+	n := 0
+	for _, p := range b.settings.Peers {
+		if zone == "" || p.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *builder) gateway() fx.Option {
 	return kernel.Part(nameGateway, func(k *kernel.Kernel) (any, fx.Hook, error) {
 		cfg := gateway.Config{
@@ -92,10 +116,7 @@
 			},
 			Propose: b.peers.propose(b.holders()),
 			Read:    b.peers.read(b.holders()),
-			Admit: func(context.Context, string, int64, string) (func(), error) {
-				return func() {}, nil
-			},
-			Logger: k.Logger(nameGateway),
+			Logger:  k.Logger(nameGateway),
 		}
 		m, err := b.fillGateway(k, &cfg)
 		if err != nil {
@@ -139,6 +160,10 @@
 	if err != nil {
 		return nil, err
 	}
+	admit, err := kernel.Find[*admitter.Admitter](k, nameAdmitter)
+	if err != nil {
+		return nil, err
+	}
 	targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
 	if err != nil {
 		return nil, err
@@ -151,7 +176,7 @@
 	cfg.Skew, cfg.Holding = m.Skew, m.Holding
 	cfg.Account, cfg.Group = a.Account, a.Group
 	cfg.Reserve, cfg.Settle, cfg.Cancel = r.Reserve, r.Settle, r.Cancel
-	cfg.Do = d.Do
+	cfg.Do, cfg.Admit = d.Do, admit.Admit
 	cfg.Observe = report.Observe
 	cfg.Ready = targets.Ready
 	return m, nil
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,9 +4,11 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -29,7 +31,12 @@
 	}
 	header := s.Header()
 	header.Set("Content-Type", "application/json")
-	if retry := kind.Retry(); retry > 0 {
+	retry := kind.Retry()
+	var advised interface{ RetryAfter() time.Duration }
+	if errors.As(err, &advised) {
+		retry = advised.RetryAfter()
+	}
+	if retry > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
 	}
 	s.WriteHeader(kind.HTTP())
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -71,7 +71,7 @@
 		// The answer is kept for the retry even if the caller goes away.
 		ctx = context.WithoutCancel(ctx)
 	}
-	release, err := g.cfg.Admit(ctx, s.account.Name, s.account.Weight, c.class)
+	release, err := g.cfg.Admit(ctx, c.model, s.account.Name, s.account.Weight, c.class)
 	if err != nil {
 		return err
 	}
@@ -222,7 +222,7 @@
 	if c.stream {
 		c.class = "stream"
 	}
-	if class := s.request.Header.Get("X-Class"); isClass(class) {
+	if class := strings.ToLower(s.request.Header.Get("X-Class")); isClass(class) {
 		c.class = class
 	}
 	return c, nil
@@ -250,7 +250,7 @@
 var priorities = map[string]int{"chat": 0, "tag": 0, "stream": 1, "json": 1, "quote": 2, "sheet": 2}
 
 func isClass(class string) bool {
-	_, ok := priorities[strings.ToLower(class)]
+	_, ok := priorities[class]
 	return ok
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,7 @@
 	// Do sends a job to targets.
 	Do func(ctx context.Context, job dispatcher.Job, consume func(target *wire.Target, r *http.Response) (bool, error)) (string, error)
 	// Admit waits until the request may be sent, and returns its release.
-	Admit func(ctx context.Context, account string, weight int64, class string) (release func(), err error)
+	Admit func(ctx context.Context, model, account string, weight int64, class string) (release func(), err error)
 	// Ready returns the targets for a model.
 	Ready func(zone, model, service string) []*wire.Target
 	// Announce passes the state of a target on.
--- /dev/null
+++ b/test/fleet/overload_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+)
+
+// started returns the number of requests that an engine has taken.
+func started(t *testing.T, address string) int {
+	t.Helper()
+	r, err := http.Get("http://" + address + "/v1/load")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	var load struct{ Counts struct{ Started int } }
+	if err := json.NewDecoder(r.Body).Decode(&load); err != nil {
+		t.Fatal(err)
+	}
+	return load.Counts.Started
+}
+
+// A burst beyond the capacity must be refused in part, with a pause for the
+// retry, and a refused request must not have reached a target.
+func TestBurst(t *testing.T) {
+	f := start(t, []int{1, 1, 1}, 1_000_000, false)
+	address := freeAddresses(t, 1)[0]
+	f.engine("engine-a", "a", []int{0}, "--address", address, "--slots", "2", "--decode", "20ms")
+	f.routes(0)
+	before := started(t, address)
+	answers := make([]answer, 40)
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Go(func() { answers[i] = f.chat(0, fmt.Sprintf("Burst %d", i), 20, true, "") })
+	}
+	wg.Wait()
+	whole, refused := 0, 0
+	for _, a := range answers {
+		code, run := a.code()
+		switch {
+		case code == "overloaded" && run == "no" && a.status == http.StatusTooManyRequests && a.header.Get("Retry-After") != "":
+			refused++
+		case code == "" && a.status == http.StatusOK:
+			whole++
+		default:
+			t.Errorf("got %d %s run=%s, want 200 or overloaded run=no with Retry-After", a.status, code, run)
+		}
+	}
+	if refused == 0 || whole == 0 {
+		t.Errorf("got %d whole answers and %d refusals, want both", whole, refused)
+	}
+	if got := started(t, address) - before; got != whole {
+		t.Errorf("requests at the engine: got %d, want the %d that were answered", got, whole)
+	}
+}
