--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 	nameSubscriber    = "subscriber"
 	nameAuthenticator = "authenticator"
 	nameReserver      = "reserver"
+	nameEjector       = "ejector"
 	nameRouter        = "router"
 	nameDispatcher    = "dispatcher"
 	nameAdmitter      = "admitter"
@@ -92,7 +93,7 @@
 	if s.Disk {
 		parts = append(parts, b.holder(), b.publisher(), b.neighbors(), b.dissolver())
 	}
-	parts = append(parts, b.fleet(), b.reserver(), b.reporter(), b.router(), b.dispatcher(), b.admitter(), b.gateway(), b.operator())
+	parts = append(parts, b.fleet(), b.reserver(), b.reporter(), b.ejector(), b.router(), b.dispatcher(), b.admitter(), b.gateway(), b.operator())
 	app := kernel.New(cfg.Logger, s.DrainTime(), parts...)
 	if err := app.Err(); err != nil {
 		return nil, eris.Wrap(err, "build")
--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -13,6 +13,7 @@
 	"github.com/papayapond/papayapond/internal/authenticator"
 	"github.com/papayapond/papayapond/internal/blocker"
 	"github.com/papayapond/papayapond/internal/dispatcher"
+	"github.com/papayapond/papayapond/internal/ejector"
 	"github.com/papayapond/papayapond/internal/gateway"
 	"github.com/papayapond/papayapond/internal/kernel"
 	"github.com/papayapond/papayapond/internal/member"
@@ -20,6 +21,7 @@
 	"github.com/papayapond/papayapond/internal/registry"
 	"github.com/papayapond/papayapond/internal/reporter"
 	"github.com/papayapond/papayapond/internal/reserver"
+	"github.com/papayapond/papayapond/internal/retrier"
 	"github.com/papayapond/papayapond/internal/router"
 	"github.com/papayapond/papayapond/internal/subscriber"
 	"github.com/papayapond/papayapond/internal/wire"
@@ -43,13 +45,26 @@
 	return subtle.ConstantTimeCompare([]byte(account.Hash(raw, key)), []byte(b.settings.Bootstrap)) == 1
 }
 
+func (b *builder) ejector() fx.Option {
+	return kernel.Part(nameEjector, func(*kernel.Kernel) (any, fx.Hook, error) {
+		return ejector.New(ejector.Config{}), fx.Hook{}, nil
+	})
+}
+
 func (b *builder) router() fx.Option {
 	return kernel.Part(nameRouter, func(k *kernel.Kernel) (any, fx.Hook, error) {
 		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
-		return router.New(router.Config{Zone: b.settings.Zone, Ready: targets.Ready}), fx.Hook{}, nil
+		e, err := kernel.Find[*ejector.Ejector](k, nameEjector)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		ready := func(zone, model, service string) []*wire.Target {
+			return e.Filter(targets.Ready(zone, model, service))
+		}
+		return router.New(router.Config{Zone: b.settings.Zone, Ready: ready}), fx.Hook{}, nil
 	})
 }
 
@@ -67,7 +82,14 @@
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
+		health, err := kernel.Find[*ejector.Ejector](k, nameEjector)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		budget := retrier.New(retrier.Config{})
 		d := dispatcher.New(dispatcher.Config{
+			Begin: budget.Begin, Retry: budget.Retry,
+			Succeed: health.Succeed, Fail: health.Fail,
 			Pick: r.Pick, Done: r.Done,
 			Blocked: blocked.IsBlocked,
 			Blame: func(digest []byte, target string) {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -86,6 +86,9 @@
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Digest: s.digest, Repeatable: true,
 		Allowed: g.allowed(s),
 	}
+	if c.stream {
+		job.Progress = func() int { return int(relay.output) }
+	}
 	if s.key != "" {
 		// Two attempts with one key may run at the same time, and accounts may
 		// choose the same key.
