Choose targets by policies over cache, late load and own requests

Cause: the router took the less loaded of two random targets by a load that counted own requests twice, and knew nothing of the prefix caches.

Change: the policy is one field of the configuration and of the settings: round, least, two, hash or cost, each a small function. The router computes the block hashes that engines announce, and estimates each target's cache from the late and incomplete events and the prompts that it has sent itself. Load is the report less the requests of this instance at the time of the report, plus those outstanding now. Near ties are broken at random, since instances that know the same reports would otherwise choose the same target at the same moment.

Conclusion: tests compare the hashes with a stand-in engine's announcements and cover late reports, herding, evictions, restarts and the bound of the policy hash. The default stays with two random choices until the policies have been measured.

--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -64,7 +64,8 @@
 		ready := func(zone, model, service string) []*wire.Target {
 			return e.Filter(targets.Ready(zone, model, service))
 		}
-		return router.New(router.Config{Zone: b.settings.Zone, Ready: ready}), fx.Hook{}, nil
+		r, err := router.New(router.Config{Zone: b.settings.Zone, Policy: b.settings.Policy, Ready: ready})
+		return r, fx.Hook{}, err
 	})
 }
 
@@ -90,7 +91,7 @@
 		d := dispatcher.New(dispatcher.Config{
 			Begin: budget.Begin, Retry: budget.Retry,
 			Succeed: health.Succeed, Fail: health.Fail,
-			Pick: r.Pick, Done: r.Done,
+			Pick:    r.Pick,
 			Blocked: blocked.IsBlocked,
 			Blame: func(digest []byte, target string) {
 				blocked.Blame(digest, target)
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -27,7 +27,6 @@
 
 // run sends an attempt and lets consume read its answer.
 func (d *Dispatcher) run(ctx context.Context, a *attempt, consume func(*wire.Target, *http.Response) (bool, error)) (relayed bool, err error) {
-	defer d.cfg.Done(a.target.Name)
 	start := time.Now()
 	c, err := d.converse(ctx, a)
 	if err != nil {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -34,9 +34,8 @@
 
 // Config configures a Dispatcher.
 type Config struct {
-	// Pick chooses a target, Done ends its use.
-	Pick func(model, service string, allowed func(target string) bool) (*wire.Target, error)
-	Done func(target string)
+	// Pick chooses a target for a prompt; done ends its use.
+	Pick func(model, service string, prompt []byte, allowed func(target string) bool) (target *wire.Target, done func(), err error)
 	// Blocked tells whether a content must not be sent any more.
 	Blocked func(digest []byte) bool
 	// Blame records that a target crashed while running a content, Clear that
@@ -70,6 +69,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Prompt is the prompt as the engine sees it, for the choice of a target. It
+	// may be nil.
+	Prompt []byte
 	// Digest is the digest of the content.
 	Digest []byte
 	// Repeatable tells that the request may run more than once.
@@ -134,13 +136,14 @@
 		if d.cfg.Blocked(job.Digest) {
 			return "", refuse(fault.Poison, sent, last)
 		}
-		target, err := d.cfg.Pick(job.Model, job.Service, func(name string) bool { return !failed[name] && job.Allowed(name) })
+		target, done, err := d.cfg.Pick(job.Model, job.Service, job.Prompt, func(name string) bool { return !failed[name] && job.Allowed(name) })
 		if err != nil {
 			return "", refuse(fault.Unavailable, sent, last)
 		}
 		failed[target.Name] = true
 		a := attempt{job: job, target: target, number: n}
 		relayed, err := d.run(ctx, &a, consume)
+		done()
 		switch {
 		case err == nil:
 			return target.Name, nil
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -50,15 +50,15 @@
 		b.targets = append(b.targets, &wire.Target{Name: cfg.Name, Address: server.Listener.Addr().String()})
 	}
 	b.Dispatcher = New(Config{
-		Pick: func(_, _ string, allowed func(string) bool) (*wire.Target, error) {
+		Pick: func(_, _ string, _ []byte, allowed func(string) bool) (*wire.Target, func(), error) {
 			for _, target := range b.targets {
 				if allowed(target.Name) {
-					return target, nil
+					return target, func() {}, nil
 				}
 			}
-			return nil, fault.Unavailable
+			return nil, nil, fault.Unavailable
 		},
-		Done: func(string) {}, Blocked: func([]byte) bool { return false }, Clear: func([]byte) {}, Blame: func([]byte, string) {},
+		Blocked: func([]byte) bool { return false }, Clear: func([]byte) {}, Blame: func([]byte, string) {},
 		Retry: func() bool { return b.retry }, Quiet: quiet, Dial: b.dial, Logger: zap.NewNop(),
 	})
 	t.Cleanup(b.Close)
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	template "github.com/papayapond/papayapond/internal/completion"
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/estimator"
 	"github.com/papayapond/papayapond/internal/fault"
@@ -86,6 +87,8 @@
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Digest: s.digest, Repeatable: true,
 		Allowed: g.allowed(s),
 	}
+	// A prompt that can't be read has no affinity; the engine refuses it.
+	job.Prompt, _, _ = template.Prompt(c.body["messages"], c.body["tools"])
 	if c.stream {
 		job.Progress = func() int { return int(relay.output) }
 	}
--- /dev/null
+++ b/internal/router/cache.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+const (
+	// blockBytes of a prompt form one block of an engine's prefix cache.
+	blockBytes = 256
+	// bytesPerToken is the usual ratio for English text.
+	bytesPerToken = 4
+	blockTokens   = blockBytes / bytesPerToken
+	// maxBlocks bounds the blocks that are remembered of one prompt, and
+	// maxCache those of one target.
+	maxBlocks = 64
+	maxCache  = 2048
+	// eventAge is the usual age of a cache event when it arrives. An eviction
+	// that arrives sooner after a request with the block came before it.
+	eventAge = 2 * time.Second
+)
+
+// Parameters of the hash FNV-1a with 64 bits.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+func tokens(bytes int) int { return (bytes + bytesPerToken - 1) / bytesPerToken }
+
+// blocks returns the hash of each prefix of the prompt that ends at a block
+// boundary, as engines announce them: FNV-1a of the model, a line feed and the
+// prefix.
+func blocks(model string, prompt []byte) []uint64 {
+	n := min(len(prompt)/blockBytes, maxBlocks)
+	if n == 0 {
+		return nil
+	}
+	h := uint64(fnvOffset)
+	for i := range len(model) {
+		h = (h ^ uint64(model[i])) * fnvPrime
+	}
+	h = (h ^ '\n') * fnvPrime
+	hashes := make([]uint64, n)
+	for i := range hashes {
+		for _, b := range prompt[i*blockBytes : (i+1)*blockBytes] {
+			h = (h ^ uint64(b)) * fnvPrime
+		}
+		hashes[i] = h
+	}
+	return hashes
+}
+
+// cache is an estimate of the prefix cache of a target, from its announced
+// events and the prompts that this instance has sent. The events come late and
+// with gaps, so it forgets the least recently used blocks by itself.
+type cache struct {
+	order    *list.List // of block, most recently used first
+	elements map[uint64]*list.Element
+}
+
+type block struct {
+	hash uint64
+	sent time.Time // by this instance
+}
+
+func newCache() *cache { return &cache{order: list.New(), elements: map[uint64]*list.Element{}} }
+
+// match returns how many leading blocks are probably cached. A gap in the
+// events may hide a block in the middle, so that the last known block counts.
+func (c *cache) match(hashes []uint64) int {
+	if len(hashes) == 0 || c.elements[hashes[0]] == nil {
+		return 0
+	}
+	for i := len(hashes) - 1; i > 0; i-- {
+		if c.elements[hashes[i]] != nil {
+			return i + 1
+		}
+	}
+	return 1
+}
+
+// sent takes a prompt that was sent to the target, the first block last, so
+// that the end of a prompt is forgotten first.
+func (c *cache) sent(hashes []uint64, now time.Time) {
+	for i := len(hashes) - 1; i >= 0; i-- {
+		c.put(block{hashes[i], now})
+	}
+}
+
+// learn takes announced events.
+func (c *cache) learn(events []*wire.Cache, now time.Time) {
+	for _, e := range events {
+		el := c.elements[e.Hash]
+		switch {
+		case !e.Evicted && el == nil:
+			c.put(block{hash: e.Hash})
+		case e.Evicted && el != nil && now.Sub(el.Value.(block).sent) > eventAge:
+			c.order.Remove(el)
+			delete(c.elements, e.Hash)
+		}
+	}
+}
+
+func (c *cache) put(b block) {
+	if el := c.elements[b.hash]; el != nil {
+		el.Value = b
+		c.order.MoveToFront(el)
+		return
+	}
+	c.elements[b.hash] = c.order.PushFront(b)
+	if c.order.Len() > maxCache {
+		delete(c.elements, c.order.Remove(c.order.Back()).(block).hash)
+	}
+}
--- /dev/null
+++ b/internal/router/policy.go
@@ -0,0 +1,144 @@
+package router
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Names of the policies. docs/routing.md compares them.
+const (
+	Round = "round" // in turn
+	Least = "least" // fewest requests
+	Two   = "two"   // the better of two random ones, by requests
+	Hash  = "hash"  // by the prefix of the prompt, within a bound on the load
+	Cost  = "cost"  // shortest estimated time to the first token
+	// DefaultPolicy is the policy of the product.
+	DefaultPolicy = Two
+)
+
+const (
+	// affinityBlocks is the length of the prefix that the policy hash takes.
+	affinityBlocks = 4
+	// loadBound is the load of a target, relative to the mean, above which the
+	// policy hash goes on to the next one.
+	loadBound = 1.25
+	// defaultSlots is assumed for a target that announces none.
+	defaultSlots = 16
+	// sharing is the part of a holding time by which a request that joins a
+	// full batch delays the others.
+	sharing = 0.02
+	// tie is the difference in cost within which targets count as equal. A
+	// random choice among them keeps instances that know the same reports from
+	// choosing the same target.
+	tie = 5 * time.Millisecond
+)
+
+// policy returns the index of the chosen candidate.
+type policy func(r *Router, q *question, candidates []candidate) int
+
+var policies = map[string]policy{Round: round, Least: least, Two: two, Hash: byHash, Cost: byCost}
+
+// Policies returns the names of all policies.
+func Policies() []string { return slices.Sorted(maps.Keys(policies)) }
+
+func round(r *Router, _ *question, candidates []candidate) int {
+	r.turn++
+	return r.turn % len(candidates)
+}
+
+// least takes one of the candidates with the fewest requests at random.
+func least(r *Router, _ *question, candidates []candidate) int {
+	return r.lowest(candidates, 0, func(c *candidate) float64 { return c.load })
+}
+
+// two looks at two random candidates only, so that instances that know the
+// same reports don't all choose the same target.
+func two(r *Router, _ *question, candidates []candidate) int {
+	i := r.cfg.Random(len(candidates))
+	if len(candidates) == 1 {
+		return i
+	}
+	j := r.cfg.Random(len(candidates) - 1)
+	if j >= i {
+		j++
+	}
+	if candidates[j].load < candidates[i].load {
+		return j
+	}
+	return i
+}
+
+// byHash orders the candidates by a hash of their name and of the prefix
+// (rendezvous hashing), and takes the first whose load is within the bound.
+func byHash(r *Router, q *question, candidates []candidate) int {
+	if len(q.blocks) == 0 {
+		return two(r, q, candidates)
+	}
+	key := q.blocks[min(affinityBlocks, len(q.blocks))-1]
+	sum := 0.0
+	for _, c := range candidates {
+		sum += c.load
+	}
+	bound := loadBound*sum/float64(len(candidates)) + 1
+	best, score := -1, uint64(0)
+	for i, c := range candidates {
+		if s := rank(key, c.target.Name); c.load <= bound && (best < 0 || s > score) {
+			best, score = i, s
+		}
+	}
+	if best < 0 {
+		return two(r, q, candidates)
+	}
+	return best
+}
+
+func rank(key uint64, name string) uint64 {
+	h := fnv.New64a()
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(key >> (8 * i))
+	}
+	_, _ = h.Write(b[:])
+	_, _ = h.Write([]byte(name))
+	// The finalizer of murmur3 spreads names that differ in the last byte.
+	x := h.Sum64()
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// byCost takes the candidate with the shortest estimated time to the first
+// token: the prompts that it still has to process, the part of this prompt
+// that its cache doesn't hold, and the wait for a place in its batch.
+func byCost(r *Router, q *question, candidates []candidate) int {
+	return r.lowest(candidates, float64(tie), func(c *candidate) float64 {
+		slots := float64(c.target.Slots)
+		if slots == 0 {
+			slots = defaultSlots
+		}
+		fresh := time.Duration(q.tokens-c.cached) * r.cfg.Prefill
+		queue := sharing*c.load/slots + max(0, c.load+1-slots)/slots
+		return float64(c.backlog(q.now)+fresh) + queue*float64(r.hold)
+	})
+}
+
+// lowest returns a random one of the candidates whose value is within the
+// margin of the lowest.
+func (r *Router) lowest(candidates []candidate, margin float64, value func(*candidate) float64) int {
+	values := make([]float64, len(candidates))
+	for i := range candidates {
+		values[i] = value(&candidates[i])
+	}
+	bound := slices.Min(values) + margin
+	chosen, n := 0, 0
+	for i, v := range values {
+		if v <= bound {
+			if n++; r.cfg.Random(n) == 0 {
+				chosen = i
+			}
+		}
+	}
+	return chosen
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -10,6 +11,21 @@
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
+const (
+	// defaultPrefill is the assumed time to process one prompt token that no
+	// cache holds.
+	defaultPrefill = 40 * time.Microsecond
+	// defaultLag is the assumed age of a load when its report arrives.
+	defaultLag = 700 * time.Millisecond
+	// retention is the time after which an unused target is forgotten.
+	retention = 10 * time.Minute
+	// maxTurn bounds the first turn of the policy round, which is random so
+	// that instances that start together don't go in step.
+	maxTurn = 1 << 16
+	// smoothing is the weight of the newest holding time in the mean.
+	smoothing = 0.05
+)
+
 // Config configures a Router.
 type Config struct {
 	// Zone is the zone of this instance.
@@ -17,76 +33,137 @@
 	// Ready returns the targets that take new work. Empty arguments don't
 	// restrict the list.
 	Ready func(zone, model, service string) []*wire.Target
+	// Policy is one of Policies; empty means DefaultPolicy.
+	Policy string
+	// Prefill is the assumed time per prompt token, Lag the assumed age of a
+	// load when its report arrives. Zero means a default.
+	Prefill, Lag time.Duration
 	// Random returns a number in [0, n).
 	Random func(n int) int
+	Now    func() time.Time
 }
 
-// Router chooses targets and counts the requests that this instance has sent
-// to each of them. It is safe for concurrent use.
+// Router chooses targets and keeps what it knows of each of them. It is safe
+// for concurrent use.
 type Router struct {
-	cfg Config
+	cfg    Config
+	choose policy
+
+	mu     sync.Mutex
+	states map[string]*state
+	turn   int           // of the policy round
+	hold   time.Duration // mean time for which a request is outstanding
+	swept  time.Time
+}
+
+// question is one request for a target.
+type question struct {
+	tokens int // of the prompt
+	blocks []uint64
+	now    time.Time
+}
 
-	mu          sync.Mutex
-	outstanding map[string]int
+// candidate is a target that may serve a request.
+type candidate struct {
+	*state
+	target *wire.Target
+	load   float64 // requests at the target
+	cached int     // tokens of the prompt that its cache probably holds
 }
 
-// New returns a router without outstanding requests.
-func New(cfg Config) *Router {
+// New returns a router without outstanding requests. The error wraps
+// fault.Malformed if the policy is unknown.
+func New(cfg Config) (*Router, error) {
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
-	return &Router{cfg: cfg, outstanding: map[string]int{}}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Policy == "" {
+		cfg.Policy = DefaultPolicy
+	}
+	if cfg.Prefill == 0 {
+		cfg.Prefill = defaultPrefill
+	}
+	if cfg.Lag == 0 {
+		cfg.Lag = defaultLag
+	}
+	choose, ok := policies[cfg.Policy]
+	if !ok {
+		return nil, eris.Wrapf(fault.Malformed, "policy %q, expected one of %v", cfg.Policy, Policies())
+	}
+	return &Router{cfg: cfg, choose: choose, states: map[string]*state{}, turn: cfg.Random(maxTurn)}, nil
 }
 
 // Pick chooses a target for a model or a service among those that allowed
-// accepts, in this zone if it has one, else in any zone. It counts one
-// outstanding request for the target until Done is called. The error wraps
-// fault.Unavailable if there is no target.
-func (r *Router) Pick(model, service string, allowed func(target string) bool) (*wire.Target, error) {
+// accepts, in this zone if it has one, else in any zone. Prompt is the prompt
+// as the engine sees it, or nil. The request counts as outstanding until done
+// is called. The error wraps fault.Unavailable if there is no target.
+func (r *Router) Pick(model, service string, prompt []byte, allowed func(target string) bool) (t *wire.Target, done func(), err error) {
 	for _, zone := range []string{r.cfg.Zone, ""} {
-		var candidates []*wire.Target
+		var targets []*wire.Target
 		for _, t := range r.cfg.Ready(zone, model, service) {
 			if allowed(t.Name) {
-				candidates = append(candidates, t)
+				targets = append(targets, t)
 			}
 		}
-		if len(candidates) > 0 {
-			return r.choose(candidates), nil
+		if len(targets) > 0 {
+			q := &question{tokens: tokens(len(prompt)), blocks: blocks(model, prompt), now: r.cfg.Now()}
+			t, done = r.pick(q, targets)
+			return t, done, nil
 		}
 	}
-	return nil, eris.Wrapf(fault.Unavailable, "no target for %s%s", model, service)
+	return nil, nil, eris.Wrapf(fault.Unavailable, "no target for %s%s", model, service)
 }
 
-// Done ends a request that was sent to the target.
-func (r *Router) Done(target string) {
+func (r *Router) pick(q *question, targets []*wire.Target) (*wire.Target, func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.outstanding[target]--; r.outstanding[target] <= 0 {
-		delete(r.outstanding, target)
+	r.sweep(q.now)
+	candidates := make([]candidate, len(targets))
+	for i, t := range targets {
+		s := r.states[t.Name]
+		if s == nil {
+			s = newState()
+			r.states[t.Name] = s
+		}
+		s.learn(t, q.now, r.cfg.Lag)
+		candidates[i] = candidate{
+			state: s, target: t, load: float64(s.outstanding) + s.others,
+			cached: min(s.cache.match(q.blocks)*blockTokens, max(q.tokens-1, 0)),
+		}
+	}
+	chosen := candidates[r.choose(r, q, candidates)]
+	chosen.send(q, chosen.cached, r.cfg.Prefill)
+	start := q.now
+	var once sync.Once
+	return chosen.target, func() {
+		once.Do(func() { r.done(chosen.state, start) })
 	}
 }
 
-// choose takes the less loaded of two random candidates.
-func (r *Router) choose(candidates []*wire.Target) *wire.Target {
+func (r *Router) done(s *state, start time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i := r.cfg.Random(len(candidates))
-	chosen := candidates[i]
-	if len(candidates) > 1 {
-		j := r.cfg.Random(len(candidates) - 1)
-		if j >= i {
-			j++
-		}
-		if r.load(candidates[j]) < r.load(chosen) {
-			chosen = candidates[j]
-		}
+	now := r.cfg.Now()
+	s.count(now, -1)
+	held := now.Sub(start)
+	if r.hold == 0 {
+		r.hold = held
 	}
-	r.outstanding[chosen.Name]++
-	return chosen
+	r.hold += time.Duration(smoothing * float64(held-r.hold))
 }
 
-// load adds what this instance has sent to what the target has reported,
-// since reports come late.
-func (r *Router) load(t *wire.Target) int {
-	return max(int(t.Running+t.Waiting), r.outstanding[t.Name]) + r.outstanding[t.Name]
+// sweep forgets targets that are gone.
+func (r *Router) sweep(now time.Time) {
+	if now.Sub(r.swept) < retention {
+		return
+	}
+	r.swept = now
+	for name, s := range r.states {
+		if s.outstanding == 0 && now.Sub(s.used) > retention {
+			delete(r.states, name)
+		}
+	}
 }
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,236 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/engine"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+func always(string) bool { return true }
+
+// pond is a list of targets for routers.
+type pond struct {
+	targets []*wire.Target
+	now     time.Time
+}
+
+func newPond(n int) *pond {
+	p := &pond{now: time.Unix(1000, 0)}
+	for i := range n {
+		p.targets = append(p.targets, &wire.Target{Name: fmt.Sprintf("e%d", i), Zone: "a", Slots: 16, Incarnation: 1})
+	}
+	return p
+}
+
+func (p *pond) router(t *testing.T, policy string, seed uint64) *Router {
+	r, err := New(Config{
+		Zone: "a", Policy: policy, Now: func() time.Time { return p.now }, Random: rand.New(rand.NewPCG(seed, 0)).IntN,
+		Ready: func(zone, _, _ string) (list []*wire.Target) {
+			for _, target := range p.targets {
+				if zone == "" || target.Zone == zone {
+					list = append(list, target)
+				}
+			}
+			return list
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func pick(t *testing.T, r *Router, prompt string) (string, func()) {
+	t.Helper()
+	target, done, err := r.Pick("m", "", []byte(prompt), always)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return target.Name, done
+}
+
+// A router that hashes prompts differently from the engines would never find
+// a cached prefix.
+func TestHashes(t *testing.T) {
+	e, err := engine.New(engine.Config{Name: "e", Models: []string{"m"}, Blocks: 64, Slots: 1, Chunk: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go e.Run(t.Context())
+	content := strings.Repeat("brown shoes ", 100)
+	body := `{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"` + content + `"}]}`
+	e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body)))
+	announced := map[uint64]bool{}
+	for _, ev := range e.Report().Events {
+		announced[ev.Hash] = true
+	}
+	hashes := blocks("m", []byte("user\n"+content+"\n"))
+	for i, h := range hashes {
+		if !announced[h] {
+			t.Errorf("block %d: hash %x was not announced", i, h)
+		}
+	}
+	if len(announced) != len(hashes) || len(hashes) == 0 {
+		t.Errorf("got %d hashes, want the %d announced ones", len(hashes), len(announced))
+	}
+}
+
+// Requests must stay in the zone while it has a target, and leave it rather
+// than fail when it has none.
+func TestZone(t *testing.T) {
+	p := newPond(3)
+	p.targets[0].Zone, p.targets[1].Zone = "b", "b"
+	for _, policy := range Policies() {
+		r := p.router(t, policy, 1)
+		for range 20 {
+			if name, _ := pick(t, r, ""); name != "e2" {
+				t.Errorf("%s: got %s, want the local e2", policy, name)
+			}
+		}
+		target, _, err := r.Pick("m", "", nil, func(name string) bool { return name == "e1" })
+		if err != nil || target.Name != "e1" {
+			t.Errorf("%s: got %v, %v; want e1 of the other zone", policy, target, err)
+		}
+	}
+}
+
+// A late report includes requests of this instance. They must be counted once,
+// and those of other instances must be added.
+func TestLateReport(t *testing.T) {
+	p := newPond(1)
+	r := p.router(t, Least, 1)
+	var dones []func()
+	for range 6 {
+		_, done := pick(t, r, "")
+		dones = append(dones, done)
+	}
+	p.now = p.now.Add(2 * time.Second)
+	p.targets[0] = &wire.Target{Name: "e0", Zone: "a", Incarnation: 1, Running: 10}
+	pick(t, r, "")
+	s := r.states["e0"]
+	if got, want := float64(s.outstanding)+s.others, 11.0; got != want {
+		t.Errorf("load: got %v, want 10 reported and 1 sent since", got)
+	}
+	for _, done := range dones {
+		done()
+		done()
+	}
+	if got, want := float64(s.outstanding)+s.others, 5.0; got != want {
+		t.Errorf("load after 6 answers: got %v, want %v", got, want)
+	}
+}
+
+// Instances that choose at the same moment with the same old reports must not
+// send everything to the target that looked idle.
+func TestHerd(t *testing.T) {
+	for _, policy := range []string{Two, Cost, Least, Hash} {
+		p := newPond(12)
+		for i, target := range p.targets {
+			target.Running = uint32(6 + i%3)
+		}
+		counts := map[string]int{}
+		for seed := range uint64(8) {
+			r := p.router(t, policy, seed)
+			for i := range 12 {
+				name, _ := pick(t, r, fmt.Sprintf("%d-%d%s", seed, i, strings.Repeat(" unlike", 200)))
+				counts[name]++
+			}
+		}
+		for name, n := range counts {
+			if n > 24 {
+				t.Errorf("%s: %s got %d of 96 requests, want at most 3 times its share", policy, name, n)
+			}
+		}
+	}
+}
+
+// Requests with a common prefix must meet the target that has cached it, but
+// not when it is overloaded, has evicted it or has restarted.
+func TestAffinity(t *testing.T) {
+	prompt := strings.Repeat("You sell shoes. ", 500)
+	home := func(t *testing.T) (*pond, *Router, *wire.Target) {
+		p := newPond(8)
+		r := p.router(t, Cost, 1)
+		name, done := pick(t, r, prompt+"first")
+		done()
+		p.now = p.now.Add(10 * time.Second)
+		for range 10 {
+			if got, done := pick(t, r, prompt+"next"); got != name {
+				t.Fatalf("got %s, want %s again", got, name)
+			} else {
+				done()
+			}
+		}
+		for _, target := range p.targets {
+			if target.Name == name {
+				return p, r, target
+			}
+		}
+		return nil, nil, nil
+	}
+	_, busy, target := home(t)
+	target.Running, target.Waiting = 16, 40
+	busy.states[target.Name].seen, busy.hold = nil, time.Second
+	if got, _ := pick(t, busy, prompt); got == target.Name {
+		t.Errorf("overloaded: got %s, want another target", got)
+	}
+
+	p, r, target := home(t)
+	p.now = p.now.Add(2 * eventAge)
+	target.Incarnation++
+	r.states[target.Name].learn(&wire.Target{Incarnation: 2}, p.now, 0)
+	if got := r.states[target.Name].cache.match(blocks("m", []byte(prompt))); got != 0 {
+		t.Errorf("after a restart: got %d blocks, want none", got)
+	}
+
+	p, r, target = home(t)
+	hashes := blocks("m", []byte(prompt))
+	evicted := &wire.Target{Incarnation: 1}
+	for _, h := range hashes {
+		evicted.Events = append(evicted.Events, &wire.Cache{Hash: h, Evicted: true})
+	}
+	c := r.states[target.Name].cache
+	c.learn(evicted.Events, p.now)
+	if got := c.match(hashes); got != len(hashes) {
+		t.Errorf("late eviction of a block sent since: got %d blocks, want %d", got, len(hashes))
+	}
+	c.learn(evicted.Events, p.now.Add(2*eventAge))
+	if got := c.match(hashes); got != 0 {
+		t.Errorf("after the eviction: got %d blocks, want none", got)
+	}
+	c.learn([]*wire.Cache{{Hash: hashes[0]}, {Hash: hashes[3]}}, p.now)
+	if got, want := c.match(hashes), 4; got != want {
+		t.Errorf("with lost events: got %d blocks, want %d", got, want)
+	}
+}
+
+// One popular prefix must not overload its target under the policy hash.
+func TestBoundedLoad(t *testing.T) {
+	p := newPond(10)
+	r := p.router(t, Hash, 1)
+	prompt := strings.Repeat("popular ", 500)
+	counts := map[string]int{}
+	for range 100 {
+		name, _ := pick(t, r, prompt)
+		counts[name]++
+	}
+	for name, n := range counts {
+		if n > 15 {
+			t.Errorf("%s: got %d of 100 requests, want at most 15", name, n)
+		}
+	}
+}
+
+// A policy that doesn't exist must be refused at the start.
+func TestUnknownPolicy(t *testing.T) {
+	if _, err := New(Config{Policy: "other"}); err == nil {
+		t.Error("got no error, want one")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,9 @@
 	// Bootstrap is the hash of the operator key that is valid until the first
 	// configuration is accepted, as salt:hash in hex.
 	Bootstrap string `toml:"bootstrap"`
+	// Policy is the policy by which targets are chosen, see docs/routing.md.
+	// Empty means the default.
+	Policy string `toml:"policy"`
 	// Peers are all instances of the fleet, this one included.
 	Peers []struct {
 		Name    string `toml:"name"`
