--- a/internal/loader/attempt.go
+++ b/internal/loader/attempt.go
@@ -81,6 +81,7 @@
 		return outcome{code: codeDial, run: runNo, detail: err.Error()}
 	}
 	req.Header.Set("Authorization", "Bearer "+r.client.key)
+	req.Header.Set("X-Class", r.class.name)
 	if len(r.body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -28,10 +28,8 @@
 	defaultSlots = 16
 	// sharing is the part of a holding time by which a request that joins a
 	// full batch delays the others.
-	sharing = 0.02
-	// tie is the difference in cost within which targets count as equal. A
-	// random choice among them keeps instances that know the same reports from
-	// choosing the same target.
+	sharing = 0.3
+	// tie is the difference in cost within which targets count as equal.
 	tie = 5 * time.Millisecond
 )
 
@@ -44,13 +42,12 @@
 func Policies() []string { return slices.Sorted(maps.Keys(policies)) }
 
 func round(r *Router, _ *question, candidates []candidate) int {
-	r.turn++
 	return r.turn % len(candidates)
 }
 
-// least takes one of the candidates with the fewest requests at random.
+// least takes one of the candidates with the fewest requests.
 func least(r *Router, _ *question, candidates []candidate) int {
-	return r.lowest(candidates, 0, func(c *candidate) float64 { return c.load })
+	return lowest(candidates, 0.5, func(c *candidate) float64 { return c.load })
 }
 
 // two looks at two random candidates only, so that instances that know the
@@ -113,7 +110,7 @@
 // token: the prompts that it still has to process, the part of this prompt
 // that its cache doesn't hold, and the wait for a place in its batch.
 func byCost(r *Router, q *question, candidates []candidate) int {
-	return r.lowest(candidates, float64(tie), func(c *candidate) float64 {
+	return lowest(candidates, float64(tie), func(c *candidate) float64 {
 		slots := float64(c.target.Slots)
 		if slots == 0 {
 			slots = defaultSlots
@@ -124,20 +121,20 @@
 	})
 }
 
-// lowest returns a random one of the candidates whose value is within the
-// margin of the lowest.
-func (r *Router) lowest(candidates []candidate, margin float64, value func(*candidate) float64) int {
+// lowest returns one of the candidates whose value is within the margin of the
+// lowest: the one that this instance has not chosen for the longest time.
+// Instances that know the same reports are at different places of their turn,
+// so they don't choose the same target.
+func lowest(candidates []candidate, margin float64, value func(*candidate) float64) int {
 	values := make([]float64, len(candidates))
 	for i := range candidates {
 		values[i] = value(&candidates[i])
 	}
 	bound := slices.Min(values) + margin
-	chosen, n := 0, 0
+	chosen := -1
 	for i, v := range values {
-		if v <= bound {
-			if n++; r.cfg.Random(n) == 0 {
-				chosen = i
-			}
+		if v <= bound && (chosen < 0 || candidates[i].turn < candidates[chosen].turn) {
+			chosen = i
 		}
 	}
 	return chosen
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,19 +122,29 @@
 	defer r.mu.Unlock()
 	r.sweep(q.now)
 	candidates := make([]candidate, len(targets))
+	mean := 0.0
 	for i, t := range targets {
 		s := r.states[t.Name]
 		if s == nil {
 			s = newState()
+			s.turn = -r.cfg.Random(maxTurn)
 			r.states[t.Name] = s
 		}
 		s.learn(t, q.now, r.cfg.Lag)
 		candidates[i] = candidate{
-			state: s, target: t, load: float64(s.outstanding) + s.others,
+			state: s, target: t,
 			cached: min(s.cache.match(q.blocks)*blockTokens, max(q.tokens-1, 0)),
 		}
 	}
+	for _, c := range candidates {
+		mean += c.others / float64(len(candidates))
+	}
+	for i := range candidates {
+		candidates[i].estimate(q.now, mean, r.cfg.Lag)
+	}
 	chosen := candidates[r.choose(r, q, candidates)]
+	r.turn++
+	chosen.turn = r.turn
 	chosen.send(q, chosen.cached, r.cfg.Prefill)
 	start := q.now
 	var once sync.Once
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -234,3 +234,21 @@
 		t.Error("got no error, want one")
 	}
 }
+
+// An old report that a target is idle must lose its weight, since the other
+// instances have read it too and have filled the target.
+func TestFade(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newState()
+	s.learn(&wire.Target{Running: 0}, now, 0)
+	for _, test := range []struct {
+		age       time.Duration
+		low, high float64
+	}{{0, 0, 0.1}, {fade, 6, 7}, {10 * fade, 9.9, 10}} {
+		c := candidate{state: s}
+		c.estimate(now.Add(test.age), 10, 0)
+		if c.load < test.low || c.load > test.high {
+			t.Errorf("after %v: got load %v, want %v to %v", test.age, c.load, test.low, test.high)
+		}
+	}
+}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"github.com/papayapond/papayapond/internal/wire"
@@ -11,6 +12,8 @@
 	// of outstanding requests.
 	sampleTime = 50 * time.Millisecond
 	samples    = 64
+	// fade is the time in which the trust in a report falls to 1/e.
+	fade = 500 * time.Millisecond
 )
 
 // state is what this instance knows of one target.
@@ -24,6 +27,8 @@
 	// other instances at the time of the last report.
 	outstanding int
 	others      float64
+	learned     time.Time
+	turn        int // of the last choice
 	history     [samples]int
 	latest      int64 // number of the newest sample
 
@@ -48,9 +53,19 @@
 	}
 	s.seen = t
 	s.others = max(0, float64(t.Running+t.Waiting)-float64(s.past(now, now.Add(-lag))))
+	s.learned = now
 	s.cache.learn(t.Events, now)
 }
 
+// estimate sets the load of a candidate. What is known of the other instances
+// fades to the mean of all targets with the age of the report: they know the
+// same reports and have since filled the targets that looked idle.
+func (c *candidate) estimate(now time.Time, mean float64, lag time.Duration) {
+	age := now.Sub(c.learned) + lag
+	trust := math.Exp(-age.Seconds() / fade.Seconds())
+	c.load = float64(c.outstanding) + mean + (c.others-mean)*trust
+}
+
 // send counts a request that is sent to the target.
 func (s *state) send(q *question, cached int, perToken time.Duration) {
 	s.count(q.now, 1)
