Use free slots of other zones when those of the own zone are full

Cause: the platform's balancer spreads callers over instances, not over targets: with 3, 3 and 2 instances and 4 targets in each zone, two zones get 37.5% of the requests each and the third 25%. Two zones would refuse requests at 0.89 of the capacity while the third has free slots.

Change: admission adds to an instance's limit its share of the slots that other zones report as free, and the router leaves the zone while all its targets are full and another zone has a target that is not.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -200,36 +200,49 @@
 	return bound == 0 || (l.flight < bound && a.total < max(a.bound(&a.whole, ""), 1))
 }
 
-// bound returns the limit of a model, or of all models if model is empty. It
-// is 0 if no target is ready.
+// bound returns the limit of a model, or of all models if model is empty: the
+// share of this instance in the slots of its zone and in the free slots of the
+// others. The platform's balancer gives zones a part of the traffic that need
+// not match their targets. It is 0 if no target is ready.
 func (a *Admitter) bound(l *limit, model string) int {
 	now := a.cfg.Now()
 	if now.Before(l.until) {
 		return l.value
 	}
 	l.value, l.until = 0, now.Add(limitAge)
-	for _, zone := range []string{a.cfg.Zone, ""} {
-		slots, busy := 0, 0
-		for _, t := range a.cfg.Ready(zone, model, "") {
-			if len(t.Models) == 0 {
-				continue
-			}
-			size := int(t.Slots)
-			if size == 0 {
-				size = defaultSlots
-			}
-			slots += size
-			busy += min(int(t.Running+t.Waiting), size)
-		}
-		if slots > 0 {
-			n := max(a.cfg.Instances(zone), 1)
-			l.value = (slots + borrowed*(slots-busy) + n - 1) / n
-			break
+	var local, remote capacity
+	for _, t := range a.cfg.Ready("", model, "") {
+		switch {
+		case len(t.Models) == 0:
+		case t.Zone == a.cfg.Zone:
+			local.add(t)
+		default:
+			remote.add(t)
 		}
 	}
+	all := max(a.cfg.Instances(""), 1)
+	if local.slots == 0 {
+		l.value = ceil(remote.slots+borrowed*remote.free, all)
+		return l.value
+	}
+	l.value = ceil(local.slots+borrowed*local.free, max(a.cfg.Instances(a.cfg.Zone), 1)) + remote.free/all
 	return l.value
 }
 
+// capacity is the sum over some targets.
+type capacity struct{ slots, free int }
+
+func (c *capacity) add(t *wire.Target) {
+	slots := int(t.Slots)
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	c.slots += slots
+	c.free += max(0, slots-int(t.Running+t.Waiting))
+}
+
+func ceil(n, d int) int { return (n + d - 1) / d }
+
 // longest returns the longest wait of a class.
 func (a *Admitter) longest(class string) time.Duration {
 	if d, ok := a.cfg.Wait[class]; ok {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -52,6 +52,30 @@
 	}
 }
 
+// A zone whose targets are full must use the free slots of other zones, but
+// not more than its share of them.
+func TestOtherZones(t *testing.T) {
+	targets := []*wire.Target{
+		{Name: "a", Zone: "a", Models: []string{"m"}, Slots: 8, Running: 8},
+		{Name: "b", Zone: "b", Models: []string{"m"}, Slots: 16, Running: 4},
+		{Name: "s", Zone: "a", Services: []string{"orders"}},
+	}
+	a := New(Config{
+		Zone:  "a",
+		Ready: func(string, string, string) []*wire.Target { return targets },
+		Instances: func(zone string) int {
+			if zone == "a" {
+				return 2
+			}
+			return 4
+		},
+	})
+	var l limit
+	if got, want := a.bound(&l, "m"), 4+3; got != want {
+		t.Errorf("limit: got %d, want a half of 8 slots and a quarter of 12 free ones", got)
+	}
+}
+
 // A request whose expected wait exceeds its deadline must be refused at once
 // instead of after the deadline.
 func TestEarlyRefusal(t *testing.T) {
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -24,8 +24,6 @@
 	// loadBound is the load of a target, relative to the mean, above which the
 	// policy hash goes on to the next one.
 	loadBound = 1.25
-	// defaultSlots is assumed for a target that announces none.
-	defaultSlots = 16
 	// sharing is the part of a holding time by which a request that joins a
 	// full batch delays the others.
 	sharing = 0.3
@@ -111,10 +109,7 @@
 // that its cache doesn't hold, and the wait for a place in its batch.
 func byCost(r *Router, q *question, candidates []candidate) int {
 	return lowest(candidates, float64(tie), func(c *candidate) float64 {
-		slots := float64(c.target.Slots)
-		if slots == 0 {
-			slots = defaultSlots
-		}
+		slots := c.slots()
 		fresh := time.Duration(q.tokens-c.cached) * r.cfg.Prefill
 		queue := sharing*c.load/slots + max(0, c.load+1-slots)/slots
 		return float64(c.backlog(q.now)+fresh) + queue*float64(r.hold)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	defaultLag = 700 * time.Millisecond
 	// retention is the time after which an unused target is forgotten.
 	retention = 10 * time.Minute
+	// defaultSlots is assumed for a target that announces none.
+	defaultSlots = 16
 	// maxTurn bounds the first turn of the policy round, which is random so
 	// that instances that start together don't go in step.
 	maxTurn = 1 << 16
@@ -97,30 +100,41 @@
 }
 
 // Pick chooses a target for a model or a service among those that allowed
-// accepts, in this zone if it has one, else in any zone. Prompt is the prompt
-// as the engine sees it, or nil. The request counts as outstanding until done
-// is called. The error wraps fault.Unavailable if there is no target.
+// accepts: in this zone while it has one with a free slot, else in any zone.
+// Prompt is the prompt as the engine sees it, or nil. The request counts as
+// outstanding until done is called. The error wraps fault.Unavailable if there
+// is no target.
 func (r *Router) Pick(model, service string, prompt []byte, allowed func(target string) bool) (t *wire.Target, done func(), err error) {
-	for _, zone := range []string{r.cfg.Zone, ""} {
-		var targets []*wire.Target
+	list := func(zone string) (targets []*wire.Target) {
 		for _, t := range r.cfg.Ready(zone, model, service) {
 			if allowed(t.Name) {
 				targets = append(targets, t)
 			}
 		}
-		if len(targets) > 0 {
-			q := &question{tokens: tokens(len(prompt)), blocks: blocks(model, prompt), now: r.cfg.Now()}
-			t, done = r.pick(q, targets)
-			return t, done, nil
-		}
+		return targets
 	}
-	return nil, nil, eris.Wrapf(fault.Unavailable, "no target for %s%s", model, service)
-}
-
-func (r *Router) pick(q *question, targets []*wire.Target) (*wire.Target, func()) {
+	q := &question{tokens: tokens(len(prompt)), blocks: blocks(model, prompt), now: r.cfg.Now()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sweep(q.now)
+	candidates := r.candidates(q, list(r.cfg.Zone))
+	if isFull(candidates) {
+		others := slices.DeleteFunc(r.candidates(q, list("")), func(c candidate) bool {
+			return c.target.Zone == r.cfg.Zone || len(candidates) > 0 && c.load >= c.slots()
+		})
+		if len(others) > 0 {
+			candidates = others
+		}
+	}
+	if len(candidates) == 0 {
+		return nil, nil, eris.Wrapf(fault.Unavailable, "no target for %s%s", model, service)
+	}
+	t, done = r.take(q, candidates)
+	return t, done, nil
+}
+
+// candidates returns what is known of the targets.
+func (r *Router) candidates(q *question, targets []*wire.Target) []candidate {
 	candidates := make([]candidate, len(targets))
 	mean := 0.0
 	for i, t := range targets {
@@ -131,26 +145,46 @@
 			r.states[t.Name] = s
 		}
 		s.learn(t, q.now, r.cfg.Lag)
+		mean += s.others / float64(len(targets))
 		candidates[i] = candidate{
 			state: s, target: t,
 			cached: min(s.cache.match(q.blocks)*blockTokens, max(q.tokens-1, 0)),
 		}
 	}
-	for _, c := range candidates {
-		mean += c.others / float64(len(candidates))
-	}
 	for i := range candidates {
 		candidates[i].estimate(q.now, mean, r.cfg.Lag)
 	}
+	return candidates
+}
+
+// take chooses one of the candidates and counts the request.
+func (r *Router) take(q *question, candidates []candidate) (*wire.Target, func()) {
 	chosen := candidates[r.choose(r, q, candidates)]
 	r.turn++
 	chosen.turn = r.turn
 	chosen.send(q, chosen.cached, r.cfg.Prefill)
-	start := q.now
 	var once sync.Once
 	return chosen.target, func() {
-		once.Do(func() { r.done(chosen.state, start) })
+		once.Do(func() { r.done(chosen.state, q.now) })
+	}
+}
+
+// isFull tells whether no candidate has a free slot.
+func isFull(candidates []candidate) bool {
+	for i := range candidates {
+		if candidates[i].load < candidates[i].slots() {
+			return false
+		}
+	}
+	return true
+}
+
+// slots returns the size of the batch of a candidate.
+func (c *candidate) slots() float64 {
+	if c.target.Slots == 0 {
+		return defaultSlots
 	}
+	return float64(c.target.Slots)
 }
 
 func (r *Router) done(s *state, start time.Time) {
