--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 	nameSubscriber    = "subscriber"
 	nameAuthenticator = "authenticator"
 	nameReserver      = "reserver"
+	nameRetrier       = "retrier"
 	nameEjector       = "ejector"
 	nameRouter        = "router"
 	nameDispatcher    = "dispatcher"
@@ -93,7 +94,7 @@
 	if s.Disk {
 		parts = append(parts, b.holder(), b.publisher(), b.neighbors(), b.dissolver())
 	}
-	parts = append(parts, b.fleet(), b.reserver(), b.reporter(), b.ejector(), b.router(), b.dispatcher(), b.admitter(), b.gateway(), b.operator())
+	parts = append(parts, b.fleet(), b.reserver(), b.ejector(), b.retrier(), b.admitter(), b.reporter(), b.router(), b.dispatcher(), b.gateway(), b.operator())
 	app := kernel.New(cfg.Logger, s.DrainTime(), parts...)
 	if err := app.Err(); err != nil {
 		return nil, eris.Wrap(err, "build")
--- /dev/null
+++ b/internal/daemon/part_route.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"github.com/papayapond/papayapond/internal/admitter"
+	"github.com/papayapond/papayapond/internal/blocker"
+	"github.com/papayapond/papayapond/internal/dispatcher"
+	"github.com/papayapond/papayapond/internal/ejector"
+	"github.com/papayapond/papayapond/internal/kernel"
+	"github.com/papayapond/papayapond/internal/registry"
+	"github.com/papayapond/papayapond/internal/retrier"
+	"github.com/papayapond/papayapond/internal/router"
+	"github.com/papayapond/papayapond/internal/subscriber"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+func (b *builder) ejector() fx.Option {
+	return kernel.Part(nameEjector, func(*kernel.Kernel) (any, fx.Hook, error) {
+		return ejector.New(ejector.Config{}), fx.Hook{}, nil
+	})
+}
+
+func (b *builder) retrier() fx.Option {
+	return kernel.Part(nameRetrier, func(*kernel.Kernel) (any, fx.Hook, error) {
+		return retrier.New(retrier.Config{}), fx.Hook{}, nil
+	})
+}
+
+func (b *builder) router() fx.Option {
+	return kernel.Part(nameRouter, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		e, err := kernel.Find[*ejector.Ejector](k, nameEjector)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		ready := func(zone, model, service string) []*wire.Target {
+			return e.Filter(targets.Ready(zone, model, service))
+		}
+		r, err := router.New(router.Config{Zone: b.settings.Zone, Policy: b.settings.Policy, Ready: ready})
+		return r, fx.Hook{}, err
+	})
+}
+
+func (b *builder) dispatcher() fx.Option {
+	return kernel.Part(nameDispatcher, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		r, err := kernel.Find[*router.Router](k, nameRouter)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		blocked, err := kernel.Find[*blocker.Blocker](k, nameBlocker)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		health, err := kernel.Find[*ejector.Ejector](k, nameEjector)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		budget, err := kernel.Find[*retrier.Retrier](k, nameRetrier)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		d := dispatcher.New(dispatcher.Config{
+			Begin: budget.Begin, Retry: budget.Retry,
+			Succeed: health.Succeed, Fail: health.Fail,
+			Pick:    r.Pick,
+			Blocked: blocked.IsBlocked,
+			Blame: func(digest []byte, target string) {
+				blocked.Blame(digest, target)
+				// The holder must know before the caller can retry elsewhere.
+				_ = s.Announce(context.Background(), nil)
+			},
+			Clear:  blocked.Clear,
+			Logger: k.Logger(nameDispatcher),
+		})
+		return d, fx.Hook{OnStop: func(context.Context) error { d.Close(); return nil }}, nil
+	})
+}
+
+func (b *builder) admitter() fx.Option {
+	return kernel.Part(nameAdmitter, func(k *kernel.Kernel) (any, fx.Hook, error) {
+		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		a := admitter.New(admitter.Config{Zone: b.settings.Zone, Ready: targets.Ready, Instances: b.instances})
+		return a, fx.Hook{}, nil
+	})
+}
+
+// instances returns the number of instances in a zone, or in all zones if zone
+// is empty.
+func (b *builder) instances(zone string) int {
+	n := 0
+	for _, p := range b.settings.Peers {
+		if zone == "" || p.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
--- a/test/fleet/overload_test.go
+++ b/test/fleet/overload_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // started returns the number of requests that an engine has taken.
@@ -56,3 +58,46 @@
 		t.Errorf("requests at the engine: got %d, want the %d that were answered", got, whole)
 	}
 }
+
+// A target that freezes with open connections must not hold requests for good:
+// those without a token go to another target, and a broken stream ends with an
+// error.
+func TestFrozenTarget(t *testing.T) {
+	f := start(t, []int{1, 1, 1}, 1_000_000, false)
+	for _, name := range []string{"engine-a", "engine-b"} {
+		f.engine(name, "a", []int{0}, "--decode", "20ms")
+	}
+	f.routes(0)
+	time.Sleep(2 * time.Second) // both engines are known
+	answers := make([]answer, 12)
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Go(func() {
+			if i >= len(answers)/2 {
+				time.Sleep(time.Second)
+			}
+			answers[i] = f.chat(0, fmt.Sprintf("Frozen %d", i), 60, i%2 == 0, "")
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.signal("engine-a", syscall.SIGSTOP)
+	began := time.Now()
+	wg.Wait()
+	if took := time.Since(began); took > 12*time.Second {
+		t.Errorf("answers took %v after the freeze, want at most 12 s", took)
+	}
+	whole := 0
+	for i, a := range answers {
+		code, run := a.code()
+		switch {
+		case a.status == http.StatusOK && code == "":
+			whole++
+		case i < len(answers)/2 && i%2 == 0 && code == "interrupted" && run == "yes":
+		default:
+			t.Errorf("request %d: got %d %s run=%s, want an answer or a truthful error", i, a.status, code, run)
+		}
+	}
+	if whole < len(answers)/2 {
+		t.Errorf("whole answers: got %d of %d, want at least those sent after the freeze", whole, len(answers))
+	}
+}
