--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,8 +36,11 @@
 	nameSubscriber    = "subscriber"
 	nameAuthenticator = "authenticator"
 	nameReserver      = "reserver"
+	nameRetrier       = "retrier"
+	nameEjector       = "ejector"
 	nameRouter        = "router"
 	nameDispatcher    = "dispatcher"
+	nameAdmitter      = "admitter"
 	nameGateway       = "gateway"
 	nameReporter      = "reporter"
 )
@@ -95,7 +98,7 @@
 	if s.Disk {
 		parts = append(parts, b.holder(), b.publisher(), b.neighbors(), b.dissolver())
 	}
-	parts = append(parts, b.fleet(), b.reporter(), b.reserver(), b.resubmitter(), b.router(), b.dispatcher(), b.gateway(), b.operator())
+	parts = append(parts, b.fleet(), b.ejector(), b.retrier(), b.admitter(), b.reporter(), b.reserver(), b.resubmitter(), b.router(), b.dispatcher(), b.gateway(), b.operator())
 	app := kernel.New(cfg.Logger, s.DrainTime(), parts...)
 	if err := app.Err(); err != nil {
 		return nil, eris.Wrap(err, "build")
--- a/internal/daemon/part_entry.go
+++ b/internal/daemon/part_entry.go
@@ -10,8 +10,8 @@
 
 	"go.uber.org/fx"
 
+	"github.com/papayapond/papayapond/internal/admitter"
 	"github.com/papayapond/papayapond/internal/authenticator"
-	"github.com/papayapond/papayapond/internal/blocker"
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/gateway"
 	"github.com/papayapond/papayapond/internal/kernel"
@@ -20,7 +20,6 @@
 	"github.com/papayapond/papayapond/internal/registry"
 	"github.com/papayapond/papayapond/internal/reporter"
 	"github.com/papayapond/papayapond/internal/reserver"
-	"github.com/papayapond/papayapond/internal/router"
 	"github.com/papayapond/papayapond/internal/subscriber"
 	"github.com/papayapond/papayapond/internal/wire"
 	"github.com/papayapond/papayapond/pkg/account"
@@ -46,45 +45,6 @@
 	return subtle.ConstantTimeCompare([]byte(account.Hash(raw, key)), []byte(b.settings.Bootstrap)) == 1
 }
 
-func (b *builder) router() fx.Option {
-	return kernel.Part(nameRouter, func(k *kernel.Kernel) (any, fx.Hook, error) {
-		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
-		if err != nil {
-			return nil, fx.Hook{}, err
-		}
-		return router.New(router.Config{Zone: b.settings.Zone, Ready: targets.Ready}), fx.Hook{}, nil
-	})
-}
-
-func (b *builder) dispatcher() fx.Option {
-	return kernel.Part(nameDispatcher, func(k *kernel.Kernel) (any, fx.Hook, error) {
-		r, err := kernel.Find[*router.Router](k, nameRouter)
-		if err != nil {
-			return nil, fx.Hook{}, err
-		}
-		blocked, err := kernel.Find[*blocker.Blocker](k, nameBlocker)
-		if err != nil {
-			return nil, fx.Hook{}, err
-		}
-		s, err := kernel.Find[*subscriber.Subscriber](k, nameSubscriber)
-		if err != nil {
-			return nil, fx.Hook{}, err
-		}
-		d := dispatcher.New(dispatcher.Config{
-			Pick: r.Pick, Done: r.Done,
-			Blocked: blocked.IsBlocked,
-			Blame: func(digest []byte, target string) {
-				blocked.Blame(digest, target)
-				// The holder must know before the caller can retry elsewhere.
-				_ = s.Announce(context.Background(), nil)
-			},
-			Clear:  blocked.Clear,
-			Logger: k.Logger(nameDispatcher),
-		})
-		return d, fx.Hook{OnStop: func(context.Context) error { d.Close(); return nil }}, nil
-	})
-}
-
 func (b *builder) gateway() fx.Option {
 	return kernel.Part(nameGateway, func(k *kernel.Kernel) (any, fx.Hook, error) {
 		cfg := gateway.Config{
@@ -96,11 +56,8 @@
 			},
 			Propose: b.peers.propose(b.holders()),
 			Read:    b.peers.read(b.holders()),
-			Admit: func(context.Context, string, int64, string) (func(), error) {
-				return func() {}, nil
-			},
-			Grace:  graceTime,
-			Logger: k.Logger(nameGateway),
+			Grace:   graceTime,
+			Logger:  k.Logger(nameGateway),
 		}
 		m, err := b.fillGateway(k, &cfg)
 		if err != nil {
@@ -144,6 +101,10 @@
 	if err != nil {
 		return nil, err
 	}
+	admit, err := kernel.Find[*admitter.Admitter](k, nameAdmitter)
+	if err != nil {
+		return nil, err
+	}
 	targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
 	if err != nil {
 		return nil, err
@@ -169,7 +130,7 @@
 		return reply, err
 	}
 	cfg.Settle, cfg.Cancel = r.Settle, r.Cancel
-	cfg.Do = d.Do
+	cfg.Do, cfg.Admit = d.Do, admit.Admit
 	cfg.Observe = report.Observe
 	cfg.Ready = targets.Ready
 	return m, nil
--- a/internal/daemon/part_report.go
+++ b/internal/daemon/part_report.go
@@ -8,13 +8,16 @@
 
 	"go.uber.org/fx"
 
+	"github.com/papayapond/papayapond/internal/admitter"
 	"github.com/papayapond/papayapond/internal/configuration"
 	"github.com/papayapond/papayapond/internal/controller"
+	"github.com/papayapond/papayapond/internal/ejector"
 	"github.com/papayapond/papayapond/internal/holder"
 	"github.com/papayapond/papayapond/internal/kernel"
 	"github.com/papayapond/papayapond/internal/registry"
 	"github.com/papayapond/papayapond/internal/replicator"
 	"github.com/papayapond/papayapond/internal/reporter"
+	"github.com/papayapond/papayapond/internal/retrier"
 	"github.com/papayapond/papayapond/internal/subscriber"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -25,12 +28,25 @@
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
+		admit, err := kernel.Find[*admitter.Admitter](k, nameAdmitter)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		health, err := kernel.Find[*ejector.Ejector](k, nameEjector)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		budget, err := kernel.Find[*retrier.Retrier](k, nameRetrier)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
 		targets, err := kernel.Find[*registry.Registry](k, nameRegistry)
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
 		cfg := reporter.Config{
 			Flight: b.flight, Version: s.Version, Stale: s.IsStale, Targets: targets.Count, Pinned: pinned(s.Current),
+			Waiting: admit.Waiting, Admitted: admit.Flight, Ejected: health.Ejected, RefusedRetries: budget.Refused,
 		}
 		if b.settings.Disk {
 			if err := b.reportBooks(k, &cfg); err != nil {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	template "github.com/papayapond/papayapond/internal/completion"
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/estimator"
 	"github.com/papayapond/papayapond/internal/fault"
@@ -72,7 +73,7 @@
 		// The answer is kept for the retry even if the caller goes away.
 		ctx = context.WithoutCancel(ctx)
 	}
-	release, err := g.cfg.Admit(ctx, s.account.Name, s.account.Weight, c.class)
+	release, err := g.cfg.Admit(ctx, c.model, s.account.Name, s.account.Weight, c.class)
 	if err != nil {
 		return err
 	}
@@ -87,6 +88,11 @@
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Digest: s.digest, Repeatable: true,
 		Allowed: g.allowed(s),
 	}
+	// A prompt that can't be read has no affinity; the engine refuses it.
+	job.Prompt, _, _ = template.Prompt(c.body["messages"], c.body["tools"])
+	if c.stream {
+		job.Progress = func() int { return int(relay.output) }
+	}
 	if s.key != "" {
 		// Two attempts with one key may run at the same time, and accounts may
 		// choose the same key.
--- a/internal/gateway/secret_test.go
+++ b/internal/gateway/secret_test.go
@@ -54,13 +54,13 @@
 	core, logs := observer.New(zap.DebugLevel)
 	logger := zap.New(core)
 	send := dispatcher.New(dispatcher.Config{
-		Pick: func(_, _ string, allowed func(string) bool) (*wire.Target, error) {
+		Pick: func(_, _ string, _ []byte, allowed func(string) bool) (*wire.Target, func(), error) {
 			if !allowed("engine-1") {
-				return nil, eris.Wrap(fault.Unavailable, "no other target")
+				return nil, nil, eris.Wrap(fault.Unavailable, "no other target")
 			}
-			return &wire.Target{Name: "engine-1", Address: strings.TrimPrefix(target.URL, "http://")}, nil
+			return &wire.Target{Name: "engine-1", Address: strings.TrimPrefix(target.URL, "http://")}, func() {}, nil
 		},
-		Done: func(string) {}, Blocked: func([]byte) bool { return false }, Blame: func([]byte, string) {}, Clear: func([]byte) {}, Logger: logger,
+		Blocked: func([]byte) bool { return false }, Blame: func([]byte, string) {}, Clear: func([]byte) {}, Logger: logger,
 	})
 	t.Cleanup(send.Close)
 	b.cfg = Config{
@@ -74,7 +74,7 @@
 		Find:     func(context.Context, *wire.FindRequest) (*wire.FindReply, error) { return &wire.FindReply{}, nil },
 		Propose:  func(context.Context, *wire.Command) (*wire.ProposeReply, error) { return nil, eris.New("no quorum") },
 		Do:       send.Do,
-		Admit:    func(context.Context, string, int64, string) (func(), error) { return func() {}, nil },
+		Admit:    func(context.Context, string, string, int64, string) (func(), error) { return func() {}, nil },
 		Ready:    func(string, string, string) []*wire.Target { return nil },
 		Announce: func(context.Context, *wire.Target) error { return nil },
 		Holding:  func() *wire.Holding { return &wire.Holding{Instance: "a1", Incarnation: 1} },
@@ -132,7 +132,7 @@
 		c.Reserve = func(context.Context, string, int64) (uint64, error) { return 0, eris.Wrap(fault.Exhausted, "holder") }
 	}, nil, "exhausted"},
 	{"queue", chat, sampler.WondimuKey, "", body(sampler.Model, false), func(c *Config) {
-		c.Admit = func(context.Context, string, int64, string) (func(), error) {
+		c.Admit = func(context.Context, string, string, int64, string) (func(), error) {
 			return nil, eris.Wrap(fault.Overloaded, "queue")
 		}
 	}, nil, "overloaded"},
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -24,6 +24,11 @@
 	Stale   func() bool
 	// Targets returns the number of targets of the zone by state.
 	Targets func() map[string]int
+	// Waiting and Admitted return the numbers of requests that wait for
+	// admission and that were admitted; Ejected is the number of ejected
+	// targets, RefusedRetries that of retries refused by the retry budget.
+	Waiting, Admitted, Ejected func() int
+	RefusedRetries             func() uint64
 	// Log returns whether this instance leads the log, the term and the index
 	// of the last committed entry.
 	Log func() (leads bool, term, index uint64)
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -27,6 +27,8 @@
 		Tally:      func(string) *wire.Tally { return &wire.Tally{Billed: 25} },
 		Pool:       func(string) *wire.Pool { return &wire.Pool{Prepaid: 1000} },
 		Pinned:     func() []string { return []string{"mill"} },
+		Waiting:    func() int { return 5 }, Admitted: func() int { return 6 }, Ejected: func() int { return 1 },
+		RefusedRetries: func() uint64 { return 8 },
 	})
 	r.Observe(gateway.Outcome{Account: "mill", Class: "chat", Code: "ok", First: time.Millisecond, Between: []time.Duration{time.Millisecond}, Total: time.Second, Billed: 25})
 	r.Observe(gateway.Outcome{Account: "mill", Class: "chat", Code: fault.Exhausted.Code()})
--- a/internal/reporter/state.go
+++ b/internal/reporter/state.go
@@ -7,6 +7,10 @@
 	flightDesc  = describe("papayapond_requests_in_flight", "Requests in flight on this instance.")
 	versionDesc = describe("papayapond_configuration_version", "Version of the configuration in force on this instance.")
 	staleDesc   = describe("papayapond_configuration_stale", "1 if no holder with a quorum has been heard for 10 s, else 0.")
+	waitingDesc = describe("papayapond_requests_waiting", "Requests that wait for admission.")
+	admitDesc   = describe("papayapond_requests_admitted", "Requests that were admitted and have not ended.")
+	ejectedDesc = describe("papayapond_targets_ejected", "Targets that are ejected because of errors or slowness.")
+	retriesDesc = describe("papayapond_retries_refused_total", "Retries refused by the retry budget.")
 	targetsDesc = describe("papayapond_targets", "Targets that this instance knows, by state.", "state")
 	leaderDesc  = describe("papayapond_log_leader", "1 if this instance leads the replicated log, else 0.")
 	termDesc    = describe("papayapond_log_term", "Term of the replicated log.")
@@ -31,7 +35,7 @@
 
 // Describe sends the descriptions.
 func (c *stateCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{flightDesc, versionDesc, staleDesc, targetsDesc, leaderDesc, termDesc, indexDesc, brokenDesc, booksDesc, poolDesc} {
+	for _, d := range []*prometheus.Desc{flightDesc, waitingDesc, admitDesc, ejectedDesc, retriesDesc, versionDesc, staleDesc, targetsDesc, leaderDesc, termDesc, indexDesc, brokenDesc, booksDesc, poolDesc} {
 		out <- d
 	}
 }
@@ -44,6 +48,17 @@
 	if c.cfg.Flight != nil {
 		gauge(flightDesc, float64(c.cfg.Flight()))
 	}
+	for _, g := range []struct {
+		desc *prometheus.Desc
+		read func() int
+	}{{waitingDesc, c.cfg.Waiting}, {admitDesc, c.cfg.Admitted}, {ejectedDesc, c.cfg.Ejected}} {
+		if g.read != nil {
+			gauge(g.desc, float64(g.read()))
+		}
+	}
+	if c.cfg.RefusedRetries != nil {
+		out <- prometheus.MustNewConstMetric(retriesDesc, prometheus.CounterValue, float64(c.cfg.RefusedRetries()))
+	}
 	if c.cfg.Version != nil {
 		gauge(versionDesc, float64(c.cfg.Version()))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,9 @@
 	// Bootstrap is the hash of the operator key that is valid until the first
 	// configuration is accepted, as salt:hash in hex.
 	Bootstrap string `toml:"bootstrap"`
+	// Policy is the policy by which targets are chosen, see docs/routing.md.
+	// Empty means the default.
+	Policy string `toml:"policy"`
 	// Peers are all instances of the fleet, this one included. Metrics is the
 	// address for metrics of a peer, for reports over the fleet; it may be
 	// empty.
