--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -77,5 +78,11 @@
 	if err := json.Unmarshal(answer, &refusal); err != nil || refusal.Error.Code == "" {
 		return nil, eris.Wrapf(fault.Internal, "status %d: %s", response.StatusCode, answer)
 	}
-	return nil, eris.Wrap(fault.Parse(refusal.Error.Code), refusal.Error.Message)
+	// The message ends with the text of the kind, which wrapping adds again.
+	kind := fault.Parse(refusal.Error.Code)
+	message := refusal.Error.Message
+	for strings.HasSuffix(message, ": "+kind.Error()) {
+		message = strings.TrimSuffix(message, ": "+kind.Error())
+	}
+	return nil, eris.Wrap(kind, message)
 }
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -32,7 +32,8 @@
 	var list []string
 	for i := range t.NumField() {
 		f := t.Field(i)
-		key, kind := prefix+f.Tag.Get("toml"), ""
+		key := prefix + f.Tag.Get("toml")
+		var kind string
 		var below []string
 		switch {
 		case f.Type == reflect.TypeFor[time.Time]():
