Bound what an instance borrows beyond its share; choose by cost

At the start of a burst the late reports say that all slots are free, so that each instance admitted three times its share.

Change: the limit of an instance is at most 1.5 times its share.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -20,6 +20,9 @@
 	// go beyond the instance's share. The balancer in front of the instances
 	// gives them unequal parts of the traffic.
 	borrowed = 2
+	// mostBorrowed bounds the limit, relative to the share. Reports come late,
+	// so that at the start of a burst all slots look free.
+	mostBorrowed = 1.5
 	// limitAge bounds the age of a computed limit.
 	limitAge = 50 * time.Millisecond
 	// smoothing is the weight of the newest holding time in the mean.
@@ -222,10 +225,10 @@
 	}
 	all := max(a.cfg.Instances(""), 1)
 	if local.slots == 0 {
-		l.value = ceil(remote.slots+borrowed*remote.free, all)
+		l.value = remote.share(all)
 		return l.value
 	}
-	l.value = ceil(local.slots+borrowed*local.free, max(a.cfg.Instances(a.cfg.Zone), 1)) + remote.free/all
+	l.value = local.share(max(a.cfg.Instances(a.cfg.Zone), 1)) + remote.free/all
 	return l.value
 }
 
@@ -241,7 +244,11 @@
 	c.free += max(0, slots-int(t.Running+t.Waiting))
 }
 
-func ceil(n, d int) int { return (n + d - 1) / d }
+// share returns the limit of one of n instances.
+func (c *capacity) share(n int) int {
+	total := min(c.slots+borrowed*c.free, int(mostBorrowed*float64(c.slots)))
+	return (total + n - 1) / n
+}
 
 // longest returns the longest wait of a class.
 func (a *Admitter) longest(class string) time.Duration {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// At the start of a burst the late reports say that all slots are free. The
+// limit must stay near the share, or the engines' queues grow for seconds.
+func TestBurst(t *testing.T) {
+	a := fixed(16, time.Second)
+	a.cfg.Ready = func(string, string, string) []*wire.Target {
+		return []*wire.Target{{Name: "e", Models: []string{"m"}, Slots: 16}}
+	}
+	var l limit
+	if got, want := a.bound(&l, "m"), 12; got != want {
+		t.Errorf("limit: got %d, want 1.5 times the share of 8", got)
+	}
+}
+
 // A request whose expected wait exceeds its deadline must be refused at once
 // instead of after the deadline.
 func TestEarlyRefusal(t *testing.T) {
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -15,7 +15,7 @@
 	Hash  = "hash"  // by the prefix of the prompt, within a bound on the load
 	Cost  = "cost"  // shortest estimated time to the first token
 	// DefaultPolicy is the policy of the product.
-	DefaultPolicy = Two
+	DefaultPolicy = Cost
 )
 
 const (
