Compare the speed of targets by their streams alone

Cause: the time to the first byte of an answer that comes as a whole is the time of the whole run, so that a target that happened to get long drafts could be ejected as slow.

Change: only the time to the first token of streams counts.

Conclusion: TestSlow adds whole answers to a healthy target, which stays.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -65,6 +65,9 @@
 	switch {
 	case err == nil:
 		d.cfg.Clear(a.job.Digest)
+		if a.job.Progress == nil {
+			first = 0
+		}
 		if d.cfg.Succeed != nil && response.StatusCode < http.StatusInternalServerError {
 			d.cfg.Succeed(a.target.Name, first)
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -47,6 +47,7 @@
 	Begin func()
 	Retry func() bool
 	// Succeed and Fail record the health of a target. Nil records nothing.
+	// First is the time to the first token of a stream, 0 for other answers.
 	Succeed func(target string, first time.Duration)
 	Fail    func(target string)
 	// Quiet is the time without a byte after which a connection is checked.
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -96,17 +96,16 @@
 	return kept
 }
 
-// Succeed records a whole answer and the time to its first byte.
+// Succeed records a whole answer and the time to its first token, or 0 for an
+// answer that came as a whole: its time depends on its length.
 func (e *Ejector) Succeed(target string, first time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	h := e.find(target)
 	h.failed = 0
-	if h.samples == 0 {
-		h.first = first
+	if first > 0 {
+		h.add(first)
 	}
-	h.samples++
-	h.first += time.Duration(smoothing * float64(first-h.first))
 	switch {
 	case h.until.IsZero():
 		if h.samples >= slowSamples && e.isSlow(target, h.first) {
@@ -114,13 +113,21 @@
 		}
 	case !e.isSlow(target, first):
 		h.until, h.pause = time.Time{}, 0
-		h.first = first
-		h.samples = 1
+		h.first, h.samples = 0, 0
 	default:
 		e.eject(h)
 	}
 }
 
+// add takes a time into the mean.
+func (h *health) add(first time.Duration) {
+	if h.samples == 0 {
+		h.first = first
+	}
+	h.samples++
+	h.first += time.Duration(smoothing * float64(first-h.first))
+}
+
 // Fail records an attempt that failed through the target's fault.
 func (e *Ejector) Fail(target string) {
 	e.mu.Lock()
--- a/internal/ejector/ejector_test.go
+++ b/internal/ejector/ejector_test.go
@@ -82,6 +82,9 @@
 			e.Succeed(fmt.Sprintf("e%d", i), first)
 		}
 	}
+	for range 2 * slowSamples {
+		e.Succeed("e1", 0) // whole answers have no time
+	}
 	e.Succeed("e2", time.Second)
 	if list := e.Filter(targets(4)); has(list, "e2") || len(list) != 3 {
 		t.Errorf("got %v, want all but e2", list)
