Bound the memory for the caches of all targets

Cause: 2048 blocks of about 200 bytes for each of the 344 targets of a zone at the future size are 140 MB, above the 128 MB that control may use.

Change: all targets together keep at most 131,072 blocks.

Conclusion: TestMemory; with up to 64 targets nothing changes.

--- a/internal/router/cache.go
+++ b/internal/router/cache.go
@@ -13,10 +13,12 @@
 	// bytesPerToken is the usual ratio for English text.
 	bytesPerToken = 4
 	blockTokens   = blockBytes / bytesPerToken
-	// maxBlocks bounds the blocks that are remembered of one prompt, and
-	// maxCache those of one target.
+	// maxBlocks bounds the blocks that are remembered of one prompt, maxCache
+	// those of one target, and maxTotal those of all targets. A block takes
+	// about 200 bytes, so that all of them stay within 26 MB.
 	maxBlocks = 64
 	maxCache  = 2048
+	maxTotal  = 1 << 17
 	// eventAge is the usual age of a cache event when it arrives. An eviction
 	// that arrives sooner after a request with the block came before it.
 	eventAge = 2 * time.Second
@@ -57,6 +59,7 @@
 // events and the prompts that this instance has sent. The events come late and
 // with gaps, so it forgets the least recently used blocks by itself.
 type cache struct {
+	limit    int        // in blocks
 	order    *list.List // of block, most recently used first
 	elements map[uint64]*list.Element
 }
@@ -66,7 +69,9 @@
 	sent time.Time // by this instance
 }
 
-func newCache() *cache { return &cache{order: list.New(), elements: map[uint64]*list.Element{}} }
+func newCache() *cache {
+	return &cache{limit: maxCache, order: list.New(), elements: map[uint64]*list.Element{}}
+}
 
 // match returns how many leading blocks are probably cached. A gap in the
 // events may hide a block in the middle, so that the last known block counts.
@@ -111,7 +116,7 @@
 		return
 	}
 	c.elements[b.hash] = c.order.PushFront(b)
-	if c.order.Len() > maxCache {
+	for c.order.Len() > c.limit {
 		delete(c.elements, c.order.Remove(c.order.Back()).(block).hash)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -144,6 +144,7 @@
 			s.turn = -r.cfg.Random(maxTurn)
 			r.states[t.Name] = s
 		}
+		s.cache.limit = min(maxCache, maxTotal/len(r.states))
 		s.learn(t, q.now, r.cfg.Lag)
 		mean += s.others / float64(len(targets))
 		candidates[i] = candidate{
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -278,3 +278,21 @@
 		}
 	}
 }
+
+// What is remembered of the caches must be bounded over all targets, or a
+// large zone would take more memory than control may use.
+func TestMemory(t *testing.T) {
+	p := newPond(300)
+	r := p.router(t, Round, 1)
+	for i := range 6000 {
+		_, done := pick(t, r, fmt.Sprint(i, strings.Repeat(" unlike the others", 1000)))
+		done()
+	}
+	total := 0
+	for _, s := range r.states {
+		total += s.cache.order.Len()
+	}
+	if total > maxTotal {
+		t.Errorf("got %d blocks, want at most %d", total, maxTotal)
+	}
+}
