Take a 404 for an unknown stream only if the target says so

Cause: a target that can't resume streams answers 404 to the question for one. The dispatcher took this as a lost request and would have cut long prefills.

Change: the answer must carry the code missing; otherwise the target counts as one that can't resume, and only its life is checked.

Conclusion: TestNoResumption.

--- a/internal/dispatcher/conversation.go
+++ b/internal/dispatcher/conversation.go
@@ -29,6 +29,8 @@
 	// maxSilent is the number of unanswered questions in a row after which a
 	// target counts as dead.
 	maxSilent = 2
+	// unknownCode is in the answer of a target that doesn't know a stream.
+	unknownCode = `"code":"missing"`
 	// spareAge is the number of checks after which an unanswered question for
 	// the stream is asked again.
 	spareAge = 10
@@ -251,7 +253,10 @@
 func (c *conversation) compare(e event) (*event, error) {
 	switch {
 	case e.response != nil:
-		return c.compareHead(e.response)
+		c.compareHead(e.response)
+		return nil, nil
+	case c.reply != nil && c.reply.StatusCode == http.StatusNotFound:
+		return c.unknown(e)
 	case e.err != nil && (!errors.Is(e.err, io.EOF) || c.reply == nil):
 		c.dropSpare() // this connection broke; the next check opens another
 		return nil, nil
@@ -278,24 +283,31 @@
 }
 
 // compareHead takes the status of the spare connection.
-func (c *conversation) compareHead(r *http.Response) (*event, error) {
+func (c *conversation) compareHead(r *http.Response) {
 	id := r.Header.Get(RequestHeader)
 	switch {
-	case r.StatusCode == http.StatusOK && (id == "" || id == c.a.id()):
+	case r.StatusCode == http.StatusNotFound, r.StatusCode == http.StatusOK && (id == "" || id == c.a.id()):
 		c.reply = r
-		return nil, nil
-	case r.StatusCode == http.StatusNotFound && r.Header.Get("Content-Type") == "application/json":
-		// The target doesn't know the request.
-		if found := c.grace(); found != nil {
-			return found, nil
-		}
-		c.renew()
-		return nil, errLost
 	default:
 		c.resumable = false
 		c.dropSpare()
+	}
+}
+
+// unknown takes the body of an answer with status 404. It means that the
+// target doesn't know the attempt only if it says so: a target that can't
+// resume streams answers 404 as well.
+func (c *conversation) unknown(e event) (*event, error) {
+	if !bytes.Contains(e.data, []byte(unknownCode)) {
+		c.resumable = false
+		c.dropSpare()
 		return nil, nil
 	}
+	if found := c.grace(); found != nil {
+		return found, nil
+	}
+	c.renew()
+	return nil, errLost
 }
 
 // grace gives the first connection the chance to deliver what the second one
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -204,6 +204,29 @@
 	}
 }
 
+// A target that can't resume streams and answers 404 must not be taken for one
+// that doesn't know the request, or its long prefills would be cut.
+func TestNoResumption(t *testing.T) {
+	b := newBench(t, 0, engine.Config{Name: "e0"})
+	calls := atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/chat/completions" {
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = io.WriteString(w, `{"detail":"Not Found"}`)
+			return
+		}
+		calls.Add(1)
+		time.Sleep(12 * quiet)
+		_, _ = io.WriteString(w, "data: {\"choices\":[{\"delta\":{\"content\":\"late\"}}]}\n\ndata: [DONE]\n\n")
+	}))
+	t.Cleanup(server.Close)
+	b.targets[0].Address = server.Listener.Addr().String()
+	if _, content, err := b.stream(1, nothing); err != nil || content != "late" || calls.Load() != 1 {
+		t.Errorf("got %q, %v after %d calls; want a late answer to one call", content, err, calls.Load())
+	}
+}
+
 // A request that was swallowed by a silent connection must go to another
 // target, and the kept connections to the first one must not be used again.
 func TestSwallowedRequest(t *testing.T) {
