Provide each zone with rights for a long partition

Cause: a holder asked for the demand of the next 20 s only. Ruled out: a larger answer to each draw, which doesn't help accounts whose free rights last for more than 10 s when the cut begins; pushing surplus rights back to the log, which starves the zone with the demand while all zones want more than is left. Change: every 10 s a holder asks for the demand of 90 minutes, and evens out free rights with the other zones once nothing is unassigned. The package comparer runs the real objects in a synctest bubble against a static split and a central counter; papayameasure budgets prints the comparison.

--- /dev/null
+++ b/cmd/papayameasure/main.go
@@ -0,0 +1,36 @@
+// Command papayameasure measures the parts of a fleet on this machine, prints
+// the load of each role at a planned size, and compares ways to divide
+// budgets; see docs/CAPACITY.md and docs/budgets.md.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+type arguments struct {
+	Budgets *budgetsArguments `arg:"subcommand:budgets" help:"compare ways to divide budgets"`
+}
+
+func main() { os.Exit(execute()) }
+
+func execute() int {
+	var args arguments
+	parser := arg.MustParse(&args)
+	var err error
+	switch {
+	case args.Budgets != nil:
+		err = args.Budgets.run()
+	default:
+		parser.Fail("name a mode: budgets")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "papayameasure:", err)
+		return fault.Of(err).Exit()
+	}
+	return 0
+}
--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -48,6 +48,7 @@
 	}
 	h.progress.kick()
 	h.grants.note(request.Account, amount-need, h.cfg.Now())
+	h.grants.spend(request.Account, amount, h.cfg.Now())
 	t := tally(l, request.Account)
 	h.refill(l, t)
 	return &wire.DrawReply{Amount: amount, Epoch: l.Epoch(), Unspent: t.Free + t.Allowances}, nil
@@ -73,6 +74,7 @@
 	}
 	if err == nil {
 		h.progress.kick()
+		h.grants.spend(request.Account, -request.Amount, h.cfg.Now())
 	}
 	return &wire.ReturnReply{Fault: wireFault(err)}, nil
 }
--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -52,6 +52,8 @@
 // rights is what the holder remembers about one account.
 type rights struct {
 	demand  demand
+	pace    demand        // draws less returns
+	since   time.Time     // first draw, the start of pace
 	last    int64         // last grant
 	flight  chan struct{} // closed when the request for rights ends
 	refills time.Time     // no refill before
@@ -66,7 +68,7 @@
 func (g *grants) account(name string) *rights {
 	a := g.accounts[name]
 	if a == nil {
-		a = &rights{}
+		a = &rights{demand: demand{window: demandWindow}, pace: demand{window: paceWindow}}
 		g.accounts[name] = a
 	}
 	return a
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -121,6 +121,7 @@
 	group.Go(func() { every(ctx, proofInterval, func() { h.free(l) }) })
 	group.Go(func() { every(ctx, releaseInterval, func() { h.settlePending(ctx, l) }) })
 	group.Go(func() { every(ctx, seedInterval, func() { seeds.seed(ctx, l) }) })
+	group.Go(func() { every(ctx, provisionInterval, func() { h.provision(ctx, l) }) })
 	group.Go(func() { every(ctx, mergeInterval, func() { h.mergeAll(l) }) })
 	<-ctx.Done()
 	h.grants.stop()
