Send configuration changes without printing the document

Each change was also printed and parsed again. Ruled out: fewer updates, since targets must be known within the bound. Change: the publisher asks for the version only, and takes changes from the controller's configuration in memory. papayameasure fleet measures a holder and the instances of its zone in two processes over loopback.

--- a/cmd/papayaload/baseline.go
+++ b/cmd/papayaload/baseline.go
@@ -29,6 +29,7 @@
 type baselineArguments struct {
 	Engine  string   `arg:"--engine,required" help:"engine to measure alone and behind the proxy, host:port"`
 	Entries []string `arg:"--entry,separate" help:"entry instance that uses the engine, host:port; may be repeated; without it this leg is left out"`
+	Proxy   string   `arg:"--proxy" help:"reverse proxy in front of the engine, host:port, as started by the mode proxy [default: one in this process]"`
 	Mix     string   `arg:"--mix" default:"quote=1,sheet=2,chat=8,tag=6" help:"weights of the classes; an engine has no stock and order"`
 	Rounds  int      `arg:"--rounds" default:"2" help:"number of rounds; each measures every leg once, in turn"`
 	common
@@ -48,11 +49,14 @@
 	if err != nil {
 		return false, err
 	}
-	proxy, stop, err := serveProxy(args.Engine)
-	if err != nil {
-		return false, err
+	proxy := args.Proxy
+	if proxy == "" {
+		var stop func()
+		if proxy, stop, err = serveProxy(args.Engine, "127.0.0.1:0"); err != nil {
+			return false, err
+		}
+		defer stop()
 	}
-	defer stop()
 	legs := []string{legDirect, legProxy}
 	addresses := map[string][]string{legDirect: {args.Engine}, legProxy: {proxy}, legEntry: args.Entries}
 	if len(args.Entries) > 0 {
@@ -87,10 +91,27 @@
 	return broken, args.report(all)
 }
 
+// proxyArguments start the reverse proxy in a process of its own, so that it
+// doesn't share processors with the load.
+type proxyArguments struct {
+	Engine  string `arg:"--engine,required" help:"engine to relay to, host:port"`
+	Address string `arg:"--address" default:"127.0.0.1:8090" help:"host:port to listen on"`
+}
+
+func (args *proxyArguments) run(ctx context.Context) error {
+	_, stop, err := serveProxy(args.Engine, args.Address)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stop()
+	return nil
+}
+
 // serveProxy runs the reverse proxy of the standard library on loopback. It is
 // the baseline of this measurement and no part of the product.
-func serveProxy(engine string) (address string, stop func(), err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func serveProxy(engine, at string) (address string, stop func(), err error) {
+	listener, err := net.Listen("tcp", at)
 	if err != nil {
 		return "", nil, eris.Wrapf(fault.Unavailable, "proxy: %v", err)
 	}
--- a/cmd/papayaload/main.go
+++ b/cmd/papayaload/main.go
@@ -53,6 +53,7 @@
 type arguments struct {
 	Run      *runArguments      `arg:"subcommand:run" help:"send requests to entry instances"`
 	Baseline *baselineArguments `arg:"subcommand:baseline" help:"compare an engine alone, behind a plain reverse proxy, and behind entry instances"`
+	Proxy    *proxyArguments    `arg:"subcommand:proxy" help:"run the plain reverse proxy of the baseline"`
 }
 
 // Description is shown by --help.
@@ -75,8 +76,10 @@
 		broken, err = run(ctx, args.Run)
 	case args.Baseline != nil:
 		broken, err = baseline(ctx, args.Baseline)
+	case args.Proxy != nil:
+		err = args.Proxy.run(ctx)
 	default:
-		parser.Fail("name a mode: run or baseline")
+		parser.Fail("name a mode: run, baseline or proxy")
 	}
 	switch {
 	case err != nil:
--- a/cmd/papayameasure/main.go
+++ b/cmd/papayameasure/main.go
@@ -13,6 +13,7 @@
 )
 
 type arguments struct {
+	Fleet   *fleetArguments   `arg:"subcommand:fleet" help:"measure the traffic between a holder and the instances of its zone"`
 	Budgets *budgetsArguments `arg:"subcommand:budgets" help:"compare ways to divide budgets"`
 }
 
@@ -23,10 +24,12 @@
 	parser := arg.MustParse(&args)
 	var err error
 	switch {
+	case args.Fleet != nil:
+		err = args.Fleet.run()
 	case args.Budgets != nil:
 		err = args.Budgets.run()
 	default:
-		parser.Fail("name a mode: budgets")
+		parser.Fail("name a mode: fleet or budgets")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "papayameasure:", err)
--- a/internal/daemon/part_fleet.go
+++ b/internal/daemon/part_fleet.go
@@ -165,11 +165,11 @@
 		}
 		p := publisher.New(publisher.Config{
 			Zone: b.settings.Zone, Registry: targets, Blocker: blocked,
-			Read:    func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
-			Changed: c.Changed,
-			Peers:   m.Peers,
-			Quorum:  func() bool { return b.link.log.Leader() != "" },
-			Logger:  k.Logger(namePublisher),
+			Read:          func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
+			Configuration: c.Configuration, Changed: c.Changed,
+			Peers:  m.Peers,
+			Quorum: func() bool { return b.link.log.Leader() != "" },
+			Logger: k.Logger(namePublisher),
 		})
 		return p, fx.Hook{}, nil
 	})
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -34,6 +34,10 @@
 	Blocker  *blocker.Blocker
 	// Read reads the state of the local controller.
 	Read func(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error)
+	// Configuration returns the configuration in force at the local
+	// controller, or nil. Reading its document instead would print and parse
+	// it, which takes more than 100 ms with thousands of accounts.
+	Configuration func() *configuration.Configuration
 	// Changed returns a channel that is closed at the next change of the
 	// configuration or the phase.
 	Changed func() <-chan struct{}
@@ -113,16 +117,14 @@
 // update returns what has changed for a watcher, and a channel that is closed
 // at the next change of a target.
 func (p *Publisher) update(ctx context.Context, w *watcher) (*wire.Update, <-chan struct{}, error) {
-	state, err := p.cfg.Read(ctx, &wire.ReadRequest{Stale: true, Document: true})
+	state, err := p.cfg.Read(ctx, &wire.ReadRequest{Stale: true})
 	if err != nil {
 		return nil, nil, err
 	}
 	u := &wire.Update{Version: state.Version, Phase: state.Phase, Time: p.cfg.Now().UnixNano(), Quorum: p.cfg.Quorum()}
-	if state.Version > w.version && len(state.Document) > 0 {
-		if err := p.fill(u, w.version, state); err != nil {
-			return nil, nil, err
-		}
-		w.version = state.Version
+	if state.Version > w.version {
+		p.fill(u, w.version)
+		w.version = u.Version
 	}
 	targets, sequence, changed := p.cfg.Registry.Since(w.zone, w.sequence)
 	if w.first {
@@ -141,37 +143,39 @@
 
 // fill adds the configuration: the changed sections if the version that the
 // watcher has is still known here, else the whole document.
-func (p *Publisher) fill(u *wire.Update, held uint64, state *wire.ReadReply) error {
+func (p *Publisher) fill(u *wire.Update, held uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	current, err := p.current(state)
-	if err != nil {
-		return err
+	current := p.current()
+	if current == nil {
+		return
 	}
+	u.Version = current.Version()
 	for _, old := range p.history {
 		if old.Version() == held {
 			u.Replaces = held
 			u.Sections = current.Changes(old)
-			return nil
+			return
 		}
 	}
-	u.Document = state.Document
-	return nil
+	u.Document = current.Text()
 }
 
-func (p *Publisher) current(state *wire.ReadReply) (*configuration.Configuration, error) {
-	if n := len(p.history); n > 0 && p.history[n-1].Version() == state.Version {
-		return p.history[n-1], nil
+// current returns the configuration in force at the local controller, or nil
+// if there is none, and keeps it for later changes.
+func (p *Publisher) current() *configuration.Configuration {
+	c := p.cfg.Configuration()
+	if c == nil {
+		return nil
 	}
-	c, err := configuration.Parse(state.Document)
-	if err != nil {
-		return nil, err
+	if n := len(p.history); n > 0 && p.history[n-1].Version() >= c.Version() {
+		return p.history[n-1]
 	}
 	p.history = append(p.history, c)
 	if len(p.history) > kept {
 		p.history = p.history[1:]
 	}
-	return c, nil
+	return c
 }
 
 // List returns the instances and the targets that this holder knows.
