--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -105,6 +105,12 @@
 			}
 			return nil
 		}
+		if isPlain(data) {
+			if err := r.relayEvent(data); err != nil {
+				return err
+			}
+			continue
+		}
 		var event struct {
 			Error   json.RawMessage `json:"error"`
 			Usage   *usage          `json:"usage"`
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"strconv"
 	"sync"
 	"testing"
@@ -200,6 +201,7 @@
 			holding := &wire.Holding{Instance: "entry", Incarnation: 1}
 			bed.cfg.Now, bed.cfg.Holding = time.Now, func() *wire.Holding { return holding }
 			names := make([]string, accounts)
+			before := heap()
 			for i := range names {
 				names[i] = "account-" + strconv.Itoa(i)
 				id, err := bed.Reserve(context.Background(), names[i], 1<<30)
@@ -208,6 +210,7 @@
 				}
 				bed.Cancel(id)
 			}
+			size := (heap() - before) / float64(accounts)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				id, err := bed.Reserve(context.Background(), names[i%accounts], 100)
@@ -216,6 +219,14 @@
 				}
 				bed.Cancel(id)
 			}
+			b.ReportMetric(size, "B/account")
 		})
 	}
 }
+
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
