controller: record attempts and outcomes of orders

Cause: the log held the fencing number of an order, but neither whether it was sent nor what came of it, so a new leader couldn't go on with it.

Ruled out: only an outcome. Without a record before the first sending, a later refusal or expiry can't truthfully say that the order didn't run.

Change: the commands Attempt and Conclude.

--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -99,28 +99,6 @@
 	return nil
 }
 
-// order issues an order to a target with the next fencing number.
-func (s *state) order(m *wire.Order) (proto.Message, error) {
-	if m.Target == "" || m.Request == "" || m.Verb == "" {
-		return nil, eris.Wrap(fault.Malformed, "order without a target, a request or a verb")
-	}
-	id := identity{m.Target, m.Request}
-	if known := s.orders[id]; known != nil {
-		if !proto.Equal(known.Order, m) {
-			return nil, eris.Wrapf(fault.Conflict, "order %s to target %s was %s %s", m.Request, m.Target, known.Order.Verb, known.Order.Subject)
-		}
-		return &wire.OrderResult{Fence: known.Fence}, nil
-	}
-	if s.phase == Closed {
-		return nil, eris.Wrap(fault.Closed, "the venture is closed")
-	}
-	s.fences[m.Target]++
-	fence := s.fences[m.Target]
-	s.orders[id] = &wire.OrderState{Order: m, Fence: fence, Time: s.time}
-	s.aging = append(s.aging, aging{time: s.time, order: true, identity: id})
-	return &wire.OrderResult{Fence: fence}, nil
-}
-
 // expire forgets claims and orders that are kept no longer.
 func (s *state) expire() {
 	limit := s.time - int64(kept)
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -94,6 +94,9 @@
 	if r.Pools {
 		reply.Pools = s.list(r)
 	}
+	if r.Orders {
+		reply.Orders = s.issues()
+	}
 	if known := s.claims[identity{r.Account, r.Request}]; known != nil && r.Request != "" {
 		reply.Claim = &wire.ClaimResult{Resolved: known.Outcome != nil, Outcome: proto.CloneOf(known.Outcome), Instance: known.Claim.Instance}
 	}
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -97,6 +97,10 @@
 		return s.close(change.Close)
 	case *wire.Command_Order:
 		return s.order(change.Order)
+	case *wire.Command_Attempt:
+		return nil, s.attempt(change.Attempt)
+	case *wire.Command_Conclude:
+		return nil, s.conclude(change.Conclude)
 	}
 	return nil, eris.Wrap(fault.Malformed, "command without a change")
 }
