--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -32,6 +33,9 @@
 		panic(err)
 	}
 	binaries = dir
+	// Each fleet has about ten processes; more at once would make the waits of
+	// the tests depend on the number of cores.
+	_ = flag.Set("test.parallel", "3")
 	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build: %v\n%s", err, out))
@@ -76,6 +80,7 @@
 
 func run(t *testing.T, zones []int, budget int64, cuttable bool, a *authority) *fleet {
 	t.Helper()
+	t.Parallel()
 	f := &fleet{t: t, authority: a, dir: t.TempDir(), procs: map[string]*process{}, relays: map[[2]int]*relay{}}
 	total := 0
 	for _, n := range zones {
