Refuse answers that name another request

Cause: an engine that gives two requests each other's answers names the right request in the body; only the header of the response was compared, which belongs to the connection. TestCrossedAndTruncatedAnswers showed swapped answers to the callers. Ruled out: mixed connections in the gateway; the bodies came swapped from the engine. Change: the field request of an answer and of each event must name the attempt. Conclusion: engines that echo no identity can't be checked.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -42,6 +43,8 @@
 
 	usage  usage
 	target string
+	// attempt is the identity under which the request was sent to the target.
+	attempt string
 	// output counts the events with content that were relayed.
 	output int64
 	whole  []byte // the answer for the caller so far, if it is kept
@@ -56,6 +59,7 @@
 func (r *relay) consume(target *wire.Target, response *http.Response) (bool, error) {
 	r.target = target.Name
 	r.status = response.StatusCode
+	r.attempt = response.Request.Header.Get(dispatcher.RequestHeader)
 	if response.StatusCode != http.StatusOK {
 		// The text of the target may quote the prompt, which must not get into
 		// logs.
@@ -74,6 +78,7 @@
 		return err
 	}
 	var answer struct {
+		Request string `json:"request"`
 		Usage   *usage `json:"usage"`
 		Choices []struct {
 			Finish *string `json:"finish_reason"`
@@ -82,6 +87,9 @@
 	if err := json.Unmarshal(text, &answer); err != nil {
 		return eris.New("answer is not valid JSON")
 	}
+	if answer.Request != "" && answer.Request != r.attempt {
+		return eris.Wrapf(fault.Internal, "answer belongs to request %s", answer.Request)
+	}
 	if answer.Usage == nil || len(answer.Choices) == 0 || answer.Choices[0].Finish == nil {
 		return eris.New("answer is not whole")
 	}
@@ -107,6 +115,9 @@
 			}
 			return nil
 		}
+		if r.isForeign(data) {
+			return eris.Wrap(fault.Internal, "event belongs to another request")
+		}
 		if isPlain(data) {
 			if err := r.relayEvent(data); err != nil {
 				return err
@@ -262,3 +273,22 @@
 	}
 	return r.bill()
 }
+
+// requestField precedes the identity that an engine echoes in each event. In
+// the text of an answer its quotes would be escaped.
+var requestField = []byte(`"request":`)
+
+// isForeign tells whether an event names another request. Engines that echo
+// no identity can't be checked.
+func (r *relay) isForeign(event []byte) bool {
+	_, rest, found := bytes.Cut(event, requestField)
+	if !found {
+		return false
+	}
+	quoted, ok := bytes.CutPrefix(bytes.TrimLeft(rest, " "), []byte(`"`))
+	if !ok {
+		return false
+	}
+	identity, _, _ := bytes.Cut(quoted, []byte(`"`))
+	return string(identity) != r.attempt
+}
--- a/test/fleet/target_test.go
+++ b/test/fleet/target_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/papayapond/papayapond/internal/completion"
 	"github.com/papayapond/papayapond/internal/sampler"
 )
 
@@ -170,3 +172,61 @@
 		t.Errorf("bills of the leaving target: got %d, want the open stream only", got)
 	}
 }
+
+// Answers that an engine gives to the wrong requests must not reach a caller,
+// and truncated ones must not pass as whole.
+func TestCrossedAndTruncatedAnswers(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 1_000_000, false)
+	f.engine("engine-0", "a", []int{0, 1}, "--fault", "swap,share=0.5", "--decode", "2ms")
+	f.engine("engine-1", "a", []int{0, 1}, "--fault", "truncate,share=0.3", "--decode", "2ms")
+	f.engine("engine-2", "b", []int{2}, "--fault", "reset-after,share=0.3", "--decode", "2ms")
+	for i := range f.names {
+		f.routes(i)
+	}
+	var group sync.WaitGroup
+	for caller := range 6 {
+		group.Go(func() {
+			for n := range 12 {
+				prompt := fmt.Sprintf("caller %d asks question %d", caller, n)
+				stream := n%2 == 0
+				a := f.chat(caller%len(f.names), prompt, 12, stream, "")
+				whole := a.status == http.StatusOK && (!stream || strings.HasSuffix(a.body, "[DONE]\n\n"))
+				if !whole {
+					if code, run := a.code(); run == "" {
+						t.Errorf("refusal without the truth: %d %s %q", a.status, code, a.body)
+					}
+					continue
+				}
+				seen, _, err := completion.Prompt(fmt.Appendf(nil, `[{"role":"user","content":%q}]`, prompt), nil)
+				if err == nil {
+					err = completion.Check(seen, text(a.body, stream))
+				}
+				if err != nil {
+					t.Errorf("%q: %v in %q", prompt, err, a.body)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// text returns the content of a JSON answer or of a stream.
+func text(body string, stream bool) string {
+	lines := []string{body}
+	if stream {
+		lines = strings.Split(body, "\n")
+	}
+	content := ""
+	for _, l := range lines {
+		l = strings.TrimPrefix(l, "data: ")
+		var chunk struct {
+			Choices []struct {
+				Message, Delta struct{ Content string }
+			}
+		}
+		if json.Unmarshal([]byte(l), &chunk) == nil && len(chunk.Choices) > 0 {
+			content += chunk.Choices[0].Message.Content + chunk.Choices[0].Delta.Content
+		}
+	}
+	return content
+}
