--- a/test/fleet/money_test.go
+++ b/test/fleet/money_test.go
@@ -219,3 +219,32 @@
 		}
 	}
 }
+
+// A request whose caller retries it on the other side of a partition runs on
+// both sides, but must be billed once when the partition has healed.
+func TestRetryAcrossPartition(t *testing.T) {
+	f := start(t, []int{1, 1, 1}, 100_000, true)
+	for i, zone := range []string{"a", "b", "c"} {
+		f.engine("engine-"+zone, zone, []int{i})
+		f.routes(i)
+	}
+	f.cut(func(i int) bool { return i == 2 }, true)
+	time.Sleep(4 * time.Second)
+	for _, i := range []int{0, 2, 0, 2} {
+		if a := f.chat(i, "A quote, please.", 6, false, "quote-1"); a.status != http.StatusOK {
+			t.Errorf("request through %s: got %d %s", f.names[i], a.status, a.body)
+		}
+	}
+	f.cut(func(i int) bool { return i == 2 }, false)
+	s := f.bills(0, 1)
+	if s.Billed != s.Bills[0].Amount {
+		t.Errorf("billed: got %d, want the one bill of %d", s.Billed, s.Bills[0].Amount)
+	}
+	f.eventually("balance", func() error {
+		b, err := f.books(0)
+		if err == nil {
+			err = b.balanced()
+		}
+		return err
+	})
+}
