--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -73,33 +73,20 @@
 // listener returns a hook that opens the address at start and serves it until
 // stop.
 func (b *builder) listener(address string, secure *tls.Config, serve func(context.Context, net.Listener)) fx.Hook {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	return fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := b.listen("tcp", address)
-			if err != nil {
-				return eris.Wrapf(fault.Unavailable, "listen on %s: %v", address, err)
-			}
-			if secure != nil {
-				l = tls.NewListener(l, secure)
-			}
-			go func() {
-				defer close(done)
-				serve(ctx, l)
-			}()
-			return nil
-		},
-		OnStop: func(stop context.Context) error {
-			cancel()
-			select {
-			case <-done:
-				return nil
-			case <-stop.Done():
-				return stop.Err()
-			}
-		},
+	var l net.Listener
+	hook := kernel.Hook(func(ctx context.Context) { serve(ctx, l) })
+	run := hook.OnStart
+	hook.OnStart = func(ctx context.Context) error {
+		var err error
+		if l, err = b.listen("tcp", address); err != nil {
+			return eris.Wrapf(fault.Unavailable, "listen on %s: %v", address, err)
+		}
+		if secure != nil {
+			l = tls.NewListener(l, secure)
+		}
+		return run(ctx)
 	}
+	return hook
 }
 
 // httpServer returns a hook that serves a handler on an address. Requests in
