--- a/cmd/papayaload/baseline.go
+++ b/cmd/papayaload/baseline.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httputil"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"text/tabwriter"
 	"time"
@@ -135,7 +137,7 @@
 	}
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	line := func(format string, a ...any) { _, _ = fmt.Fprintf(t, format+"\n", a...) } // Flush reports the error
-	line("round\tleg\tok\tfailed\tanswers/s\toutput tokens/s\tfirst p50 ms\tp99 ms\tviolations")
+	line("round\tleg\tok\tfailed\tanswers/s\toutput tokens/s\tfirst p50 ms\tp99 ms\tviolations\tfirst p50 and p99 ms by class")
 	for _, m := range all {
 		tokens, violations := 0, 0
 		for _, a := range m.Result.Accounts {
@@ -144,9 +146,13 @@
 		for _, n := range m.Result.Violations {
 			violations += n
 		}
-		line("%d\t%s\t%d\t%d\t%.1f\t%.0f\t%.2f\t%.2f\t%d", m.Round, m.Leg, m.Result.OK, m.Result.Sent-m.Result.OK,
+		classes := ""
+		for _, name := range slices.Sorted(maps.Keys(m.Result.Classes)) {
+			classes += fmt.Sprintf("%s %.2f %.2f  ", name, m.Result.First(name, 50), m.Result.First(name, 99))
+		}
+		line("%d\t%s\t%d\t%d\t%.1f\t%.0f\t%.2f\t%.2f\t%d\t%s", m.Round, m.Leg, m.Result.OK, m.Result.Sent-m.Result.OK,
 			float64(m.Result.OK)/m.Result.Seconds, float64(tokens)/m.Result.Seconds,
-			m.Result.First(50), m.Result.First(99), violations)
+			m.Result.First(loader.All, 50), m.Result.First(loader.All, 99), violations, classes)
 	}
 	return t.Flush()
 }
--- a/internal/loader/result.go
+++ b/internal/loader/result.go
@@ -18,7 +18,8 @@
 	longest     = int64(10 * time.Minute / time.Microsecond)
 	digits      = 3
 	maxExamples = 20
-	allClasses  = "all"
+	// All names the requests of all classes.
+	All = "all"
 )
 
 // Result is the outcome of a run. Times are in milliseconds in its outputs.
@@ -128,7 +129,7 @@
 		a.Prompt += o.usage.Prompt
 		a.Completion += o.usage.Completion
 	}
-	for _, name := range []string{allClasses, r.class.name} {
+	for _, name := range []string{All, r.class.name} {
 		t := res.Classes[name]
 		if t == nil {
 			t = &times{First: newHistogram(), Between: newHistogram(), Total: newHistogram(), Late: newHistogram()}
@@ -165,10 +166,10 @@
 // Broken reports whether any promise to a caller was broken.
 func (res *Result) Broken() bool { return len(res.Violations) > 0 }
 
-// First returns a percentile of the time to the first token or byte, over all
-// classes, in milliseconds.
-func (res *Result) First(percentile float64) float64 {
-	if t := res.Classes[allClasses]; t != nil {
+// First returns a percentile of the time to the first token or byte of a class,
+// in milliseconds.
+func (res *Result) First(class string, percentile float64) float64 {
+	if t := res.Classes[class]; t != nil {
 		return t.First.at(percentile)
 	}
 	return 0
--- a/internal/measurer/bench_test.go
+++ b/internal/measurer/bench_test.go
@@ -4,10 +4,11 @@
 	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/papayapond/papayapond/internal/configuration"
 	"github.com/papayapond/papayapond/internal/registry"
 	"github.com/papayapond/papayapond/internal/wire"
-	"google.golang.org/protobuf/proto"
 )
 
 // The cost of a change of one account, by the size of the configuration.
