Send orders to their targets

Cause: POST /v1/orders committed an order and nothing sent it.

Ruled out: sending from the instance that takes the order, since two of them would send without a common order; a lease of its own for the issuer, since the leader of the log is one already and proves it by each commit.

Change: package issuer. The leader commits an Attempt right before each sending, in the order of the log and one order at a time per target, and records the outcome. Load orders keep the interval of the settings (load_interval, 2 s). An unload or change of role that would take the last ready copy of a model out of service is refused unless the order is forced. Targets that ignore fencing numbers get an order only after a quiet time that covers the connections of a deposed leader. GET /v1/orders and the commands order and orders show the outcomes.

--- a/cmd/papayapond/main.go
+++ b/cmd/papayapond/main.go
@@ -23,6 +23,8 @@
 	Fleet     *fleetCommand     `arg:"subcommand:fleet" help:"show instances, targets and the control members"`
 	Statement *statementCommand `arg:"subcommand:statement" help:"show the books of one client account"`
 	Books     *booksCommand     `arg:"subcommand:books" help:"show the books of the venture"`
+	Order     *orderCommand     `arg:"subcommand:order" help:"order a target to load or unload a model or to change its role, and wait for the outcome"`
+	Orders    *ordersCommand    `arg:"subcommand:orders" help:"list the orders of the last 24 hours with their outcomes"`
 	Dissolve  *dissolveCommand  `arg:"subcommand:dissolve" help:"dissolve the venture and close its books"`
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 	}
 	parts = append(parts, b.authenticator(), b.subscriber(), b.member())
 	if s.Disk {
-		parts = append(parts, b.holder(), b.publisher(), b.neighbors(), b.dissolver())
+		parts = append(parts, b.holder(), b.publisher(), b.neighbors(), b.dissolver(), b.issuer())
 	}
 	parts = append(parts, b.fleet(), b.reserver(), b.reporter(), b.router(), b.dispatcher(), b.gateway(), b.operator())
 	app := kernel.New(cfg.Logger, s.DrainTime(), parts...)
--- /dev/null
+++ b/internal/issuer/guard_test.go
@@ -0,0 +1,91 @@
+package issuer
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+func target(name, role string, models ...string) *wire.Target {
+	return &wire.Target{Name: name, Kind: engine, State: ready, Role: role, Models: models, Fencing: true}
+}
+
+func sent(name, verb, subject, outcome string, attempts uint64, concluded int64) *wire.OrderState {
+	return &wire.OrderState{Order: &wire.Order{Target: name, Verb: verb, Subject: subject}, Outcome: outcome, Attempts: attempts, Concluded: concluded}
+}
+
+// An order that is let through wrongly takes a model out of service; one that
+// is refused wrongly keeps an operator from working.
+func TestGuard(t *testing.T) {
+	leaving := target("b", "both", "m")
+	leaving.State = "leaving"
+	service := &wire.Target{Name: "s", Kind: "service", State: ready}
+	const settled = 100
+	for _, c := range []struct {
+		name          string
+		targets       []*wire.Target
+		orders        []*wire.OrderState
+		verb, subject string
+		want          string
+	}{
+		{"last copy", []*wire.Target{target("b", "both", "n")}, nil, Unload, "m", "last ready copy of model m"},
+		{"another copy", []*wire.Target{target("b", "both", "m")}, nil, Unload, "m", ""},
+		{"another copy in another role", []*wire.Target{target("b", "prefill", "m")}, nil, Unload, "m", "in role both"},
+		{"another copy is leaving", []*wire.Target{leaving}, nil, Unload, "m", "last ready copy"},
+		{"no copy", nil, nil, Unload, "x", ""},
+		{"load", nil, nil, Load, "m", ""},
+		{"role", nil, nil, Role, "prefill", "last ready copy of model m"},
+		{"same role", nil, nil, Role, "both", ""},
+		{"role with one of two models elsewhere", []*wire.Target{target("b", "both", "m")}, nil, Role, "prefill", "model n"},
+		{"other copy is being unloaded", []*wire.Target{target("b", "both", "m")},
+			[]*wire.OrderState{sent("b", Unload, "m", "", 1, 0)}, Unload, "m", "orders take it from b"},
+		{"other copy changes role", []*wire.Target{target("b", "both", "m")},
+			[]*wire.OrderState{sent("b", Role, "decode", "", 1, 0)}, Unload, "m", "orders take it from b"},
+		{"other copy was unloaded just now", []*wire.Target{target("b", "both", "m")},
+			[]*wire.OrderState{sent("b", Unload, "m", Obeyed, 1, settled+1)}, Unload, "m", "orders take it from b"},
+		{"other copy was loaded again", []*wire.Target{target("b", "both", "m")},
+			[]*wire.OrderState{sent("b", Unload, "m", Obeyed, 1, settled)}, Unload, "m", ""},
+		{"order to the other copy was not sent", []*wire.Target{target("b", "both", "m")},
+			[]*wire.OrderState{sent("b", Unload, "m", "", 0, 0), sent("b", Unload, "m", Refused, 0, settled+1)}, Unload, "m", ""},
+		{"order to the other copy is about another model", []*wire.Target{target("b", "both", "m")},
+			[]*wire.OrderState{sent("b", Unload, "n", "", 1, 0)}, Unload, "m", ""},
+	} {
+		g := guard{targets: append(c.targets, target("a", "both", "m", "n")), orders: c.orders, settled: settled}
+		got := g.check(&wire.OrderState{Order: &wire.Order{Target: "a", Verb: c.verb, Subject: c.subject}})
+		if (got == "") != (c.want == "") || !strings.Contains(got, c.want) {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+	g := guard{targets: []*wire.Target{service}}
+	if got := g.check(&wire.OrderState{Order: &wire.Order{Target: "s", Verb: Load, Subject: "m"}}); !strings.Contains(got, "no engine") {
+		t.Errorf("order to a service: got %q, want a refusal", got)
+	}
+}
+
+// An answer taken for final loses an order; one taken for passing blocks the
+// orders behind it.
+func TestClassify(t *testing.T) {
+	for _, c := range []struct {
+		status   int
+		answer   string
+		attempts uint64
+		outcome  string
+		detail   string
+	}{
+		{http.StatusOK, `{}`, 0, Obeyed, ""},
+		{http.StatusConflict, `{"error":{"code":"fenced"},"fence":7}`, 0, Superseded, "fencing number 7"},
+		{http.StatusConflict, `{"error":{"code":"busy","message":"other"}}`, 0, Refused, "other"},
+		{http.StatusBadRequest, `{"error":{"message":"no such model"}}`, 0, Refused, "no such model"},
+		{http.StatusUnauthorized, `no JSON`, 1, Refused, "may have been obeyed"},
+		{http.StatusTooManyRequests, ``, 0, "", ""},
+		{http.StatusServiceUnavailable, ``, 0, "", ""},
+		{http.StatusNoContent, ``, 0, "", ""},
+	} {
+		outcome, detail := classify(&wire.OrderState{Attempts: c.attempts}, c.status, []byte(c.answer))
+		if outcome != c.outcome || !strings.Contains(detail, c.detail) {
+			t.Errorf("%d %s: got %q %q, want %q %q", c.status, c.answer, outcome, detail, c.outcome, c.detail)
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,7 +11,6 @@
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/papayapond/papayapond/internal/configuration"
 	"github.com/papayapond/papayapond/internal/fault"
@@ -55,6 +54,7 @@
 	o.mux.HandleFunc("/v1/books", o.serve(o.books)).Methods(http.MethodGet)
 	o.mux.HandleFunc("/v1/dissolution", o.serve(o.dissolve)).Methods(http.MethodPost)
 	o.mux.HandleFunc("/v1/orders", o.serve(o.order)).Methods(http.MethodPost)
+	o.mux.HandleFunc("/v1/orders", o.serve(o.orders)).Methods(http.MethodGet)
 	return o
 }
 
@@ -152,31 +152,6 @@
 	return o.books(c)
 }
 
-// order issues an order to a target with the next fencing number.
-func (o *Operator) order(c *call) error {
-	var body struct {
-		Target  string `json:"target"`
-		Verb    string `json:"verb"`
-		Subject string `json:"subject"`
-		Request string `json:"request"`
-	}
-	if err := decode(c, &body); err != nil {
-		return err
-	}
-	reply, err := o.propose(c, &wire.Command{Change: &wire.Command_Order{Order: &wire.Order{Target: body.Target, Verb: body.Verb, Subject: body.Subject, Request: body.Request}}})
-	if err != nil {
-		return err
-	}
-	var result wire.OrderResult
-	if err := proto.Unmarshal(reply.Result, &result); err != nil {
-		return eris.Wrap(err, "order")
-	}
-	write(c, http.StatusOK, struct {
-		Fence uint64 `json:"fence"`
-	}{result.Fence})
-	return nil
-}
-
 func (o *Operator) propose(c *call, command *wire.Command) (*wire.ProposeReply, error) {
 	reply, err := o.cfg.Propose(c.request.Context(), command)
 	if err != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -106,6 +106,21 @@
 	return ready
 }
 
+// Present returns the targets that are ready or leaving, sorted by name.
+func (r *Registry) Present() []*wire.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	var present []*wire.Target
+	for _, e := range r.entries {
+		if e.target.State != Gone && !e.isExpired(now) {
+			present = append(present, e.target)
+		}
+	}
+	slices.SortFunc(present, func(a, b *wire.Target) int { return strings.Compare(a.Name, b.Name) })
+	return present
+}
+
 // Find returns the target of that name, or nil.
 func (r *Registry) Find(name string) *wire.Target {
 	r.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,10 @@
 // DefaultDrain bounds a planned stop if the file gives no other value.
 const DefaultDrain = 2 * time.Minute
 
+// DefaultLoadInterval is the least time between two load orders if the file
+// gives no other value.
+const DefaultLoadInterval = 2 * time.Second
+
 // Settings are the settings of one daemon. They are not changed after Read.
 type Settings struct {
 	// Name is the name of the instance, unique in the fleet.
@@ -39,6 +43,12 @@
 	Disk bool `toml:"disk"`
 	// Drain bounds a planned stop, as a Go duration.
 	Drain string `toml:"drain"`
+	// LoadInterval is the least time between two orders of the fleet to load a
+	// model, as a Go duration. It follows from the rate limit of the weight
+	// store and is the same on all peers with a disk.
+	LoadInterval string `toml:"load_interval"`
+	// OrderKey is the bearer key that targets demand of orders, if any.
+	OrderKey string `toml:"order_key"`
 	// Level is the log level: debug, info, warn or error.
 	Level string `toml:"level"`
 	// Bootstrap is the hash of the operator key that is valid until the first
@@ -80,6 +90,9 @@
 	if s.Drain == "" {
 		s.Drain = DefaultDrain.String()
 	}
+	if s.LoadInterval == "" {
+		s.LoadInterval = DefaultLoadInterval.String()
+	}
 	if s.Level == "" {
 		s.Level = "info"
 	}
@@ -102,6 +115,15 @@
 	return d
 }
 
+// LoadTime returns the least time between two load orders.
+func (s Settings) LoadTime() time.Duration {
+	d, err := time.ParseDuration(s.LoadInterval)
+	if err != nil {
+		return DefaultLoadInterval
+	}
+	return d
+}
+
 // Holder returns the name of the peer with a disk in the zone, or "".
 func (s Settings) Holder(zone string) string {
 	for _, p := range s.Peers {
@@ -149,6 +171,9 @@
 	if d, err := time.ParseDuration(s.Drain); err != nil || d <= 0 {
 		add("drain", "%q, expected a positive duration such as 2m", s.Drain)
 	}
+	if d, err := time.ParseDuration(s.LoadInterval); err != nil || d <= 0 {
+		add("load_interval", "%q, expected a positive duration such as 2s", s.LoadInterval)
+	}
 	switch s.Level {
 	case "debug", "info", "warn", "error":
 	default:
