--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -106,6 +106,7 @@
 	return ready
 }
 
+<<<<<<< HEAD
 // Count returns the number of targets by state. Targets that have expired
 // count as gone until they are forgotten.
 func (r *Registry) Count() map[string]int {
@@ -121,6 +122,21 @@
 		}
 	}
 	return counts
+=======
+// Present returns the targets that are ready or leaving, sorted by name.
+func (r *Registry) Present() []*wire.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	var present []*wire.Target
+	for _, e := range r.entries {
+		if e.target.State != Gone && !e.isExpired(now) {
+			present = append(present, e.target)
+		}
+	}
+	slices.SortFunc(present, func(a, b *wire.Target) int { return strings.Compare(a.Name, b.Name) })
+	return present
+>>>>>>> orders
 }
 
 // Find returns the target of that name, or nil.
