--- a/cmd/papayapond/main.go
+++ b/cmd/papayapond/main.go
@@ -23,14 +23,11 @@
 	Fleet     *fleetCommand     `arg:"subcommand:fleet" help:"show instances, targets and the control members"`
 	Statement *statementCommand `arg:"subcommand:statement" help:"show the books of one client account"`
 	Books     *booksCommand     `arg:"subcommand:books" help:"show the books of the venture"`
-<<<<<<< HEAD
 	Burn      *burnCommand      `arg:"subcommand:burn" help:"report how fast the error budgets of the objectives are used up"`
 	Level     *levelCommand     `arg:"subcommand:level" help:"show or change the log level of an instance"`
 	Errors    *errorsCommand    `arg:"subcommand:errors" help:"print the page of all error codes"`
-=======
 	Order     *orderCommand     `arg:"subcommand:order" help:"order a target to load or unload a model or to change its role, and wait for the outcome"`
 	Orders    *ordersCommand    `arg:"subcommand:orders" help:"list the orders of the last 24 hours with their outcomes"`
->>>>>>> orders
 	Dissolve  *dissolveCommand  `arg:"subcommand:dissolve" help:"dissolve the venture and close its books"`
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -56,11 +56,8 @@
 	o.mux.HandleFunc("/v1/books", o.serve(o.books)).Methods(http.MethodGet)
 	o.mux.HandleFunc("/v1/dissolution", o.serve(o.dissolve)).Methods(http.MethodPost)
 	o.mux.HandleFunc("/v1/orders", o.serve(o.order)).Methods(http.MethodPost)
-<<<<<<< HEAD
 	o.mux.HandleFunc("/v1/level", o.serve(o.level)).Methods(http.MethodGet, http.MethodPut)
-=======
 	o.mux.HandleFunc("/v1/orders", o.serve(o.orders)).Methods(http.MethodGet)
->>>>>>> orders
 	return o
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -106,7 +106,6 @@
 	return ready
 }
 
-<<<<<<< HEAD
 // Count returns the number of targets by state. Targets that have expired
 // count as gone until they are forgotten.
 func (r *Registry) Count() map[string]int {
@@ -122,7 +121,8 @@
 		}
 	}
 	return counts
-=======
+}
+
 // Present returns the targets that are ready or leaving, sorted by name.
 func (r *Registry) Present() []*wire.Target {
 	r.mu.Lock()
@@ -136,7 +136,6 @@
 	}
 	slices.SortFunc(present, func(a, b *wire.Target) int { return strings.Compare(a.Name, b.Name) })
 	return present
->>>>>>> orders
 }
 
 // Find returns the target of that name, or nil.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -45,6 +45,9 @@
 	if d, err := time.ParseDuration(s.Drain); err != nil || d <= 0 {
 		add("drain", "%q, expected a positive duration such as 2m", s.Drain)
 	}
+	if d, err := time.ParseDuration(s.LoadInterval); err != nil || d <= 0 {
+		add("loads", "%q, expected a positive duration such as 2s", s.LoadInterval)
+	}
 	switch s.Level {
 	case "debug", "info", "warn", "error":
 	default:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -62,6 +62,7 @@
 		{"port out of range", `"127.0.0.1:7000"`, `"127.0.0.1:70000"`, `a1.toml:4: public: "127.0.0.1:70000", expected`},
 		{"same address", `"127.0.0.1:7001"`, `"127.0.0.1:7000"`, `a1.toml:5: operator: "127.0.0.1:7000" is also the address public, expected another one`},
 		{"open peer address", `peer = "127.0.0.1:7002"`, `peer = "0.0.0.0:7002"`, `a1.toml:6: peer: "0.0.0.0:7002" is not on loopback, expected [tls] files`},
+		{"loads", "disk = true\n\n", "disk = true\nloads = \"0s\"\n\n", `a1.toml:8: loads: "0s", expected a positive duration such as 2s`},
 		{"drain", "disk = true\n\n", "disk = true\ndrain = \"soon\"\n\n", `a1.toml:8: drain: "soon", expected a positive duration such as 2m`},
 		{"level", "disk = true\n\n", "disk = true\nlevel = \"loud\"\n\n", `a1.toml:8: level: "loud", expected debug, info, warn or error`},
 		{"bootstrap", "disk = true\n\n", "disk = true\nbootstrap = \"secret-key\"\n\n", `a1.toml:8: bootstrap: malformed, expected salt:sha256`},
