Let the log forget the results of booked grants

Cause: a holder never confirmed its grants, so the controller kept the result of each one for good. Provisioning makes more grants. Change: a grant confirms those before it. Commands are sent one at a time, so each earlier one has an outcome that the ledger has stored.

--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -204,7 +204,9 @@
 	if !h.aligned(account) {
 		return 0, eris.Wrapf(fault.Unavailable, "account %s is not aligned with the log", account)
 	}
-	grant := &wire.Grant{Account: account, Zone: h.cfg.Zone, Epoch: l.Epoch(), Sequence: g.next, Need: need, Want: want}
+	// Commands before this one have an outcome that the ledger has stored, so
+	// the log may forget their results.
+	grant := &wire.Grant{Account: account, Zone: h.cfg.Zone, Epoch: l.Epoch(), Sequence: g.next, Need: need, Want: want, Confirmed: g.next - 1}
 	if err := h.storePending(grant); err != nil {
 		return 0, err
 	}
