--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,6 +32,9 @@
 	Barrier func(ctx context.Context) error
 	// Leader returns the name of the leader, or "" if it is not known.
 	Leader func() string
+	// Status returns the term, the commit index and the voters of the log. It
+	// may be nil.
+	Status func() (term, commit uint64, voters []string)
 	// Forward sends a proposal to the leader.
 	Forward func(ctx context.Context, leader string, request *wire.ProposeRequest) (*wire.ProposeReply, error)
 	// Zones are all zones of the fleet; proposals of configurations carry
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -81,6 +81,9 @@
 	}
 	reply, current := c.read(r)
 	reply.Leader = c.config.Leader()
+	if c.config.Status != nil {
+		reply.Term, _, reply.Members = c.config.Status()
+	}
 	// Printing takes long with many accounts and must not hold up the log.
 	if current != nil {
 		reply.Digest = current.Digest()
--- a/internal/daemon/part_control.go
+++ b/internal/daemon/part_control.go
@@ -33,6 +33,7 @@
 			Forward: func(ctx context.Context, leader string, request *wire.ProposeRequest) (*wire.ProposeReply, error) {
 				return b.peers.control(leader).Propose(ctx, request)
 			},
+			Status: func() (uint64, uint64, []string) { return l.log.Status() },
 			Zones:  b.zones(),
 			Now:    time.Now,
 			Logger: k.Logger(nameController),
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -64,6 +64,7 @@
 func first[R faulty](ctx context.Context, names []string, timeout time.Duration, call func(ctx context.Context, name string) (R, error)) (R, error) {
 	var reply R
 	err := eris.Wrap(fault.Unavailable, "no holder")
+	var isolated error
 	for _, name := range names {
 		attempt, cancel := context.WithTimeout(ctx, timeout)
 		reply, err = unwrap(call(attempt, name))
@@ -71,6 +72,14 @@
 		if err == nil || !isRetryable(fault.Of(err)) || ctx.Err() != nil {
 			return reply, err
 		}
+		if fault.Of(err) == fault.Isolated && isolated == nil {
+			isolated = err
+		}
+	}
+	if isolated != nil {
+		// A member that answers knows that there is no quorum; that the others
+		// can't be reached is the reason, not the answer.
+		return reply, isolated
 	}
 	return reply, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,9 @@
 	// Between are the times between tokens of a stream.
 	Between []time.Duration
 	Billed  int64
+	// OverBound tells that the engine reported more usage than the bound that
+	// was reserved; the bound is billed.
+	OverBound bool
 }
 
 // Gateway is the HTTP handler for callers and targets.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -246,6 +246,7 @@
 // bound that was reserved.
 func (r *relay) bill() *wire.Bill {
 	s, c := r.session, r.completion
+	s.outcome.OverBound = r.usage.Prompt+r.usage.Output > c.bound()
 	b := &wire.Bill{
 		Account: s.account.Name, Request: s.identity, Digest: s.digest, Model: c.model, Prompt: r.usage.Prompt, Output: r.usage.Output,
 		Amount: min(r.usage.Prompt+r.usage.Output, c.bound()), Reserved: c.bound(), Time: r.gateway.cfg.Now().UnixNano(),
--- a/internal/member/check.go
+++ b/internal/member/check.go
@@ -50,17 +50,15 @@
 	return found
 }
 
-// probe calls a silent peer to tell a slow one from a dead one and from one
-// that is cut off. A slow peer gets twice the time before it is fenced.
+// probe calls a silent peer to tell a dead one and one that is cut off from one
+// that sends its heartbeats to another holder. A peer that answers is not
+// fenced: its rights may be in use.
 func (m *Member) probe(ctx context.Context, found *wire.Peer) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	_, err := m.cfg.Beat(ctx, found.Name, &wire.BeatRequest{Instance: m.cfg.Self.Name, Zone: m.cfg.Self.Zone, Incarnation: m.incarnation.Load(), Version: m.cfg.Version()})
+	reply, err := m.cfg.Beat(ctx, found.Name, &wire.BeatRequest{Instance: m.cfg.Self.Name, Zone: m.cfg.Self.Zone, Incarnation: m.incarnation.Load(), Version: m.cfg.Version()})
 	state := Cut
-	switch {
-	case err == nil:
-		state = Slow
-	case m.cfg.Refused(err):
+	if m.cfg.Refused(err) {
 		state = Dead
 	}
 	m.mu.Lock()
@@ -70,10 +68,12 @@
 	if p.info.Incarnation != found.Incarnation || silence <= deadAfter {
 		return
 	}
-	p.info.State = state
-	if state == Slow && silence <= 2*deadAfter {
+	if err == nil {
+		p.info.State, p.info.Version = Alive, reply.Version
+		p.seen, p.local = m.cfg.Now(), false
 		return
 	}
+	p.info.State = state
 	m.fence(p)
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -32,7 +32,6 @@
 const (
 	Alive    = "alive"
 	Suspect  = "suspect"
-	Slow     = "slow"     // silent, but answers a probe
 	Cut      = "cut"      // silent, and a probe times out
 	Dead     = "dead"     // silent, and a probe is refused
 	Draining = "draining" // stopping as planned
@@ -73,7 +72,13 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	sent  map[string]time.Time // last full list by holder
+	sent  map[string]*sending // by holder
+}
+
+// sending is what another holder has been told.
+type sending struct {
+	full     time.Time         // last full list
+	versions map[string]uint64 // version by peer
 }
 
 type peer struct {
@@ -89,7 +94,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	m := &Member{cfg: cfg, peers: map[string]*peer{}, sent: map[string]time.Time{}}
+	m := &Member{cfg: cfg, peers: map[string]*peer{}, sent: map[string]*sending{}}
 	m.incarnation.Store(uint64(cfg.Now().UnixNano()))
 	return m
 }
@@ -231,18 +236,28 @@
 }
 
 // changedPeers returns the local peers to report to another holder: all of
-// them once per fullInterval, else those that are not plainly alive.
+// them once per fullInterval, else those that are not plainly alive or have
+// another version of the configuration.
 func (m *Member) changedPeers(name string) []*wire.Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.cfg.Now()
-	full := now.Sub(m.sent[name]) >= fullInterval
+	sent := m.sent[name]
+	if sent == nil {
+		sent = &sending{versions: map[string]uint64{}}
+		m.sent[name] = sent
+	}
+	full := now.Sub(sent.full) >= fullInterval
 	if full {
-		m.sent[name] = now
+		sent.full = now
 	}
 	var peers []*wire.Peer
 	for _, p := range m.peers {
-		if p.local && (full || p.info.State != Alive || now.Sub(p.seen) > suspectAfter) {
+		if !p.local {
+			continue
+		}
+		if full || p.info.State != Alive || now.Sub(p.seen) > suspectAfter || sent.versions[p.info.Name] != p.info.Version {
+			sent.versions[p.info.Name] = p.info.Version
 			peers = append(peers, p.report(now))
 		}
 	}
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -52,6 +52,7 @@
 	reservations *prometheus.CounterVec
 	calls        *prometheus.CounterVec
 	callTime     *prometheus.HistogramVec
+	overBound    prometheus.Counter
 }
 
 // New returns a reporter with all counts at zero.
@@ -61,9 +62,12 @@
 		reservations: counter("papayapond_reservations_total", "Reservations of tokens by outcome, ok or an error code.", "outcome"),
 		calls:        counter("papayapond_book_calls_total", "Round trips to holders by call and result, ok or an error code.", "call", "result"),
 		callTime:     histogram("papayapond_book_call_seconds", "Time of a round trip to a holder.", callBuckets, "call"),
+		overBound: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "papayapond_usage_over_bound_total", Help: "Answers whose reported usage exceeded the bound; the bound is billed.",
+		}),
 	}
 	r.ranking = newRanking(cfg.Pinned, r.accounts.forget)
-	r.registry.MustRegister(r.reservations, r.calls, r.callTime,
+	r.registry.MustRegister(r.reservations, r.calls, r.callTime, r.overBound,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r.registry.MustRegister(r.classes.all()...)
 	r.registry.MustRegister(r.accounts.all()...)
@@ -73,6 +77,9 @@
 
 // Observe counts an ended request.
 func (r *Reporter) Observe(o gateway.Outcome) {
+	if o.OverBound {
+		r.overBound.Inc()
+	}
 	r.classes.observe(o)
 	r.ranking.with(o.Account, func(label string) { r.accounts.observe(label, o) })
 }
