--- a/internal/issuer/guard_test.go
+++ b/internal/issuer/guard_test.go
@@ -12,8 +12,9 @@
 	return &wire.Target{Name: name, Kind: engine, State: ready, Role: role, Models: models, Fencing: true}
 }
 
-func sent(name, verb, subject, outcome string, attempts uint64, concluded int64) *wire.OrderState {
-	return &wire.OrderState{Order: &wire.Order{Target: name, Verb: verb, Subject: subject}, Outcome: outcome, Attempts: attempts, Concluded: concluded}
+// sent returns an order to target b.
+func sent(verb, subject, outcome string, attempts uint64, concluded int64) *wire.OrderState {
+	return &wire.OrderState{Order: &wire.Order{Target: "b", Verb: verb, Subject: subject}, Outcome: outcome, Attempts: attempts, Concluded: concluded}
 }
 
 // An order that is let through wrongly takes a model out of service; one that
@@ -40,17 +41,17 @@
 		{"same role", nil, nil, Role, "both", ""},
 		{"role with one of two models elsewhere", []*wire.Target{target("b", "both", "m")}, nil, Role, "prefill", "model n"},
 		{"other copy is being unloaded", []*wire.Target{target("b", "both", "m")},
-			[]*wire.OrderState{sent("b", Unload, "m", "", 1, 0)}, Unload, "m", "orders take it from b"},
+			[]*wire.OrderState{sent(Unload, "m", "", 1, 0)}, Unload, "m", "orders take it from b"},
 		{"other copy changes role", []*wire.Target{target("b", "both", "m")},
-			[]*wire.OrderState{sent("b", Role, "decode", "", 1, 0)}, Unload, "m", "orders take it from b"},
+			[]*wire.OrderState{sent(Role, "decode", "", 1, 0)}, Unload, "m", "orders take it from b"},
 		{"other copy was unloaded just now", []*wire.Target{target("b", "both", "m")},
-			[]*wire.OrderState{sent("b", Unload, "m", Obeyed, 1, settled+1)}, Unload, "m", "orders take it from b"},
+			[]*wire.OrderState{sent(Unload, "m", Obeyed, 1, settled+1)}, Unload, "m", "orders take it from b"},
 		{"other copy was loaded again", []*wire.Target{target("b", "both", "m")},
-			[]*wire.OrderState{sent("b", Unload, "m", Obeyed, 1, settled)}, Unload, "m", ""},
+			[]*wire.OrderState{sent(Unload, "m", Obeyed, 1, settled)}, Unload, "m", ""},
 		{"order to the other copy was not sent", []*wire.Target{target("b", "both", "m")},
-			[]*wire.OrderState{sent("b", Unload, "m", "", 0, 0), sent("b", Unload, "m", Refused, 0, settled+1)}, Unload, "m", ""},
+			[]*wire.OrderState{sent(Unload, "m", "", 0, 0), sent(Unload, "m", Refused, 0, settled+1)}, Unload, "m", ""},
 		{"order to the other copy is about another model", []*wire.Target{target("b", "both", "m")},
-			[]*wire.OrderState{sent("b", Unload, "n", "", 1, 0)}, Unload, "m", ""},
+			[]*wire.OrderState{sent(Unload, "n", "", 1, 0)}, Unload, "m", ""},
 	} {
 		g := guard{targets: append(c.targets, target("a", "both", "m", "n")), orders: c.orders, settled: settled}
 		got := g.check(&wire.OrderState{Order: &wire.Order{Target: "a", Verb: c.verb, Subject: c.subject}})
