Wait for the rights of all zones in the test of the provision

Cause: the test read the unassigned tokens while zones b and c could still be asking for their first part; it failed once with 550 instead of 450 free tokens. Ruled out: the provision, which takes half of what is unassigned.

--- a/internal/holder/provision_test.go
+++ b/internal/holder/provision_test.go
@@ -11,9 +11,12 @@
 // requests when it is partitioned.
 func TestProvisionAsksForTheDemandOfALongPartition(t *testing.T) {
 	c := newCluster(t, map[string]int64{"ibumba": 1200})
-	h := c.ready("a")
+	for _, zone := range zones {
+		l := c.ready(zone).Ledger()
+		waitFor(t, "first rights of "+zone, func() bool { return tally(l, "ibumba").Free == 200 })
+	}
+	h := c.holder("a")
 	l := h.Ledger()
-	waitFor(t, "first rights", func() bool { return tally(l, "ibumba").Free == 200 })
 	draw(t, h, 50)
 	h.provision(t.Context(), l)
 	if got, want := tally(l, "ibumba").Free, int64(450); got != want {
