--- a/cmd/papayameasure/main.go
+++ b/cmd/papayameasure/main.go
@@ -13,6 +13,7 @@
 )
 
 type arguments struct {
+	Plan    *planArguments    `arg:"subcommand:plan" help:"print the load of each role at the planned size"`
 	Fleet   *fleetArguments   `arg:"subcommand:fleet" help:"measure the traffic between a holder and the instances of its zone"`
 	Budgets *budgetsArguments `arg:"subcommand:budgets" help:"compare ways to divide budgets"`
 }
@@ -24,12 +25,14 @@
 	parser := arg.MustParse(&args)
 	var err error
 	switch {
+	case args.Plan != nil:
+		err = args.Plan.run()
 	case args.Fleet != nil:
 		err = args.Fleet.run()
 	case args.Budgets != nil:
 		err = args.Budgets.run()
 	default:
-		parser.Fail("name a mode: fleet or budgets")
+		parser.Fail("name a mode: plan, fleet or budgets")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "papayameasure:", err)
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -134,3 +134,21 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// Identities are kept for 24 h and decide the memory of a busy zone.
+func BenchmarkIdentity(b *testing.B) {
+	const count = 200_000
+	for range b.N {
+		l := filled(b, 10, time.Now)
+		before := heap()
+		h := holding("entry", 1)
+		for i := range count {
+			bill := &wire.Bill{Account: name(i % 10), Request: fmt.Sprintf("%032x", i), Digest: make([]byte, 32), Model: "papaya-small", Target: "engine-0001", Amount: 1}
+			if _, _, err := l.Settle(h, 1, []*wire.Bill{bill}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heap()-before)/count, "B/identity")
+		runtime.KeepAlive(l)
+	}
+}
