Fix races of the comparison harness

The start of the workload and the reset of the byte count raced with calls of the holders that were already running (found with -race; no effect on the refusals).

--- a/internal/comparer/escrow.go
+++ b/internal/comparer/escrow.go
@@ -46,7 +46,7 @@
 // a testing/synctest bubble. Its error says that the product broke a promise.
 func (c *Comparer) Escrow() (Result, error) {
 	e := &escrow{cfg: c.cfg, meter: newMeter(c.cfg)}
-	e.network = &network{cfg: c.cfg, meter: e.meter, start: time.Now().Add(24 * time.Hour)}
+	e.network = &network{cfg: c.cfg, meter: e.meter}
 	// The instances end before the holders, which take their allowances back.
 	books, closeBooks := context.WithCancel(context.Background())
 	defer e.books.Wait()
@@ -59,14 +59,15 @@
 		return Result{}, err
 	}
 	time.Sleep(warmUp)
-	e.meter.result.Bytes = 0
-	e.network.start = time.Now()
+	e.meter.reset()
+	begin := time.Now()
+	e.network.start.Store(&begin)
 	if c.cfg.Crash > 0 {
 		e.tasks.Go(func() { e.crashAll(ctx) })
 	}
 	var requests sync.WaitGroup
 	for _, x := range c.events {
-		time.Sleep(x.at - time.Since(e.network.start))
+		time.Sleep(x.at - time.Since(begin))
 		requests.Go(func() { e.serve(ctx, x) })
 	}
 	requests.Wait()
--- a/internal/comparer/meter.go
+++ b/internal/comparer/meter.go
@@ -153,6 +153,13 @@
 	m.result.Bytes += int64(bytes)
 }
 
+// reset forgets the bytes so far.
+func (m *meter) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.result.Bytes = 0
+}
+
 func (m *meter) finish() Result {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/comparer/network.go
+++ b/internal/comparer/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,13 +26,13 @@
 type network struct {
 	cfg   Config
 	meter *meter
-	start time.Time
+	start atomic.Pointer[time.Time] // of the workload; nil before
 }
 
 // isCut tells whether no message passes between two zones now.
 func (n *network) isCut(from, to int) bool {
-	c := n.cfg.Cut
-	return from != to && (from == c.Zone || to == c.Zone) && c.contains(time.Since(n.start))
+	c, start := n.cfg.Cut, n.start.Load()
+	return start != nil && from != to && (from == c.Zone || to == c.Zone) && c.contains(time.Since(*start))
 }
 
 // pass delays a message, or fails when the link is cut, as a connection over
