--- a/cmd/papayarace/figures.go
+++ b/cmd/papayarace/figures.go
@@ -50,9 +50,9 @@
 
 var percentiles = [3]float64{50, 95, 99}
 
-// measure takes the figures from the result of the load generator. An answer
-// is good if it is whole and, in the streamed classes, its first token came
-// within the service level.
+// measure takes the figures from the result of the load generator. A chat, tag
+// or quote is good if it is whole and its first token, or the whole tag, came
+// within the service level. Cut sheets have no such time and don't count.
 func measure(r *loader.Result) figures {
 	f := figures{Sent: r.Sent + r.Dropped, OK: r.OK, Classes: map[string]times{}}
 	good := int64(0)
@@ -68,13 +68,14 @@
 		switch name {
 		case "chat", "quote":
 			first.Merge(c.First.Histogram)
+		}
+		switch name {
+		case "chat", "quote", "tag":
 			for _, bar := range c.First.Distribution() {
 				if bar.To <= firstObjective {
 					good += bar.Count
 				}
 			}
-		case "sheet", "tag":
-			good += int64(c.OK)
 		}
 	}
 	f.Good = float64(good) / r.Sending
