--- a/internal/holder/fake_test.go
+++ b/internal/holder/fake_test.go
@@ -43,6 +43,10 @@
 		if g.Epoch != c.epochs[g.Zone] {
 			return &wire.ProposeReply{Fault: wireFault(fault.Fenced)}
 		}
+		// Without it, a log would keep the results of all grants for good.
+		if g.Confirmed != g.Sequence-1 {
+			return &wire.ProposeReply{Fault: wireFault(fault.Malformed)}
+		}
 		key := fmt.Sprintf("%s/%d/grant/%d", g.Zone, g.Epoch, g.Sequence)
 		if old, ok := c.results[key]; ok {
 			return &wire.ProposeReply{Result: old}
