issuer: state truthfully why an order expired

Cause: an order that expired without a sending was said to have a target out of reach. It may also have waited for the quorum or for the rate of loads.

Change: the detail only says that it was not sent in time.

--- a/internal/issuer/reign.go
+++ b/internal/issuer/reign.go
@@ -127,7 +127,7 @@
 	case err != nil:
 		return "", "", o
 	case latest.Attempts == 0:
-		return Expired, "it was not sent: the target could not be reached in time", nil
+		return Expired, fmt.Sprintf("it was not sent within %v", r.cfg.Expiry), nil
 	}
 	return Expired, fmt.Sprintf("it was sent up to %d times without a confirmation and may have been obeyed", latest.Attempts), nil
 }
