--- a/internal/planner/row.go
+++ b/internal/planner/row.go
@@ -6,7 +6,7 @@
 	// core is one processor, in ms per second, or one second in ms.
 	core = 1000
 	// messageLimit is that of one drpc message, in MiB.
-	messageLimit = 4
+	messageLimit = 256
 )
 
 // Roles.
