Give each test fleet a loopback IP number of its own

Ruled out: a crash of the instance; nothing was logged and the others started. Change: the addresses of a fleet are on an IP number that nothing else uses. Conclusion: the chosen ports can't be taken any more.

--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -367,12 +368,20 @@
 	return s, json.Unmarshal(text, &s)
 }
 
+// fleets counts the fleets of this process.
+var fleets atomic.Int64
+
+// freeAddresses returns addresses with ports that the kernel chose, on a
+// loopback IP number of this fleet alone. On a shared one, the port of an
+// outgoing connection could take the address before the instance listens.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid/250%128, 1+pid%250, 1+fleets.Add(1)%250)
 	var listeners []net.Listener
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
