Refuse answers of services that are too long

Ruled out: a larger limit alone, which only moves the cut. Figures: TestLongServiceAnswer fails without the change. Conclusion: half answers of services are refused.

--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -1,6 +1,16 @@
 package gateway
 
-import "testing"
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/papayapond/papayapond/internal/dispatcher"
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
 
 // An event of another request must be recognised in each form in which an
 // engine writes its identity, and the text of an answer must not be taken for
@@ -24,3 +34,25 @@
 		}
 	}
 }
+
+// An answer of a service that is longer than the limit must be refused, not
+// passed on in part as if it were whole.
+func TestLongServiceAnswer(t *testing.T) {
+	for _, test := range []struct {
+		size int
+		want error
+	}{{maxBody, nil}, {maxBody + 1, fault.Interrupted}} {
+		g := New(Config{Do: func(_ context.Context, _ dispatcher.Job, consume func(*wire.Target, *http.Response) (bool, error)) (string, error) {
+			_, err := consume(&wire.Target{}, &http.Response{Body: io.NopCloser(bytes.NewReader(make([]byte, test.size)))})
+			return "", err
+		}})
+		c := &serviceCall{}
+		err := g.send(t.Context(), c)
+		if test.want == nil && (err != nil || len(c.answer) != test.size) {
+			t.Errorf("%d bytes: got %d bytes, %v", test.size, len(c.answer), err)
+		}
+		if test.want != nil && fault.Of(err) != test.want {
+			t.Errorf("%d bytes: got %v, want %v", test.size, err, test.want)
+		}
+	}
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -71,6 +71,9 @@
 		if err != nil {
 			return false, err
 		}
+		if len(answer) > maxBody {
+			return false, eris.Wrapf(fault.Interrupted, "answer is longer than %d bytes", maxBody)
+		}
 		c.status, c.media, c.answer = r.StatusCode, r.Header.Get("Content-Type"), answer
 		return false, nil
 	})
