--- a/cmd/papayaengine/main.go
+++ b/cmd/papayaengine/main.go
@@ -72,10 +72,10 @@
 		panic(buildErr)
 	}
 	if err != nil {
-		logger.Fatal("cannot read --level", zap.Error(err))
+		logger.Fatal("Cannot read --level.", zap.Error(err))
 	}
 	if err := run(args, logger.Named("engine").With(zap.String("name", args.Name))); err != nil {
-		logger.Fatal("engine failed", zap.Error(err))
+		logger.Fatal("Engine failed.", zap.Error(err))
 	}
 }
 
@@ -94,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	logger.Info("serving", zap.String("address", args.Address), zap.Strings("models", args.Models))
+	logger.Info("Serving.", zap.String("address", args.Address), zap.Strings("models", args.Models))
 	return host.New(host.Config{
 		Listener: listener, Handler: e, Serve: e.Run, Entries: args.Entries, Key: args.Key,
 		Report: e.Report, Leave: e.Leave, Grace: args.Grace, Drain: args.Drain, Logger: logger,
--- a/cmd/papayaload/baseline.go
+++ b/cmd/papayaload/baseline.go
@@ -81,7 +81,7 @@
 			if err != nil {
 				return false, err
 			}
-			logger.Info("measuring", zap.Int("round", round), zap.String("leg", leg))
+			logger.Info("Measuring.", zap.Int("round", round), zap.String("leg", leg))
 			result, err := l.Run(ctx)
 			if err != nil {
 				return false, err
--- a/cmd/papayaload/main.go
+++ b/cmd/papayaload/main.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return false, err
 	}
-	logger.Info("sending", zap.Strings("entries", args.Entries), zap.Float64("rate", args.Rate), zap.String("tag", args.Tag))
+	logger.Info("Sending.", zap.Strings("entries", args.Entries), zap.Float64("rate", args.Rate), zap.String("tag", args.Tag))
 	result, err := l.Run(ctx)
 	if err != nil {
 		return false, err
--- a/cmd/papayaorder/main.go
+++ b/cmd/papayaorder/main.go
@@ -53,10 +53,10 @@
 		panic(buildErr)
 	}
 	if err != nil {
-		logger.Fatal("cannot read --level", zap.Error(err))
+		logger.Fatal("Cannot read --level.", zap.Error(err))
 	}
 	if err := run(args, logger.Named("order").With(zap.String("name", args.Name))); err != nil {
-		logger.Fatal("order service failed", zap.Error(err))
+		logger.Fatal("Order service failed.", zap.Error(err))
 	}
 }
 
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	logger.Info("serving", zap.String("address", listener.Addr().String()), zap.Strings("services", args.Services))
+	logger.Info("Serving.", zap.String("address", listener.Addr().String()), zap.Strings("services", args.Services))
 	return host.New(host.Config{
 		Listener: listener, Handler: o, Entries: args.Entries, Key: args.Key,
 		Report: o.Report, Leave: o.Leave, Grace: args.Grace, Drain: args.Drain, Logger: logger,
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -77,7 +77,7 @@
 	defer a.mu.Unlock()
 	body, err := json.Marshal(a.cfg.Report())
 	if err != nil {
-		a.cfg.Logger.Error("cannot encode the announcement", zap.Error(err))
+		a.cfg.Logger.Error("Cannot encode the announcement.", zap.Error(err))
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -98,9 +98,9 @@
 	if was := a.failed[entry]; was != (err != nil) {
 		a.failed[entry] = err != nil
 		if err != nil {
-			a.cfg.Logger.Warn("announcement failed", zap.String("entry", entry), zap.Error(err))
+			a.cfg.Logger.Warn("Announcement failed.", zap.String("entry", entry), zap.Error(err))
 		} else {
-			a.cfg.Logger.Info("announcements are accepted again", zap.String("entry", entry))
+			a.cfg.Logger.Info("Announcements are accepted again.", zap.String("entry", entry))
 		}
 	}
 }
--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -114,7 +114,7 @@
 
 func (s *state) stop(account string, p *pool, command fmt.Stringer) {
 	p.stopped = true
-	s.logger.Error("invariant violated, account stopped", zap.String("account", account),
+	s.logger.Error("Invariant violated, account stopped.", zap.String("account", account),
 		zap.Stringer("command", command), zap.Uint64("index", s.index), zap.Stringer("pool", p.message(account)))
 }
 
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -72,7 +72,7 @@
 // sabotage produces the faults that come before a request is queued.
 func (e *Engine) sabotage(w http.ResponseWriter, prompt string) bool {
 	if _, ok := e.faults.Hit("crash", prompt); ok {
-		e.cfg.Logger.Warn("crashing on purpose")
+		e.cfg.Logger.Warn("Crashing on purpose.")
 		e.cfg.Crash()
 		return true
 	}
--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -95,7 +95,7 @@
 		}
 		h.trace(request, reply.Outcomes)
 		if h.progress.wait(ctx, reply.Position) {
-			h.cfg.Logger.Warn("solo mode begins, no copy within 200 ms", zap.Uint64("position", reply.Position))
+			h.cfg.Logger.Warn("Solo mode begins, no copy within 200 ms.", zap.Uint64("position", reply.Position))
 		}
 	}
 	copied, solo := h.progress.state(reply.Position)
@@ -112,7 +112,7 @@
 		return
 	}
 	for i, b := range request.Bills {
-		h.cfg.Logger.Debug("bill stored", zap.String("request", b.Request), zap.String("account", b.Account), zap.String("entry", request.Holding.GetInstance()),
+		h.cfg.Logger.Debug("Bill stored.", zap.String("request", b.Request), zap.String("account", b.Account), zap.String("entry", request.Holding.GetInstance()),
 			zap.Int64("amount", b.Amount), zap.Stringer("outcome", outcomes[i]))
 	}
 }
@@ -124,7 +124,7 @@
 		return &wire.FindReply{Fault: wireFault(err)}, nil
 	}
 	bill, conflict := l.Find(request.Account, request.Request, request.Digest)
-	h.cfg.Logger.Debug("identity looked up", zap.String("request", request.Request), zap.String("account", request.Account), zap.Bool("known", bill != nil || conflict))
+	h.cfg.Logger.Debug("Identity looked up.", zap.String("request", request.Request), zap.String("account", request.Account), zap.Bool("known", bill != nil || conflict))
 	return &wire.FindReply{Known: bill != nil || conflict, Bill: bill, Conflict: conflict}, nil
 }
 
--- a/internal/holder/closing.go
+++ b/internal/holder/closing.go
@@ -23,10 +23,10 @@
 	}
 	for _, held := range l.Holdings() {
 		if err := l.Fence(held.Instance, held.Incarnation); err != nil {
-			h.cfg.Logger.Warn("instance is not fenced", zap.String("instance", held.Instance), zap.Error(err))
+			h.cfg.Logger.Warn("Instance is not fenced.", zap.String("instance", held.Instance), zap.Error(err))
 			continue
 		}
-		h.cfg.Logger.Info("instance is fenced, the venture closes", zap.String("instance", held.Instance))
+		h.cfg.Logger.Info("Instance is fenced, the venture closes.", zap.String("instance", held.Instance))
 	}
 	h.freeStranded(l)
 }
@@ -40,9 +40,9 @@
 			continue
 		}
 		if err := l.Free(t.Account); err != nil {
-			h.cfg.Logger.Warn("stranded rights are not free", zap.String("account", t.Account), zap.Error(err))
+			h.cfg.Logger.Warn("Stranded rights are not free.", zap.String("account", t.Account), zap.Error(err))
 			continue
 		}
-		h.cfg.Logger.Info("stranded rights are free", zap.String("account", t.Account), zap.Int64("tokens", t.Stranded))
+		h.cfg.Logger.Info("Stranded rights are free.", zap.String("account", t.Account), zap.Int64("tokens", t.Stranded))
 	}
 }
--- a/internal/holder/copy.go
+++ b/internal/holder/copy.go
@@ -48,7 +48,7 @@
 		c := &copier{Holder: h, epoch: l.Epoch(), other: other, target: target}
 		err := c.stream(ctx, func() { pause = retryPause })
 		if ctx.Err() == nil {
-			h.cfg.Logger.Debug("copy failed", zap.String("holder", other), zap.Error(err))
+			h.cfg.Logger.Debug("Copy failed.", zap.String("holder", other), zap.Error(err))
 			sleep(ctx, pause)
 			pause = min(2*pause, copyPauseLimit)
 		}
@@ -100,7 +100,7 @@
 	empty := len(request.Records) == 0 && len(request.Snapshot) == 0
 	c.counts = c.counts || empty && c.next == request.Position && c.next >= c.target
 	if c.counts && c.progress.advance(c.next) {
-		c.cfg.Logger.Info("solo mode ends", zap.String("holder", c.other), zap.Uint64("position", c.next))
+		c.cfg.Logger.Info("Solo mode ends.", zap.String("holder", c.other), zap.Uint64("position", c.next))
 	}
 	return nil
 }
--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -152,7 +152,7 @@
 		missing := max(need-tally(l, account).Free, 0)
 		amount, err := h.request(ctx, l, account, missing, max(want, missing))
 		if err != nil {
-			h.cfg.Logger.Info("no rights from the log", zap.String("account", account), zap.Error(err))
+			h.cfg.Logger.Info("No rights from the log.", zap.String("account", account), zap.Error(err))
 			return false
 		}
 		if amount >= missing {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -105,15 +105,15 @@
 	defer h.close()
 	l, err := h.begin(ctx)
 	if err != nil {
-		h.cfg.Logger.Info("books are not open", zap.Error(err))
+		h.cfg.Logger.Info("Books are not open.", zap.Error(err))
 		return
 	}
 	if err := h.loadPending(l.Epoch()); err != nil {
-		h.cfg.Logger.Error("books can't be opened", zap.Error(err))
+		h.cfg.Logger.Error("Books can't be opened.", zap.Error(err))
 		return
 	}
 	h.ledger.Store(l)
-	h.cfg.Logger.Info("books are open", zap.Uint64("epoch", l.Epoch()), zap.Uint64("position", h.journal.Next()))
+	h.cfg.Logger.Info("Books are open.", zap.Uint64("epoch", l.Epoch()), zap.Uint64("position", h.journal.Next()))
 	defer h.ledger.Store(nil)
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -140,7 +140,7 @@
 		r.close()
 	}
 	if err := h.journal.Close(); err != nil {
-		h.cfg.Logger.Warn("close the journal", zap.Error(err))
+		h.cfg.Logger.Warn("Journal can't be closed.", zap.Error(err))
 	}
 }
 
--- a/internal/holder/merge.go
+++ b/internal/holder/merge.go
@@ -54,7 +54,7 @@
 	for zone, r := range replicas {
 		some, err := r.merge(zone, l)
 		if err != nil {
-			h.cfg.Logger.Warn("bills of another zone are not merged", zap.String("zone", zone), zap.Error(err))
+			h.cfg.Logger.Warn("Bills of another zone are not merged.", zap.String("zone", zone), zap.Error(err))
 		}
 		merged = merged || some
 	}
@@ -107,7 +107,7 @@
 	}
 	records, err := j.Read(r.merged, mergeRecords)
 	if err != nil {
-		r.logger.Warn("copy can't be read", zap.String("path", r.path), zap.Error(err))
+		r.logger.Warn("Copy can't be read.", zap.String("path", r.path), zap.Error(err))
 	}
 	return nil, records, r.merged, r.merged + uint64(len(records))
 }
--- a/internal/holder/provision.go
+++ b/internal/holder/provision.go
@@ -78,7 +78,7 @@
 	}
 	if released := h.balance(call, l, name, want); released > 0 {
 		if _, err := h.request(call, l, name, released, released); err != nil {
-			h.cfg.Logger.Info("released rights are not granted", zap.String("account", name), zap.Error(err))
+			h.cfg.Logger.Info("Released rights are not granted.", zap.String("account", name), zap.Error(err))
 		}
 	}
 }
--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -58,7 +58,7 @@
 	if h.closing.Load() {
 		h.fenceAll(l)
 		if _, err := h.release(ctx, l, &wire.ReleaseRequest{Closing: true}); err != nil {
-			h.cfg.Logger.Warn("rights are not released", zap.Error(err))
+			h.cfg.Logger.Warn("Rights are not released.", zap.Error(err))
 		}
 	}
 	h.confirm(ctx, l)
@@ -147,7 +147,7 @@
 		return
 	}
 	if err := h.sendReleases(ctx, l); err != nil && ctx.Err() == nil {
-		h.cfg.Logger.Info("release is not confirmed", zap.Error(err))
+		h.cfg.Logger.Info("Release is not confirmed.", zap.Error(err))
 	}
 }
 
--- a/internal/holder/replica.go
+++ b/internal/holder/replica.go
@@ -130,7 +130,7 @@
 		return err
 	}
 	r.merged = 0
-	r.logger.Info("copy of a new epoch is complete", zap.String("path", r.path), zap.Uint64("epoch", epoch), zap.Uint64("position", r.front().Next()))
+	r.logger.Info("Copy of a new epoch is complete.", zap.String("path", r.path), zap.Uint64("epoch", epoch), zap.Uint64("position", r.front().Next()))
 	return nil
 }
 
--- a/internal/holder/restore.go
+++ b/internal/holder/restore.go
@@ -65,7 +65,7 @@
 		if ctx.Err() != nil {
 			return nil, err
 		}
-		h.cfg.Logger.Warn("books can't be opened yet", zap.Error(err))
+		h.cfg.Logger.Warn("Books can't be opened yet.", zap.Error(err))
 		sleep(ctx, restorePause)
 	}
 }
@@ -158,7 +158,7 @@
 	}
 	h.resume(l, o)
 	if known > 0 {
-		h.cfg.Logger.Warn("books were restored", zap.Uint64("epoch", result.Epoch), zap.String("holder", best.holder), zap.Uint64("position", best.next))
+		h.cfg.Logger.Warn("Books were restored.", zap.Uint64("epoch", result.Epoch), zap.String("holder", best.holder), zap.Uint64("position", best.next))
 	}
 	return nil
 }
@@ -198,13 +198,13 @@
 		})
 	}
 	_ = group.Wait()
-	h.cfg.Logger.Info("books are aligned with the log", zap.Int("accounts", len(o.Assigned)), zap.Int("left", len(left)))
+	h.cfg.Logger.Info("Books are aligned with the log.", zap.Int("accounts", len(o.Assigned)), zap.Int("left", len(left)))
 	if len(left) == len(o.Assigned) {
 		return
 	}
 	o.Assigned = left
 	if err := h.storeOpening(o); err != nil {
-		h.cfg.Logger.Error("epoch can't be stored", zap.Error(err))
+		h.cfg.Logger.Error("Epoch can't be stored.", zap.Error(err))
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,7 +71,7 @@
 		return eris.Wrapf(fault.Unavailable, "serve: %v", err)
 	case <-ctx.Done():
 	}
-	h.cfg.Logger.Info("leaving", zap.Duration("grace", h.cfg.Grace))
+	h.cfg.Logger.Info("Leaving.", zap.Duration("grace", h.cfg.Grace))
 	h.cfg.Leave()
 	a.Announce(work)
 	time.Sleep(h.cfg.Grace)
@@ -80,7 +80,7 @@
 	err := server.Shutdown(drain)
 	_ = server.Close() // ends the requests that Shutdown did not wait for
 	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
-		h.cfg.Logger.Warn("serving ended", zap.Error(err))
+		h.cfg.Logger.Warn("Serving ended.", zap.Error(err))
 	}
 	h.mu.Lock()
 	h.gone = true
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -165,7 +165,7 @@
 func (j *Journal) fail(err error) error {
 	if j.failed == nil {
 		j.failed = eris.Wrapf(fault.Corrupt, "journal %s: %v", j.cfg.Path, err)
-		j.cfg.Logger.Error("journal: accepts nothing more", zap.String("path", j.cfg.Path), zap.Error(err))
+		j.cfg.Logger.Error("Journal accepts nothing more.", zap.String("path", j.cfg.Path), zap.Error(err))
 	}
 	return j.failed
 }
@@ -235,7 +235,7 @@
 
 func (j *Journal) openLog(data []byte, frames []frame, size int) error {
 	if j.torn = int64(len(data) - size); j.torn > 0 {
-		j.cfg.Logger.Warn("journal: cut off a torn tail", zap.String("path", j.cfg.Path),
+		j.cfg.Logger.Warn("Torn tail cut off.", zap.String("path", j.cfg.Path),
 			zap.Int64("bytes", j.torn), zap.Uint64("position", j.next))
 		return j.replaceLog(data[:size], frames, j.base, j.next)
 	}
--- a/internal/ledger/books.go
+++ b/internal/ledger/books.go
@@ -123,7 +123,7 @@
 func (l *Ledger) stop(a *account, change books, cause kind) error {
 	a.broken = true
 	l.violations.Add(1)
-	l.cfg.Logger.Error("ledger: invariant violated, account stopped", zap.String("account", a.name),
+	l.cfg.Logger.Error("Invariant violated, account stopped.", zap.String("account", a.name),
 		zap.Stringer("record", cause), zap.Any("books", fields(a.books)), zap.Any("change", fields(change)))
 	return eris.Wrapf(fault.Broken, "account %s", a.name)
 }
--- a/internal/ledger/merge.go
+++ b/internal/ledger/merge.go
@@ -33,7 +33,7 @@
 			_ = l.applyBill(recordForeign, now, foreign, b)
 			foreign.Bills = append(foreign.Bills, b)
 		case e.digest != string(b.Digest):
-			l.cfg.Logger.Warn("ledger: zones billed different requests under one identity", zap.String("account", b.Account),
+			l.cfg.Logger.Warn("Zones billed different requests under one identity.", zap.String("account", b.Account),
 				zap.String("request", b.Request), zap.String("zone", b.Zone))
 		case e.zone.Value() == l.cfg.Zone && b.Zone < l.cfg.Zone && !e.account.broken:
 			reversed := trim(b)
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -34,7 +34,7 @@
 		err = l.cfg.Journal.Compact(snapshot, position)
 	}
 	if err != nil {
-		l.cfg.Logger.Error("ledger: compaction failed", zap.Error(err))
+		l.cfg.Logger.Error("Compaction failed.", zap.Error(err))
 		l.bound.Store(size + l.cfg.Compact)
 	}
 }
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -213,7 +213,7 @@
 // sabotage produces the faults between the run of an order and its answer.
 func (o *Orderer) sabotage(r *http.Request, text string) bool {
 	if _, ok := o.faults.Hit("crash", text); ok {
-		o.cfg.Logger.Warn("crashing on purpose after an order ran")
+		o.cfg.Logger.Warn("Crashing on purpose after an order ran.")
 		o.cfg.Crash()
 		return true
 	}
--- a/internal/replicator/apply.go
+++ b/internal/replicator/apply.go
@@ -91,7 +91,7 @@
 	image.Data = r.cfg.Snapshot()
 	data, err := proto.Marshal(image)
 	if err != nil {
-		r.cfg.Logger.Error("encode snapshot", zap.Error(err))
+		r.cfg.Logger.Error("Snapshot can't be encoded.", zap.Error(err))
 		return
 	}
 	r.disk.Lock()
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -234,7 +234,7 @@
 func (r *Replicator) stepDown(reason string) {
 	r.stands = false
 	if r.reign != nil {
-		r.cfg.Logger.Info("step down", zap.Uint64("term", r.reign.term), zap.String("reason", reason))
+		r.cfg.Logger.Info("Leadership ended.", zap.Uint64("term", r.reign.term), zap.String("reason", reason))
 		r.reign.cancel()
 		r.reign = nil
 		r.tried = r.cfg.Now()
--- a/internal/replicator/handover.go
+++ b/internal/replicator/handover.go
@@ -36,7 +36,7 @@
 	reign.heir = heir.member
 	r.wakePeers()
 	r.mu.Unlock()
-	r.cfg.Logger.Info("transfer", zap.String("to", heir.member))
+	r.cfg.Logger.Info("Handing leadership over.", zap.String("to", heir.member))
 	err := r.await(ctx, func() (bool, error) { return r.reign != reign, nil })
 	if err == nil {
 		return nil
--- a/internal/replicator/install.go
+++ b/internal/replicator/install.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return r.fail(err)
 	}
-	r.cfg.Logger.Info("send snapshot", zap.String("to", p.member), zap.Uint64("index", image.Index), zap.Int("bytes", len(data)))
+	r.cfg.Logger.Info("Sending a snapshot.", zap.String("to", p.member), zap.Uint64("index", image.Index), zap.Int("bytes", len(data)))
 	self := r.vote().Member
 	for offset, size := uint64(0), uint64(len(data)); offset < size; {
 		end := min(offset+uint64(r.cfg.Chunk), size)
--- a/internal/replicator/reign.go
+++ b/internal/replicator/reign.go
@@ -47,10 +47,10 @@
 	}
 	members, err := proto.Marshal(r.members())
 	if err != nil {
-		r.cfg.Logger.Error("encode members", zap.Error(err))
+		r.cfg.Logger.Error("Members can't be encoded.", zap.Error(err))
 		return
 	}
-	r.cfg.Logger.Info("lead", zap.String("member", r.ballot.Member), zap.Uint64("term", term))
+	r.cfg.Logger.Info("Leading the log.", zap.String("member", r.ballot.Member), zap.Uint64("term", term))
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stands, r.leader = false, r.ballot.Member
 	r.reign = &reign{term: term, peers: map[string]*peer{}, ctx: ctx, cancel: cancel}
@@ -146,7 +146,7 @@
 	p.contact = sent
 	p.round = max(p.round, reply.Round)
 	if !reply.Success && q.Index == p.match && p.match > 0 {
-		r.cfg.Logger.Error("peer lost entries that it acknowledged", zap.String("peer", p.member), zap.Uint64("index", p.match))
+		r.cfg.Logger.Error("Peer lost entries that it acknowledged.", zap.String("peer", p.member), zap.Uint64("index", p.match))
 		return false, eris.Wrapf(fault.Broken, "peer %s has lost entry %d", p.member, p.match)
 	}
 	if reply.Success {
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -82,7 +82,7 @@
 	reign := r.reign
 	r.group.Go(func() {
 		if err := r.substitute(reign.ctx, reign, old, member); err != nil {
-			r.cfg.Logger.Warn("replace", zap.String("old", old), zap.String("new", member), zap.Error(err))
+			r.cfg.Logger.Warn("Replacing a member.", zap.String("old", old), zap.String("new", member), zap.Error(err))
 		}
 	})
 }
@@ -139,7 +139,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode members")
 	}
-	r.cfg.Logger.Info("members", zap.Strings("voters", after.Voters), zap.Int("learners", len(after.Learners)))
+	r.cfg.Logger.Info("Members changed.", zap.Strings("voters", after.Voters), zap.Int("learners", len(after.Learners)))
 	_, _, err = r.submit(ctx, reign, &wire.Entry{Members: data})
 	return err
 }
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -125,7 +125,7 @@
 	r.disk.Lock()
 	defer r.disk.Unlock()
 	if err := r.log.journal.Close(); err != nil {
-		r.cfg.Logger.Error("close journal", zap.Error(err))
+		r.cfg.Logger.Error("Journal can't be closed.", zap.Error(err))
 	}
 }
 
@@ -171,7 +171,7 @@
 	defer r.mu.Unlock()
 	if r.failed == nil {
 		r.failed = err
-		r.cfg.Logger.Error("member stopped", zap.String("member", r.ballot.Member), zap.Uint64("term", r.ballot.Term), zap.Error(err))
+		r.cfg.Logger.Error("Member stopped.", zap.String("member", r.ballot.Member), zap.Uint64("term", r.ballot.Term), zap.Error(err))
 		r.stepDown("failure")
 	}
 	return r.failed
--- a/internal/replicator/start.go
+++ b/internal/replicator/start.go
@@ -74,7 +74,7 @@
 		r.mu.Unlock()
 	}
 	if r.save(b) == nil {
-		r.cfg.Logger.Info("member starts", zap.String("member", b.Member))
+		r.cfg.Logger.Info("Member starts.", zap.String("member", b.Member))
 	}
 }
 
--- a/internal/reserver/draw.go
+++ b/internal/reserver/draw.go
@@ -192,7 +192,7 @@
 	reply, err := r.cfg.Draw(ctx, holder, request)
 	if err != nil {
 		r.shun(holder)
-		r.cfg.Logger.Debug("draw failed", zap.String("holder", holder), zap.Error(err))
+		r.cfg.Logger.Debug("Draw failed.", zap.String("holder", holder), zap.Error(err))
 		return nil, eris.Wrapf(fault.Unavailable, "draw from %s: %v", holder, err)
 	}
 	if reply.Fault == nil {
--- a/internal/reserver/failover.go
+++ b/internal/reserver/failover.go
@@ -41,7 +41,7 @@
 	}
 	delete(s.tickets, id)
 	s.mu.Unlock()
-	r.cfg.Logger.Info("ledger doesn't answer, settling with another one", zap.String("holder", first), zap.String("other", t.allowance.holder), zap.String("request", x.bill.Request))
+	r.cfg.Logger.Info("Ledger doesn't answer, settling with another one.", zap.String("holder", first), zap.String("other", t.allowance.holder), zap.String("request", x.bill.Request))
 	y := &settlement{ticket: t, bill: x.bill, deadline: r.cfg.Now().Add(settleLimit), done: make(chan struct{})}
 	r.enqueue(r.sender(t.allowance.holder), y)
 	select {
--- a/internal/reserver/return.go
+++ b/internal/reserver/return.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	if reply.Fault != nil {
-		r.cfg.Logger.Info("return refused", zap.String("holder", b.holder), zap.String("account", request.Account), zap.String("fault", reply.Fault.Text))
+		r.cfg.Logger.Info("Return refused.", zap.String("holder", b.holder), zap.String("account", request.Account), zap.String("fault", reply.Fault.Text))
 		kind := fault.Parse(reply.Fault.Code)
 		return kind != fault.Unavailable && kind != fault.Internal
 	}
@@ -136,7 +136,7 @@
 		select {
 		case <-idle:
 		case <-ctx.Done():
-			r.cfg.Logger.Warn("allowances are not returned, their holder doesn't answer")
+			r.cfg.Logger.Warn("Allowances are not returned, their holder doesn't answer.")
 			return
 		}
 	}
--- a/internal/reserver/settle.go
+++ b/internal/reserver/settle.go
@@ -123,7 +123,7 @@
 			if pause == settlePause {
 				level = zap.WarnLevel
 			}
-			r.cfg.Logger.Log(level, "settle has no outcome, resending", zap.String("holder", s.holder), zap.Int("bills", len(batch)), zap.Error(err))
+			r.cfg.Logger.Log(level, "Settle has no outcome, resending.", zap.String("holder", s.holder), zap.Int("bills", len(batch)), zap.Error(err))
 			s.mu.Lock()
 			s.queue = append(batch, s.queue...)
 			s.mu.Unlock()
@@ -226,7 +226,7 @@
 	default:
 		// The ledger doesn't honour the allowance any more.
 		r.void(x.ticket)
-		r.cfg.Logger.Warn("bill refused", zap.String("account", x.bill.Account), zap.String("request", x.bill.Request), zap.Stringer("outcome", outcome))
+		r.cfg.Logger.Warn("Bill refused.", zap.String("account", x.bill.Account), zap.String("request", x.bill.Request), zap.Stringer("outcome", outcome))
 		free = 0
 	}
 	r.finish(x, free, outcome, nil)
