--- a/cmd/papayaengine/main.go
+++ b/cmd/papayaengine/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -15,7 +16,9 @@
 	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/engine"
+	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/host"
+	"github.com/papayapond/papayapond/internal/logger"
 )
 
 type arguments struct {
@@ -62,20 +65,13 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	cfg := zap.NewProductionConfig()
-	level, err := zap.ParseAtomicLevel(args.Level)
-	if err == nil {
-		cfg.Level = level
-	}
-	logger, buildErr := cfg.Build()
-	if buildErr != nil {
-		panic(buildErr)
-	}
+	log, err := logger.New(args.Level)
 	if err != nil {
-		logger.Fatal("Cannot read --level.", zap.Error(err))
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(fault.Of(err).Exit())
 	}
-	if err := run(args, logger.Named("engine").With(zap.String("name", args.Name))); err != nil {
-		logger.Fatal("Engine failed.", zap.Error(err))
+	if err := run(args, log.Named("engine").With(zap.String("name", args.Name))); err != nil {
+		log.Fatal("Engine failed.", zap.Error(err))
 	}
 }
 
--- a/cmd/papayaorder/main.go
+++ b/cmd/papayaorder/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -13,7 +14,9 @@
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/host"
+	"github.com/papayapond/papayapond/internal/logger"
 	"github.com/papayapond/papayapond/internal/orderer"
 )
 
@@ -43,20 +46,13 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	cfg := zap.NewProductionConfig()
-	level, err := zap.ParseAtomicLevel(args.Level)
-	if err == nil {
-		cfg.Level = level
-	}
-	logger, buildErr := cfg.Build()
-	if buildErr != nil {
-		panic(buildErr)
-	}
+	log, err := logger.New(args.Level)
 	if err != nil {
-		logger.Fatal("Cannot read --level.", zap.Error(err))
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(fault.Of(err).Exit())
 	}
-	if err := run(args, logger.Named("order").With(zap.String("name", args.Name))); err != nil {
-		logger.Fatal("Order service failed.", zap.Error(err))
+	if err := run(args, log.Named("order").With(zap.String("name", args.Name))); err != nil {
+		log.Fatal("Order service failed.", zap.Error(err))
 	}
 }
 
