--- /dev/null
+++ b/internal/counter/doc.go
@@ -0,0 +1,2 @@
+// Package counter sums amounts over a sliding window of time.
+package counter
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -40,18 +40,18 @@
 func TestLongServiceAnswer(t *testing.T) {
 	for _, test := range []struct {
 		size int
-		want error
-	}{{maxBody, nil}, {maxBody + 1, fault.Interrupted}} {
+		want fault.Kind
+	}{{maxBody, 0}, {maxBody + 1, fault.Interrupted}} {
 		g := New(Config{Do: func(_ context.Context, _ dispatcher.Job, consume func(*wire.Target, *http.Response) (bool, error)) (string, error) {
 			_, err := consume(&wire.Target{}, &http.Response{Body: io.NopCloser(bytes.NewReader(make([]byte, test.size)))})
 			return "", err
 		}})
 		c := &serviceCall{}
 		err := g.send(t.Context(), c)
-		if test.want == nil && (err != nil || len(c.answer) != test.size) {
+		if test.want == 0 && (err != nil || len(c.answer) != test.size) {
 			t.Errorf("%d bytes: got %d bytes, %v", test.size, len(c.answer), err)
 		}
-		if test.want != nil && fault.Of(err) != test.want {
+		if test.want != 0 && fault.Of(err) != test.want {
 			t.Errorf("%d bytes: got %v, want %v", test.size, err, test.want)
 		}
 	}
--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -13,12 +13,15 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/papayapond/papayapond/internal/counter"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ledger"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
 const (
+	// demandWindow is the time over which the demand of an account is measured.
+	demandWindow = 10 * time.Second
 	// grantRounds bounds the attempts to gather rights from other zones for
 	// one need.
 	grantRounds = 8
@@ -51,14 +54,14 @@
 
 // rights is what the holder remembers about one account.
 type rights struct {
-	demand  demand
-	pace    demand        // draws less returns
-	since   time.Time     // first draw, the start of pace
-	last    int64         // last grant
-	flight  chan struct{} // closed when the request for rights ends
-	refills time.Time     // no refill before
-	refused int64         // need that was refused last
-	until   time.Time     // such a need is refused until then
+	demand  counter.Counter // tokens drawn
+	pace    counter.Counter // draws less returns
+	since   time.Time       // first draw, the start of pace
+	last    int64           // last grant
+	flight  chan struct{}   // closed when the request for rights ends
+	refills time.Time       // no refill before
+	refused int64           // need that was refused last
+	until   time.Time       // such a need is refused until then
 }
 
 func newGrants() *grants {
@@ -68,7 +71,7 @@
 func (g *grants) account(name string) *rights {
 	a := g.accounts[name]
 	if a == nil {
-		a = &rights{demand: demand{window: demandWindow}, pace: demand{window: paceWindow}}
+		a = &rights{demand: counter.Counter{Window: demandWindow}, pace: counter.Counter{Window: paceWindow}}
 		g.accounts[name] = a
 	}
 	return a
@@ -78,7 +81,7 @@
 func (g *grants) note(name string, amount int64, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.account(name).demand.add(now, amount)
+	g.account(name).demand.Add(now, amount)
 }
 
 // stop ends the requests that nobody waits for.
@@ -97,7 +100,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a := g.account(t.Account)
-	sum := a.demand.sum(now)
+	sum := a.demand.Sum(now)
 	if t.Free >= sum || now.Before(a.refills) || a.flight != nil || g.stopped || h.closing.Load() {
 		return
 	}
@@ -131,7 +134,7 @@
 		}
 	}
 	a.flight = make(chan struct{})
-	want = max(want, need, grantSpan*a.demand.sum(h.cfg.Now()))
+	want = max(want, need, grantSpan*a.demand.Sum(h.cfg.Now()))
 	g.mu.Unlock()
 	granted := h.gather(ctx, l, account, need, want)
 	g.mu.Lock()
--- a/internal/holder/provision.go
+++ b/internal/holder/provision.go
@@ -36,7 +36,7 @@
 	if a.since.IsZero() {
 		a.since = now
 	}
-	a.pace.add(now, amount)
+	a.pace.Add(now, amount)
 }
 
 // targets returns the rights that each account should have here, in tokens.
@@ -46,7 +46,7 @@
 	targets := make(map[string]int64, len(g.accounts))
 	for name, a := range g.accounts {
 		covered := max(min(now.Sub(a.since), paceWindow), leastPace)
-		targets[name] = int64(float64(max(a.pace.sum(now), 0)) * (provisionSpan.Seconds() / covered.Seconds()))
+		targets[name] = int64(float64(max(a.pace.Sum(now), 0)) * (provisionSpan.Seconds() / covered.Seconds()))
 	}
 	return targets
 }
--- a/internal/reserver/account.go
+++ b/internal/reserver/account.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/papayapond/papayapond/internal/counter"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -42,7 +43,7 @@
 	shard      *shard
 	index      uint64
 	allowances []*allowance
-	demand     demand
+	demand     counter.Counter // tokens reserved
 	waiters    []*waiter
 	drawing    bool
 	early      time.Time // no draw ahead of time before
--- a/internal/reserver/draw.go
+++ b/internal/reserver/draw.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// demandWindow is the time over which the demand of an account is measured.
+	demandWindow = time.Second
 	// drawTimeout bounds one draw. A holder without free rights asks the log
 	// for up to one second before it answers.
 	drawTimeout = 1500 * time.Millisecond
@@ -67,7 +69,7 @@
 	if a.drawing || now.Before(a.early) {
 		return
 	}
-	if a.free("") < a.demand.rate(now)/2 {
+	if a.free("") < a.demand.Sum(now)/2 {
 		a.early = now.Add(earlyPause)
 		r.draw(a)
 	}
@@ -163,7 +165,7 @@
 	now := r.cfg.Now()
 	a.drop(h)
 	need := max(amount-a.free(holder), 0)
-	want := drawSpan * a.demand.rate(now)
+	want := drawSpan * a.demand.Sum(now)
 	for _, w := range a.waiters {
 		want = max(want, w.amount)
 	}
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/counter"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -99,10 +100,10 @@
 	s.mu.Lock()
 	a := s.accounts[name]
 	if a == nil {
-		a = &account{name: name, shard: s, index: index}
+		a = &account{name: name, shard: s, index: index, demand: counter.Counter{Window: demandWindow}}
 		s.accounts[name] = a
 	}
-	a.demand.add(now, amount)
+	a.demand.Add(now, amount)
 	a.drop(r.cfg.Holding())
 	if len(a.waiters) == 0 {
 		if id, ok := a.take(amount, now, r.avoided); ok {
