--- a/internal/dissolver/dissolver.go
+++ b/internal/dissolver/dissolver.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/ticker"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -41,18 +42,11 @@
 
 // Run tries to close a dissolving venture until ctx ends.
 func (d *Dissolver) Run(ctx context.Context) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			if d.cfg.Leader() {
-				d.step(ctx)
-			}
+	ticker.Ticker{Interval: interval}.Run(ctx, func() {
+		if d.cfg.Leader() {
+			d.step(ctx)
 		}
-	}
+	})
 }
 
 func (d *Dissolver) step(ctx context.Context) {
--- a/internal/member/check.go
+++ b/internal/member/check.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/ticker"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -14,18 +15,11 @@
 
 // checkLoop finds silent peers until ctx ends.
 func (m *Member) checkLoop(ctx context.Context) {
-	tick := time.NewTicker(checkInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			for _, p := range m.silent() {
-				m.probe(ctx, p)
-			}
+	ticker.Ticker{Interval: checkInterval}.Run(ctx, func() {
+		for _, p := range m.silent() {
+			m.probe(ctx, p)
 		}
-	}
+	})
 }
 
 // silent marks peers that missed heartbeats as suspect and returns those that
--- a/internal/resubmitter/resubmitter.go
+++ b/internal/resubmitter/resubmitter.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/ticker"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -45,16 +46,7 @@
 
 // Run looks for restored ledgers until ctx ends.
 func (r *Resubmitter) Run(ctx context.Context) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			r.check(ctx)
-		}
-	}
+	ticker.Ticker{Interval: interval}.Run(ctx, func() { r.check(ctx) })
 }
 
 // check hands over to each ledger whose epoch has changed. The first epoch of
--- /dev/null
+++ b/internal/ticker/doc.go
@@ -0,0 +1,2 @@
+// Package ticker repeats a task at an interval.
+package ticker
