Wait in the process tests until instances know all targets

It waited for a target at a1 and b1 only; a2 learns targets from its holder and was asked 75 ms after the engine had started. TestPath, TestZoneCutOff, TestLeavingTarget and TestOrderRunsOnce had the same gap for order services and for instances that they did not wait for. Ruled out: an instance that is slow to start (all had the configuration in force 2 s before), and the engine (it had announced itself). Change: routes waits until papayapond_targets of an instance counts all started targets, services included, instead of one ready model, and each test calls it for the instances it sends to. Conclusion: the refusal was truthful; the test asked too early.

--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -56,7 +56,9 @@
 	names     []string
 	ports     []string
 	procs     map[string]*process
-	relays    map[[2]int]*relay
+	// targets counts the stand-in targets that have been started.
+	targets int
+	relays  map[[2]int]*relay
 }
 
 type process struct {
@@ -168,13 +170,14 @@
 }
 
 // engine starts a stand-in engine that announces itself to the given
-// instances, and waits until each of them routes to it.
+// instances. Use routes to wait until an instance knows it.
 func (f *fleet) engine(name, zone string, entries []int, args ...string) {
 	f.t.Helper()
 	all := []string{"--name", name, "--zone", zone, "--address", "127.0.0.1:0", "--model", sampler.Model, "--key", sampler.EngineKey, "--output", "64", "--shortest", "1"}
 	for _, i := range entries {
 		all = append(all, "--entry", f.public(i))
 	}
+	f.targets++
 	f.spawn(name, "papayaengine", append(all, args...)...)
 }
 
@@ -184,6 +187,7 @@
 	for _, i := range entries {
 		all = append(all, "--entry", f.public(i))
 	}
+	f.targets++
 	f.spawn(name, "papayaorder", append(all, args...)...)
 }
 
@@ -287,13 +291,25 @@
 	return nil
 }
 
-// routes waits until an instance has a target for the sample model.
+// routes waits until an instance knows all targets that have been started.
 func (f *fleet) routes(i int) {
 	f.t.Helper()
 	f.eventually("route", func() error {
-		a := f.call(i, http.MethodGet, "/v1/models", "", "", sampler.WondimuKey)
-		if !strings.Contains(a.body, `"ready":true`) {
-			return fmt.Errorf("%s has no target: %s", f.names[i], a.body)
+		r, err := http.Get("http://" + f.ports[i*4+3] + "/metrics")
+		if err != nil {
+			return err
+		}
+		defer r.Body.Close()
+		text, err := io.ReadAll(r.Body)
+		if err != nil {
+			return err
+		}
+		ready := 0
+		for line := range strings.Lines(string(text)) {
+			_, _ = fmt.Sscanf(line, `papayapond_targets{state="ready"} %d`, &ready)
+		}
+		if ready < f.targets {
+			return fmt.Errorf("%s knows %d ready targets, want %d", f.names[i], ready, f.targets)
 		}
 		return nil
 	})
--- a/test/fleet/money_test.go
+++ b/test/fleet/money_test.go
@@ -116,8 +116,9 @@
 func TestDissolution(t *testing.T) {
 	f := start(t, []int{2, 1, 1}, 100_000, false)
 	f.engine("engine-a", "a", []int{0})
-	f.routes(0)
-	f.routes(2)
+	for i := range f.names[:3] {
+		f.routes(i)
+	}
 	for n := range 6 {
 		if a := f.chat(n%3, "hello", 4, false, ""); a.status != http.StatusOK {
 			t.Fatalf("request %d: got %d %s", n, a.status, a.body)
--- a/test/fleet/order_test.go
+++ b/test/fleet/order_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -50,7 +49,9 @@
 	addresses := freeAddresses(t, 2)
 	f.engine("engine-0", "a", []int{0, 1, 2}, "--address", addresses[0], "--load-time", "100ms")
 	f.engine("engine-1", "b", []int{0, 1, 2}, "--address", addresses[1], "--load-time", "100ms", "--ignore-fence")
-	f.know(2)
+	for i := range f.names {
+		f.routes(i)
+	}
 	order := func(i int, want, target, verb, subject, request string, flags ...string) {
 		t.Helper()
 		out, err := f.command(i, append([]string{"order", target, verb, subject, "--request", request}, flags...)...)
@@ -97,20 +98,6 @@
 	}
 }
 
-// know waits until the holder of each instance knows a number of engines.
-func (f *fleet) know(engines int) {
-	f.t.Helper()
-	for i := range f.names {
-		f.eventually("know the engines", func() error {
-			text, err := f.client(i).Call(f.t.Context(), http.MethodGet, "/v1/fleet", nil)
-			if n := bytes.Count(text, []byte(`"name": "engine-`)); err == nil && n < engines {
-				err = fmt.Errorf("%d engines", n)
-			}
-			return err
-		})
-	}
-}
-
 // leader returns the number of the instance that leads the log.
 func (f *fleet) leader() int {
 	f.t.Helper()
--- a/test/fleet/target_test.go
+++ b/test/fleet/target_test.go
@@ -38,12 +38,12 @@
 	file := filepath.Join(f.dir, "orders")
 	f.orders("order-a", "a", []int{0}, "--file", file, "--fault", "crash,marker=o-1")
 	f.orders("order-b", "b", []int{2}, "--file", file)
-	f.eventually("place an order", func() error {
-		if a := f.order(0, "o-0", "order-0"); a.status >= 300 {
-			return fmt.Errorf("got %d %s", a.status, a.body)
-		}
-		return nil
-	})
+	for i := range f.names {
+		f.routes(i)
+	}
+	if a := f.order(0, "o-0", "order-0"); a.status >= 300 {
+		t.Fatalf("order: got %d %s, want success", a.status, a.body)
+	}
 	first := f.order(0, "o-1", "order-1")
 	if code, run := first.code(); run != "maybe" {
 		t.Errorf("first attempt: got %d %s run=%s, want run=maybe", first.status, code, run)
@@ -66,12 +66,10 @@
 	file := filepath.Join(f.dir, "orders")
 	f.orders("order-a", "a", []int{0}, "--file", file, "--work", "200ms")
 	for i := range f.names {
-		f.eventually("place an order", func() error {
-			if a := f.order(i, "o-0", "order-0"); a.status >= 300 {
-				return fmt.Errorf("got %d %s", a.status, a.body)
-			}
-			return nil
-		})
+		f.routes(i)
+		if a := f.order(i, "o-0", "order-0"); a.status >= 300 {
+			t.Fatalf("order through %s: got %d %s, want success", f.names[i], a.status, a.body)
+		}
 	}
 	answers := make([]answer, 8)
 	var group sync.WaitGroup
@@ -106,13 +104,6 @@
 	for n := range 5 {
 		f.engine(fmt.Sprintf("engine-%d", n), "a", []int{0, 1}, "--fault", "crash,marker=poison")
 	}
-	f.eventually("know all engines", func() error {
-		text, err := f.client(0).Call(t.Context(), http.MethodGet, "/v1/fleet", nil)
-		if n := strings.Count(string(text), `"name": "engine-`); err == nil && n < 5 {
-			err = fmt.Errorf("%d engines", n)
-		}
-		return err
-	})
 	for i := range f.names {
 		f.routes(i)
 	}
@@ -147,13 +138,9 @@
 	f.routes(0)
 	stream := f.later(0, 300, "")
 	f.engine("engine-1", "a", []int{1})
-	f.eventually("know both engines", func() error {
-		text, err := f.client(0).Call(t.Context(), http.MethodGet, "/v1/fleet", nil)
-		if !strings.Contains(string(text), `"engine-1"`) {
-			err = fmt.Errorf("engine-1 is missing")
-		}
-		return err
-	})
+	for i := range f.names {
+		f.routes(i)
+	}
 	f.signal("engine-0", syscall.SIGTERM)
 	time.Sleep(3 * time.Second)
 	for n := range 12 {
