Keep identities until the bills of all zones are exchanged

Cause: a zone forgot a billed request 24 h after its bill. When a partition lasted longer, the bills of a retry on both sides met no entry, and the request stayed billed twice. A merge cancels a retained duplicate whose bills are less than 24 h apart. Figures: holder.TestMergeAfterLongPartition (30 h by its clock, compacted journals) and ledger.TestMergeAfterLongPartition fail without the rule (10 tokens stay billed, no cancel within 10 s) and pass with it. Memory grows with the requests of a partition.

--- a/internal/holder/copy.go
+++ b/internal/holder/copy.go
@@ -82,6 +82,7 @@
 // send makes one call, with the records from the next position on or with
 // none at the end of the journal.
 func (c *copier) send(ctx context.Context) error {
+	end, now := c.journal.Next(), c.cfg.Now().UnixNano()
 	request, err := c.request()
 	if err != nil {
 		return err
@@ -90,8 +91,8 @@
 	if err != nil {
 		return err
 	}
-	if end := c.journal.Next(); reply.Position > end {
-		return eris.Wrapf(fault.Broken, "copy has position %d, journal ends at %d", reply.Position, end)
+	if next := c.journal.Next(); reply.Position > next {
+		return eris.Wrapf(fault.Broken, "copy has position %d, journal ends at %d", reply.Position, next)
 	}
 	c.next = reply.Position
 	if len(request.Snapshot) > 0 {
@@ -99,6 +100,9 @@
 	}
 	empty := len(request.Records) == 0 && len(request.Snapshot) == 0
 	c.counts = c.counts || empty && c.next == request.Position && c.next >= c.target
+	if c.counts && c.next >= end {
+		c.progress.has(c.other, now)
+	}
 	if c.counts && c.progress.advance(c.next) {
 		c.cfg.Logger.Info("Solo mode ends.", zap.String("holder", c.other), zap.Uint64("position", c.next))
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -67,6 +67,9 @@
 	closing atomic.Bool
 	// closingSince is the time of the first call that closes, in nanoseconds.
 	closingSince atomic.Int64
+	// exchanged is the time until which all bills have been exchanged with the
+	// other zones, in Unix nanoseconds.
+	exchanged atomic.Int64
 	progress     *progress
 	grants       *grants
 	proofs       *proofs
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -5,7 +5,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -236,6 +238,37 @@
 	c.verify()
 }
 
+// The same must hold for a partition that outlasts the time for which requests
+// are recognised, when the journals have been compacted meanwhile.
+func TestMergeAfterLongPartition(t *testing.T) {
+	var ahead atomic.Int64
+	c := newCluster(t, map[string]int64{"acme": 6000}, func(cfg *Config) {
+		cfg.Compact = 1 << 10
+		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	})
+	bill := func(zone, request string) {
+		t.Helper()
+		epoch := mustDraw(t, c.holder(zone), 500)
+		mustSettle(t, c.holder(zone), epoch, request, 400)
+	}
+	bill("a", "r0")
+	waitFor(t, "exchange of the bills", func() bool { return c.holder("b").exchanged.Load() > 0 })
+	c.net.isolate("b", true)
+	bill("a", "r1")
+	bill("b", "r1")
+	ahead.Store(int64(30 * time.Hour))
+	for n := range 20 {
+		for _, zone := range []string{"a", "b"} {
+			mustSettle(t, c.holder(zone), c.holder(zone).Ledger().Epoch(), fmt.Sprint(zone, n), 0)
+		}
+	}
+	c.net.isolate("b", false)
+	waitFor(t, "cancelled duplicate", func() bool {
+		return tally(c.holder("a").Ledger(), "acme").Billed == 800 && tally(c.holder("b").Ledger(), "acme").Billed == 0
+	})
+	c.verify()
+}
+
 // Stranded rights must stay so until every entry instance has proved that it
 // has no more bills.
 func TestKeepFrees(t *testing.T) {
@@ -368,7 +401,9 @@
 
 func mustSettle(t tb, h *Holder, epoch uint64, request string, amount int64) *wire.SettleReply {
 	t.Helper()
-	reply, err := h.Settle(context.Background(), settleRequest(epoch, request, amount))
+	settle := settleRequest(epoch, request, amount)
+	settle.Bills[0].Time = h.cfg.Now().UnixNano()
+	reply, err := h.Settle(context.Background(), settle)
 	if err != nil || reply.Fault != nil {
 		t.Fatalf("Settle(%s): got %v, %v", request, reply, err)
 	}
--- a/internal/holder/merge.go
+++ b/internal/holder/merge.go
@@ -62,6 +62,24 @@
 		h.progress.kick()
 		h.align(l)
 	}
+	h.exchanged.Store(h.exchangedUntil(replicas))
+}
+
+// exchangedUntil returns the time, in Unix nanoseconds, until which all zones
+// have the bills of this zone and their bills are merged here. It is 0 while
+// one of them has not been heard of since the start.
+func (h *Holder) exchangedUntil(replicas map[string]*replica) int64 {
+	if len(h.cfg.Others) == 0 {
+		return h.cfg.Now().UnixNano()
+	}
+	until := h.progress.sentUntil(h.cfg.Others)
+	if len(replicas) < len(h.cfg.Others) {
+		return 0
+	}
+	for _, r := range replicas {
+		until = min(until, r.mergedUntil())
+	}
+	return until
 }
 
 // merge passes the bills of one copy to the ledger, from the position on that
@@ -73,7 +91,7 @@
 		if len(snapshot) == 0 && len(records) == 0 {
 			return some, nil
 		}
-		bills, err := ledger.Extract(zone, snapshot, records)
+		bills, latest, err := ledger.Extract(zone, snapshot, records)
 		if err != nil {
 			return some, err
 		}
@@ -86,12 +104,22 @@
 		r.mu.Lock()
 		// A copy of a new epoch is merged from its start.
 		if r.merged == position {
-			r.merged = next
+			r.merged, r.latest = next, max(r.latest, latest)
 		}
 		r.mu.Unlock()
 	}
 }
 
+// mergedUntil returns the time until which the bills of the zone are merged.
+func (r *replica) mergedUntil() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.merged == r.front().Next() {
+		return max(r.latest, r.whole)
+	}
+	return r.latest
+}
+
 // unmerged returns what comes after the merged position, and the position
 // behind it.
 func (r *replica) unmerged() (snapshot []byte, records [][]byte, position, next uint64) {
--- a/internal/holder/progress.go
+++ b/internal/holder/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 )
@@ -17,12 +18,13 @@
 	waited  uint64 // highest position that was waited for
 	goal    uint64 // position that ends solo mode
 	solo    bool
+	sent    map[string]int64 // by holder, time until which it has the records
 	changed chan struct{} // closed at the next change
 	wake    chan struct{} // closed when there is something to copy
 }
 
 func newProgress() *progress {
-	return &progress{changed: make(chan struct{}), wake: make(chan struct{})}
+	return &progress{sent: map[string]int64{}, changed: make(chan struct{}), wake: make(chan struct{})}
 }
 
 // advance records that a copy is durable before the position. It ends solo mode
@@ -84,6 +86,25 @@
 	return p.copied, p.copied < position
 }
 
+// has records that a holder has all records until a time.
+func (p *progress) has(holder string, until int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent[holder] = until
+}
+
+// sentUntil returns the time until which all of the holders have the records;
+// 0 if that is not known of one.
+func (p *progress) sentUntil(holders []string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until := int64(math.MaxInt64)
+	for _, holder := range holders {
+		until = min(until, p.sent[holder])
+	}
+	return until
+}
+
 // kick wakes the goroutines that copy.
 func (p *progress) kick() {
 	p.mu.Lock()
--- a/internal/holder/replica.go
+++ b/internal/holder/replica.go
@@ -33,6 +33,8 @@
 	journals [2]*journal.Journal
 	contact  int64  // time of the last call of the zone
 	merged   uint64 // position before which the bills were merged
+	latest   int64  // time of the latest merged record
+	whole    int64  // time of the last call that found the copy in front whole
 }
 
 // state is stored in the file "state" of the replica.
@@ -88,7 +90,11 @@
 		return next, nil
 	}
 	if len(request.Records) == 0 && len(request.Snapshot) == 0 && request.Position == next {
-		return next, r.promote(request.Epoch)
+		err := r.promote(request.Epoch)
+		if err == nil {
+			r.whole = now
+		}
+		return next, err
 	}
 	if skip := next - request.Position; skip < uint64(len(request.Records)) {
 		return j.Append(request.Records[skip:])
--- a/internal/holder/restore.go
+++ b/internal/holder/restore.go
@@ -293,7 +293,8 @@
 }
 
 func (h *Holder) newLedger() (*ledger.Ledger, error) {
-	return ledger.New(ledger.Config{Zone: h.cfg.Zone, Journal: h.journal, Now: h.cfg.Now, Logger: h.cfg.Logger, Compact: h.cfg.Compact})
+	return ledger.New(ledger.Config{Zone: h.cfg.Zone, Journal: h.journal, Now: h.cfg.Now, Logger: h.cfg.Logger, Compact: h.cfg.Compact,
+		Exchanged: func() time.Time { return time.Unix(0, h.exchanged.Load()) }})
 }
 
 func (h *Holder) openingPath() string { return filepath.Join(h.cfg.Path, "epoch") }
--- a/internal/ledger/extract.go
+++ b/internal/ledger/extract.go
@@ -7,27 +7,28 @@
 )
 
 // Extract returns the bills of a zone in a snapshot and records of its
-// journal, for Merge in another zone. Either may be empty. Their identities
-// may have expired.
-func Extract(zone string, snapshot []byte, records [][]byte) ([]*wire.Bill, error) {
-	var bills []*wire.Bill
+// journal, for Merge in another zone, and the time of the latest record in
+// Unix nanoseconds. Either may be empty. The identities of the bills may have
+// expired.
+func Extract(zone string, snapshot []byte, records [][]byte) (bills []*wire.Bill, latest int64, err error) {
 	add := func(record []byte) error {
-		k, _, m, err := decode(record)
+		k, now, m, err := decode(record)
 		if err != nil {
 			return err
 		}
+		latest = max(latest, now)
 		bills = append(bills, own(zone, k, m)...)
 		return nil
 	}
 	if err := split(snapshot, add); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	for _, r := range records {
 		if err := add(r); err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 	}
-	return bills, nil
+	return bills, latest, nil
 }
 
 // own returns the bills of a record that its zone has billed.
--- a/internal/ledger/identity.go
+++ b/internal/ledger/identity.go
@@ -10,6 +10,9 @@
 const (
 	// identityTime is how long a billed request is recognised.
 	identityTime = 24 * time.Hour
+	// identityLimit bounds how long an identity waits for a zone that is cut
+	// off, so that a zone that never returns doesn't fill the memory.
+	identityLimit = 7 * identityTime
 	// answerTime is how long its answer is kept.
 	answerTime = 10 * time.Minute
 	// answerBytes bounds one kept answer.
@@ -96,17 +99,22 @@
 
 // find returns the entry of an identity that has not expired, or nil.
 func (l *Ledger) find(account, request string, now int64) *entry {
-	a, ok := l.accounts[account]
-	if !ok {
-		return nil
-	}
-	e, ok := a.identities[request]
-	if !ok || now-e.recorded >= int64(identityTime) {
+	e := l.retained(account, request)
+	if e == nil || now-e.recorded >= int64(identityTime) {
 		return nil
 	}
 	return e
 }
 
+// retained returns the entry of an identity, which may have expired and wait
+// for the bills of other zones, or nil.
+func (l *Ledger) retained(account, request string) *entry {
+	if a, ok := l.accounts[account]; ok {
+		return a.identities[request]
+	}
+	return nil
+}
+
 // remember keeps the identity of a bill. If it is known already, the entry
 // takes the values of the bill and keeps its place.
 func (l *Ledger) remember(a *account, b *wire.Bill, zone string, now int64) {
@@ -161,11 +169,19 @@
 		l.drop(e)
 		l.answers[0], l.answers = nil, l.answers[1:]
 	}
+	exchanged := now
+	if l.cfg.Exchanged != nil {
+		exchanged = l.cfg.Exchanged().UnixNano()
+	}
 	for n := 0; n < steps && len(l.identities) > 0; n++ {
-		e := l.identities[0]
-		if now-e.recorded < int64(identityTime) {
+		// Another zone may have billed a retry at any time while it
+		// recognised the request, so that the entry must last until the bills
+		// of that time are exchanged.
+		age := now - l.identities[0].recorded
+		if age < int64(identityTime) || age < int64(identityLimit) && exchanged-l.identities[0].recorded < int64(identityTime) {
 			break
 		}
+		e := l.identities[0]
 		l.identities[0], l.identities = nil, l.identities[1:]
 		if e.request != "" {
 			l.forget(e)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -31,6 +31,10 @@
 	Journal *journal.Journal
 	// Now is the clock; nil for the system clock.
 	Now func() time.Time
+	// Exchanged returns the time until which all bills have been exchanged
+	// with the other zones; nil if there are none. It must not call the
+	// ledger.
+	Exchanged func() time.Time
 	// Logger gets reports about violations and failures; nil for none.
 	Logger *zap.Logger
 	// Compact is the journal size in bytes that starts a compaction; 0 for
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -159,6 +159,48 @@
 	}
 }
 
+// A request that both sides of a partition of more than a day have billed must
+// be paid once, also after a restart; later requests with its identity are new
+// ones, and a zone that never returns must not keep identities for good.
+func TestMergeAfterLongPartition(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		partition, other time.Duration // length, time of the other bill
+		billed           int64
+	}{
+		{"retry in the other zone", 30 * time.Hour, time.Hour, 0},
+		{"new request with the same identity", 30 * time.Hour, identityTime, 10},
+		{"longer than the limit", identityLimit, time.Hour, 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			first := time.Unix(1000, 0)
+			now, d := first, newDisk(t)
+			l := d.open(t, "z", func() time.Time { return now })
+			l.cfg.Exchanged = func() time.Time { return first }
+			grant(t, l, 1, 1000)
+			draw(t, l, holding("entry", 1), 10)
+			settle(t, l, holding("entry", 1), bill("x", 10), billed)
+			now = first.Add(test.partition)
+			l.expire(l.now(), 1)
+			b := bill("x", 10)
+			b.Zone, b.Time = "a", first.Add(test.other).UnixNano()
+			for range 2 {
+				if err := l.Merge([]*wire.Bill{b}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := l.Tally("a")[0]; got.Billed != test.billed {
+				t.Errorf("got %v, want %d billed", got, test.billed)
+			}
+			l.cfg.Exchanged = func() time.Time { return now }
+			now = now.Add(identityTime)
+			if l.expire(l.now(), 1); len(l.identities) > 0 {
+				t.Errorf("identities: got %d, want none", len(l.identities))
+			}
+		})
+	}
+}
+
 // A violated invariant must stop this account, be counted, and leave the
 // others running.
 func TestViolation(t *testing.T) {
@@ -246,7 +288,7 @@
 
 func ExampleExtract() {
 	record, _ := encode(recordSettle, 0, &wire.SettleRequest{Bills: []*wire.Bill{{Account: "a", Request: "x", Amount: 5}}})
-	bills, err := Extract("z", nil, [][]byte{record})
+	bills, _, err := Extract("z", nil, [][]byte{record})
 	fmt.Println(bills[0].Zone, bills[0].Request, bills[0].Amount, err)
 	// Output: z x 5 <nil>
 }
--- a/internal/ledger/merge.go
+++ b/internal/ledger/merge.go
@@ -24,7 +24,7 @@
 		if !storable(b) || b.Zone == l.cfg.Zone || b.Zone == "" {
 			continue
 		}
-		e := l.find(b.Account, b.Request, now)
+		e := l.rival(b, now)
 		switch {
 		case e == nil && b.Time > 0 && now-b.Time >= int64(identityTime):
 			// A repeated merge would renew the identity without end.
@@ -50,6 +50,20 @@
 	return l.storeBoth(now, foreign, cancel)
 }
 
+// rival returns the entry of the request that a bill of another zone is for,
+// or nil. Bills that are further apart than identities are recognised are for
+// different requests.
+func (l *Ledger) rival(b *wire.Bill, now int64) *entry {
+	if e := l.find(b.Account, b.Request, now); e != nil {
+		return e
+	}
+	e := l.retained(b.Account, b.Request)
+	if e == nil || max(b.Time-e.recorded, e.recorded-b.Time) >= int64(identityTime) {
+		return nil
+	}
+	return e
+}
+
 // storeBoth stores the two records of Merge with one sync. An identity is
 // in one of them only.
 func (l *Ledger) storeBoth(now int64, foreign, cancel *wire.SettleRequest) error {
--- a/internal/ledger/restore_test.go
+++ b/internal/ledger/restore_test.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	bills, err := Extract(y.name, snapshot, records)
+	bills, _, err := Extract(y.name, snapshot, records)
 	if err != nil {
 		t.Fatal(err)
 	}
