--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -70,9 +70,9 @@
 	// exchanged is the time until which all bills have been exchanged with the
 	// other zones, in Unix nanoseconds.
 	exchanged atomic.Int64
-	progress     *progress
-	grants       *grants
-	proofs       *proofs
+	progress  *progress
+	grants    *grants
+	proofs    *proofs
 
 	releasing chan struct{} // held while releases are confirmed
 
--- a/internal/holder/progress.go
+++ b/internal/holder/progress.go
@@ -19,8 +19,8 @@
 	goal    uint64 // position that ends solo mode
 	solo    bool
 	sent    map[string]int64 // by holder, time until which it has the records
-	changed chan struct{} // closed at the next change
-	wake    chan struct{} // closed when there is something to copy
+	changed chan struct{}    // closed at the next change
+	wake    chan struct{}    // closed when there is something to copy
 }
 
 func newProgress() *progress {
