Turn faults into errors and back in one place

Cause: seven places built the error of a reply's fault, two built the fault, and each hop added the text of the kind again, as in the log line "no leader is known: the quorum can't be reached: the quorum can't be reached". Ruled out: a change of the error texts, which callers see once only. Change: wire.NewFault leaves out the text of the kind at the end, Err adds it; all other conversions are gone. Conclusion: answers and logs name the kind once.

--- a/internal/comparer/escrow.go
+++ b/internal/comparer/escrow.go
@@ -82,12 +82,12 @@
 	e.log = newQuorum(names)
 	reply, err := e.log.controller.Propose(ctx, &wire.ProposeRequest{Command: &wire.Command{
 		Change: &wire.Command_Configure{Configure: &wire.Configure{Document: e.document(), Zones: names}}}})
+	if err == nil {
+		err = reply.Fault.Err()
+	}
 	if err != nil {
 		return err
 	}
-	if reply.Fault != nil {
-		return eris.Wrap(fault.Parse(reply.Fault.Code), reply.Fault.Text)
-	}
 	for z := range e.cfg.Zones {
 		h, err := holder.New(e.holder(z, names))
 		if err != nil {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -22,7 +22,7 @@
 // the command may be sent again.
 func (c *Controller) Propose(ctx context.Context, r *wire.ProposeRequest) (*wire.ProposeReply, error) {
 	if r.Command == nil {
-		return &wire.ProposeReply{Fault: faultOf(eris.Wrap(fault.Malformed, "proposal without a command"))}, nil
+		return &wire.ProposeReply{Fault: wire.NewFault(eris.Wrap(fault.Malformed, "proposal without a command"))}, nil
 	}
 	reply, err := c.replicate(ctx, r.Command)
 	if err != nil && fault.Of(err) == fault.Isolated && !r.Forwarded {
@@ -34,7 +34,7 @@
 		}
 	}
 	if err != nil {
-		return &wire.ProposeReply{Fault: faultOf(err)}, nil
+		return &wire.ProposeReply{Fault: wire.NewFault(err)}, nil
 	}
 	return reply, nil
 }
@@ -76,7 +76,7 @@
 func (c *Controller) Read(ctx context.Context, r *wire.ReadRequest) (*wire.ReadReply, error) {
 	if !r.Stale {
 		if err := c.config.Barrier(ctx); err != nil {
-			return &wire.ReadReply{Fault: faultOf(err)}, nil
+			return &wire.ReadReply{Fault: wire.NewFault(err)}, nil
 		}
 	}
 	reply, current := c.read(r)
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"strings"
-
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -58,7 +56,7 @@
 	reply := &wire.ProposeReply{Index: index}
 	var m wire.Command
 	if err := proto.Unmarshal(command, &m); err != nil {
-		reply.Fault = faultOf(eris.Wrap(fault.Malformed, "command can't be decoded"))
+		reply.Fault = wire.NewFault(eris.Wrap(fault.Malformed, "command can't be decoded"))
 		return reply
 	}
 	// A leader with a slow clock must not bring back expired claims.
@@ -66,7 +64,7 @@
 	s.expire()
 	result, err := s.change(&m)
 	if err != nil {
-		reply.Fault = faultOf(err)
+		reply.Fault = wire.NewFault(err)
 	} else if result != nil {
 		reply.Result = encode(result)
 	}
@@ -115,9 +113,3 @@
 	}
 	return nil
 }
-
-// faultOf returns the wire form of an error.
-func faultOf(err error) *wire.Fault {
-	// Errors may quote a document, which need not be UTF-8.
-	return &wire.Fault{Code: fault.Of(err).Code(), Text: strings.ToValidUTF8(err.Error(), "?")}
-}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -53,10 +53,7 @@
 	if err != nil {
 		return reply, eris.Wrapf(fault.Unavailable, "%v", err)
 	}
-	if f := reply.GetFault(); f != nil {
-		return reply, eris.Wrap(fault.Parse(f.Code), f.Text)
-	}
-	return reply, nil
+	return reply, reply.GetFault().Err()
 }
 
 // first calls the named instances in turn until one answers. A refusal is an
--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -80,8 +80,8 @@
 	}
 	c.Deadline = g.cfg.Now().Add(claimTimeout).UnixNano()
 	reply, err := g.cfg.Propose(ctx, &wire.Command{Change: &wire.Command_Claim{Claim: c}})
-	if err == nil && reply.Fault != nil {
-		err = eris.Wrap(fault.Parse(reply.Fault.Code), reply.Fault.Text)
+	if err == nil {
+		err = reply.Fault.Err()
 	}
 	if err != nil {
 		return nil, eris.Wrapf(fault.Isolated, "claim: %v", err)
--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -37,14 +37,14 @@
 		err = eris.Wrap(fault.Closed, "rights are being released")
 	}
 	if err != nil {
-		return &wire.DrawReply{Fault: wireFault(err)}, nil
+		return &wire.DrawReply{Fault: wire.NewFault(err)}, nil
 	}
 	need := max(request.Need, 1)
 	h.grants.note(request.Account, need, h.cfg.Now())
 	amount, err := h.draw(ctx, l, request, need)
 	if err != nil {
 		// The epoch lets the caller bill requests without a price.
-		return &wire.DrawReply{Fault: wireFault(err), Epoch: l.Epoch()}, nil
+		return &wire.DrawReply{Fault: wire.NewFault(err), Epoch: l.Epoch()}, nil
 	}
 	h.progress.kick()
 	h.grants.note(request.Account, amount-need, h.cfg.Now())
@@ -76,7 +76,7 @@
 		h.progress.kick()
 		h.grants.spend(request.Account, -request.Amount, h.cfg.Now())
 	}
-	return &wire.ReturnReply{Fault: wireFault(err)}, nil
+	return &wire.ReturnReply{Fault: wire.NewFault(err)}, nil
 }
 
 // Settle bills requests. It answers after another holder has a durable copy of
@@ -85,13 +85,13 @@
 func (h *Holder) Settle(ctx context.Context, request *wire.SettleRequest) (*wire.SettleReply, error) {
 	l, err := h.open()
 	if err != nil {
-		return &wire.SettleReply{Fault: wireFault(err)}, nil
+		return &wire.SettleReply{Fault: wire.NewFault(err)}, nil
 	}
 	reply := &wire.SettleReply{}
 	if len(request.Bills) > 0 {
 		reply.Outcomes, reply.Position, err = l.Settle(request.Holding, request.Epoch, request.Bills)
 		if err != nil {
-			return &wire.SettleReply{Fault: wireFault(err)}, nil
+			return &wire.SettleReply{Fault: wire.NewFault(err)}, nil
 		}
 		h.trace(request, reply.Outcomes)
 		if h.progress.wait(ctx, reply.Position) {
@@ -121,7 +121,7 @@
 func (h *Holder) Find(_ context.Context, request *wire.FindRequest) (*wire.FindReply, error) {
 	l, err := h.open()
 	if err != nil {
-		return &wire.FindReply{Fault: wireFault(err)}, nil
+		return &wire.FindReply{Fault: wire.NewFault(err)}, nil
 	}
 	bill, conflict := l.Find(request.Account, request.Request, request.Digest)
 	h.cfg.Logger.Debug("Identity looked up.", zap.String("request", request.Request), zap.String("account", request.Account), zap.Bool("known", bill != nil || conflict))
@@ -134,7 +134,7 @@
 func (h *Holder) Tally(_ context.Context, request *wire.TallyRequest) (*wire.TallyReply, error) {
 	l, err := h.open()
 	if err != nil {
-		return &wire.TallyReply{Fault: wireFault(err)}, nil
+		return &wire.TallyReply{Fault: wire.NewFault(err)}, nil
 	}
 	limit := int(request.Limit)
 	if limit == 0 || limit > tallyLimit {
@@ -157,10 +157,10 @@
 func (h *Holder) Copy(_ context.Context, request *wire.CopyRequest) (*wire.CopyReply, error) {
 	r, err := h.replica(request.Zone, true)
 	if err != nil {
-		return &wire.CopyReply{Fault: wireFault(err)}, nil
+		return &wire.CopyReply{Fault: wire.NewFault(err)}, nil
 	}
 	next, err := r.write(request, h.cfg.Now().UnixNano())
-	return &wire.CopyReply{Fault: wireFault(err), Position: next}, nil
+	return &wire.CopyReply{Fault: wire.NewFault(err), Position: next}, nil
 }
 
 // Fetch returns records of another zone from the copy. A position behind the
@@ -171,11 +171,11 @@
 		err = eris.Wrapf(fault.Missing, "no copy of zone %s", request.Zone)
 	}
 	if err != nil {
-		return &wire.FetchReply{Fault: wireFault(err)}, nil
+		return &wire.FetchReply{Fault: wire.NewFault(err)}, nil
 	}
 	reply, err := r.read(request.Position)
 	if err != nil {
-		return &wire.FetchReply{Fault: wireFault(err)}, nil
+		return &wire.FetchReply{Fault: wire.NewFault(err)}, nil
 	}
 	return reply, nil
 }
--- a/internal/holder/copy.go
+++ b/internal/holder/copy.go
@@ -151,5 +151,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return reply, faultError(reply.Fault)
+	return reply, reply.Fault.Err()
 }
--- a/internal/holder/fake_test.go
+++ b/internal/holder/fake_test.go
@@ -42,21 +42,21 @@
 	case command.GetGrant() != nil:
 		g := command.GetGrant()
 		if g.Epoch != c.epochs[g.Zone] {
-			return &wire.ProposeReply{Fault: wireFault(fault.Fenced)}
+			return &wire.ProposeReply{Fault: wire.NewFault(fault.Fenced)}
 		}
 		// Without it, a log would keep the results of all grants for good.
 		if g.Confirmed != g.Sequence-1 {
-			return &wire.ProposeReply{Fault: wireFault(fault.Malformed)}
+			return &wire.ProposeReply{Fault: wire.NewFault(fault.Malformed)}
 		}
 		key := fmt.Sprintf("%s/%d/grant/%d", g.Zone, g.Epoch, g.Sequence)
 		if old, ok := c.results[key]; ok {
 			if c.owners[key] != g.Account {
-				return &wire.ProposeReply{Fault: wireFault(fault.Conflict)}
+				return &wire.ProposeReply{Fault: wire.NewFault(fault.Conflict)}
 			}
 			return &wire.ProposeReply{Result: old}
 		}
 		if c.pools[g.Account] == nil {
-			return &wire.ProposeReply{Fault: wireFault(fault.Missing)}
+			return &wire.ProposeReply{Fault: wire.NewFault(fault.Missing)}
 		}
 		c.owners[key] = g.Account
 		result = c.grant(g)
@@ -66,7 +66,7 @@
 		key := fmt.Sprintf("%s/%d/release/%d", r.Zone, r.Epoch, r.Sequence)
 		if _, ok := c.results[key]; !ok {
 			if r.Epoch != c.epochs[r.Zone] {
-				return &wire.ProposeReply{Fault: wireFault(fault.Fenced)}
+				return &wire.ProposeReply{Fault: wire.NewFault(fault.Fenced)}
 			}
 			c.results[key] = nil
 			c.pools[r.Account].Zones[r.Zone] -= r.Amount
@@ -76,7 +76,7 @@
 	case command.GetEpoch() != nil:
 		e := command.GetEpoch()
 		if e.Epoch != c.epochs[e.Zone] {
-			return &wire.ProposeReply{Fault: wireFault(fault.Conflict)}
+			return &wire.ProposeReply{Fault: wire.NewFault(fault.Conflict)}
 		}
 		c.epochs[e.Zone]++
 		result = &wire.EpochResult{Epoch: c.epochs[e.Zone], Pools: c.clones()}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(fault.Uncertain, "propose: %v", err)
 	}
-	if err := faultError(reply.Fault); err != nil {
+	if err := reply.Fault.Err(); err != nil {
 		switch fault.Of(err) {
 		case fault.Isolated, fault.Unavailable, fault.Expired, fault.Internal, fault.Draining, fault.Uncertain, fault.Overloaded:
 			return nil, eris.Wrapf(fault.Uncertain, "propose: %v", err)
@@ -189,19 +189,3 @@
 	}
 	return reply.Result, nil
 }
-
-// faultError returns the error of a reply, or nil.
-func faultError(f *wire.Fault) error {
-	if f == nil {
-		return nil
-	}
-	return eris.Wrap(fault.Parse(f.Code), f.Text)
-}
-
-// wireFault returns the fault of a reply for an error, or nil.
-func wireFault(err error) *wire.Fault {
-	if err == nil {
-		return nil
-	}
-	return &wire.Fault{Code: fault.Of(err).Code(), Text: err.Error()}
-}
--- a/internal/holder/proof.go
+++ b/internal/holder/proof.go
@@ -65,7 +65,7 @@
 		err = l.Keep(request.Epoch, request.Bills)
 	}
 	if err != nil {
-		return &wire.KeepReply{Fault: wireFault(err)}, nil
+		return &wire.KeepReply{Fault: wire.NewFault(err)}, nil
 	}
 	h.progress.kick()
 	if request.Epoch < l.Epoch() {
--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -21,14 +21,14 @@
 func (h *Holder) Release(ctx context.Context, request *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
 	l, err := h.open()
 	if err != nil {
-		return &wire.ReleaseReply{Fault: wireFault(err)}, nil
+		return &wire.ReleaseReply{Fault: wire.NewFault(err)}, nil
 	}
 	if request.Closing && h.closing.CompareAndSwap(false, true) {
 		h.closingSince.Store(h.cfg.Now().UnixNano())
 	}
 	amount, err := h.release(ctx, l, request)
 	h.confirm(ctx, l)
-	return &wire.ReleaseReply{Fault: wireFault(err), Amount: amount}, nil
+	return &wire.ReleaseReply{Fault: wire.NewFault(err), Amount: amount}, nil
 }
 
 // release takes rights out of the ledger and returns how many.
--- a/internal/holder/restore.go
+++ b/internal/holder/restore.go
@@ -101,7 +101,7 @@
 	defer cancel()
 	reply, err := h.cfg.Read(call, &wire.ReadRequest{})
 	if err == nil {
-		err = faultError(reply.Fault)
+		err = reply.Fault.Err()
 	}
 	if err != nil {
 		return nil, eris.Wrap(err, "read the epoch of the zone")
@@ -289,7 +289,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(fault.Unavailable, "fetch from %s: %v", other, err)
 	}
-	return reply, faultError(reply.Fault)
+	return reply, reply.Fault.Err()
 }
 
 func (h *Holder) newLedger() (*ledger.Ledger, error) {
--- a/internal/measurer/command.go
+++ b/internal/measurer/command.go
@@ -23,10 +23,7 @@
 	if err := proto.Unmarshal(data, reply); err != nil {
 		return eris.Wrapf(fault.Internal, "reply: %v", err)
 	}
-	if reply.Fault != nil {
-		return eris.Wrap(fault.Parse(reply.Fault.Code), reply.Fault.Text)
-	}
-	return nil
+	return reply.Fault.Err()
 }
 
 // next returns the change to the version after the given one, of one account.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -157,12 +157,12 @@
 
 func (o *Operator) propose(c *call, command *wire.Command) (*wire.ProposeReply, error) {
 	reply, err := o.cfg.Propose(c.request.Context(), command)
+	if err == nil {
+		err = reply.Fault.Err()
+	}
 	if err != nil {
 		return nil, err
 	}
-	if reply.Fault != nil {
-		return nil, eris.Wrap(fault.Parse(reply.Fault.Code), reply.Fault.Text)
-	}
 	return reply, nil
 }
 
--- a/internal/reserver/settle.go
+++ b/internal/reserver/settle.go
@@ -201,12 +201,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	reply, err := r.cfg.Settle(ctx, s.holder, request)
+	if err == nil {
+		err = reply.Fault.Err()
+	}
 	if err != nil {
 		return nil, err
 	}
-	if reply.Fault != nil {
-		return nil, eris.Wrap(fault.Parse(reply.Fault.Code), reply.Fault.Text)
-	}
 	return reply, nil
 }
 
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -1,5 +1,6 @@
 // Package wire holds the messages and the drpc services that the instances of
-// a fleet exchange. All of its Go code is generated from wire.proto.
+// a fleet exchange. The types are generated from wire.proto, and Fault has
+// methods that turn it into an error and back.
 package wire
 
 //go:generate sh ../../tools/generate/run
