End connections of callers that have gone silent

Cause: towards callers only the default keepalive of TCP was set. It doesn't work while data is unacknowledged, where Linux goes on for about 15 minutes, and a caller that takes nothing held its request, its reservation and its place at the target for good. Change: package listener sets a limit of 20 s for unacknowledged data, a keepalive that ends after 25 s, and a deadline of 30 s for each 16 KiB. Conclusion: silent connections are noticed towards callers too. No path that drops packets was had for a test.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -18,6 +18,7 @@
 	"github.com/papayapond/papayapond/internal/dialer"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/kernel"
+	"github.com/papayapond/papayapond/internal/listener"
 	"github.com/papayapond/papayapond/internal/settings"
 )
 
@@ -94,7 +95,7 @@
 func (b *builder) httpServer(part, address string, handler http.Handler) fx.Hook {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(b.logger.Named(part))}
 	hook := b.listener(address, nil, func(_ context.Context, l net.Listener) {
-		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener.New(listener.Config{Listener: l})); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			b.logger.Named(part).Error("Serving HTTP failed.", zap.Error(err))
 		}
 	})
--- /dev/null
+++ b/internal/listener/listener_test.go
@@ -0,0 +1,86 @@
+package listener
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const stall = 400 * time.Millisecond
+
+// accept returns the two ends of a connection. The buffers are small, so that
+// writes soon wait for the reader.
+func accept(t *testing.T) (server, caller net.Conn) {
+	t.Helper()
+	small := func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 4096)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+		})
+	}
+	tcp, err := (&net.ListenConfig{Control: small}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(Config{Listener: tcp, Stall: stall})
+	t.Cleanup(func() { _ = l.Close() })
+	if caller, err = (&net.Dialer{Control: small}).DialContext(t.Context(), "tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = caller.Close() })
+	if server, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return server, caller
+}
+
+// send writes one answer and ends the connection.
+func send(c net.Conn, size int) error {
+	_, err := c.Write(make([]byte, size))
+	_ = c.Close()
+	return err
+}
+
+// A caller that takes nothing would otherwise hold its request, its target and
+// its reservation for good.
+func TestStalledCaller(t *testing.T) {
+	server, _ := accept(t)
+	done := make(chan error, 1)
+	go func() { done <- send(server, 1<<20) }()
+	select {
+	case err := <-done:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("got %v, want a timeout", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the write did not end")
+	}
+}
+
+// A caller that reads slowly must get everything, although the whole takes
+// longer than one write may.
+func TestSlowCaller(t *testing.T) {
+	const size = 256 << 10
+	server, caller := accept(t)
+	done := make(chan error, 1)
+	go func() { done <- send(server, size) }()
+	got := 0
+	for buffer := make([]byte, 8<<10); ; time.Sleep(20 * time.Millisecond) {
+		n, err := caller.Read(buffer)
+		got += n
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := <-done; err != nil || got != size {
+		t.Errorf("got %d bytes, %v, want %d", got, err, size)
+	}
+}
