Test metrics and burn report with real processes

Cause: no test compared /metrics of real processes with docs/metrics.md, nor the burn report with the requests sent. Change: a process test starts four instances, sends the same ten requests to each (stream, JSON, its retry, order, six refusals) and checks that each instance has the families, types and labels of the page, that every request is counted once under its code, by class and by account, that the billed tokens equal those of the books and of the statement, and that the burn report as JSON and as text has the same counts and names a stopped instance as missing.

--- /dev/null
+++ b/test/fleet/metrics_test.go
@@ -0,0 +1,286 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/papayapond/papayapond/internal/sampler"
+	"github.com/papayapond/papayapond/pkg/printer"
+	"github.com/papayapond/papayapond/pkg/venture"
+)
+
+// series is one value that an instance answers to GET /metrics; of a histogram
+// it is the count.
+type series struct {
+	metric, kind string
+	// labels are pairs such as `code="ok"`.
+	labels []string
+	value  float64
+}
+
+type scrape []series
+
+func (f *fleet) scrape(i int) scrape {
+	f.t.Helper()
+	r, err := http.Get("http://" + f.ports[i*4+3] + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer r.Body.Close()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(r.Body)
+	if err != nil {
+		f.t.Fatalf("metrics of %s: %v", f.names[i], err)
+	}
+	var list scrape
+	for name, family := range families {
+		for _, m := range family.GetMetric() {
+			s := series{metric: name, kind: strings.ToLower(family.GetType().String())}
+			for _, l := range m.GetLabel() {
+				s.labels = append(s.labels, fmt.Sprintf("%s=%q", l.GetName(), l.GetValue()))
+			}
+			s.value = m.GetCounter().GetValue() + m.GetGauge().GetValue() + float64(m.GetHistogram().GetSampleCount())
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// sum adds the values of the series of a metric that have all the labels.
+func (s scrape) sum(metric string, labels ...string) float64 {
+	var total float64
+	for _, v := range s {
+		if v.metric == metric && !slices.ContainsFunc(labels, func(l string) bool { return !slices.Contains(v.labels, l) }) {
+			total += v.value
+		}
+	}
+	return total
+}
+
+var metricRow = regexp.MustCompile("(?m)^\\| `(papayapond_\\w+)` \\| (\\w+) \\| (.*?) \\|")
+
+// onDisk are the metrics that only instances with a disk have.
+var onDisk = regexp.MustCompile("_log_|_broken_|_zone_tokens|_budget_tokens")
+
+// matchPage compares the families of an instance with docs/metrics.md.
+func (s scrape) matchPage(t *testing.T, name string, disk bool) {
+	t.Helper()
+	text, err := os.ReadFile("../../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range metricRow.FindAllStringSubmatch(string(text), -1) {
+		found := false
+		for _, v := range s {
+			if v.metric != row[1] {
+				continue
+			}
+			found = true
+			var labels []string
+			for _, l := range v.labels {
+				label, _, _ := strings.Cut(l, "=")
+				labels = append(labels, "`"+label+"`")
+			}
+			if got, want := v.kind+" "+strings.Join(labels, ", "), row[2]+" "+row[3]; got != want {
+				t.Errorf("%s: %s: got %s, want %s", name, row[1], got, want)
+			}
+		}
+		if want := disk || !onDisk.MatchString(row[1]); found != want {
+			t.Errorf("%s: has %s: got %v, want %v", name, row[1], found, want)
+		}
+	}
+}
+
+// sent are the answers that each instance gives in TestMetrics, by code.
+var sent = map[string]float64{"ok": 3, "replayed": 1, "unauthorized": 2, "malformed": 1, "missing": 1, "exhausted": 2}
+
+// mix sends a set of requests whose answers are those of sent: one stream, one
+// JSON answer with its retry, one order, and refusals.
+func (f *fleet) mix(i int) {
+	f.t.Helper()
+	const tokens = 6
+	body := func(model string, tokens int) string {
+		return fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":"hi"}]}`, model, tokens)
+	}
+	got := map[string]float64{}
+	chat := func(body, identity, key string) answer {
+		return f.call(i, http.MethodPost, "/v1/chat/completions", body, identity, key)
+	}
+	for _, a := range []answer{
+		f.chat(i, "hi", tokens, true, ""),
+		chat(body(sampler.Model, tokens), "json-"+f.names[i], sampler.WondimuKey),
+		chat(body(sampler.Model, tokens), "json-"+f.names[i], sampler.WondimuKey),
+		f.call(i, http.MethodPost, "/v1/services/orders/orders", `{"order":"o"}`, "order-"+f.names[i], sampler.WondimuKey),
+		chat(body(sampler.Model, tokens), "", ""),
+		chat(body(sampler.Model, tokens), "", "wrong"),
+		chat("{", "", sampler.WondimuKey),
+		chat(body("other", tokens), "", sampler.WondimuKey),
+		chat(body(sampler.Model, 30_000), "", sampler.WondimuKey),
+		chat(body(sampler.Model, 30_000), "", sampler.WondimuKey),
+	} {
+		code, _ := a.code()
+		switch {
+		case a.err != nil:
+			f.t.Fatal(a.err)
+		case a.header.Get("Idempotent-Replayed") != "":
+			code = "replayed"
+		case a.status < 300:
+			code = "ok"
+		}
+		got[code]++
+	}
+	if !maps.Equal(got, sent) {
+		f.t.Errorf("answers of %s: got %v, want %v", f.names[i], got, sent)
+	}
+}
+
+// burn runs `papayapond burn` with the given objectives and options.
+func (f *fleet) burn(objectives string, options ...string) string {
+	f.t.Helper()
+	args := append([]string{"burn", "--settings", filepath.Join(f.dir, "a1.toml"), "--configuration", objectives, "--history", filepath.Join(f.dir, "scrapes")}, options...)
+	out, err := exec.Command(filepath.Join(binaries, "papayapond"), args...).CombinedOutput()
+	if err != nil {
+		f.t.Fatalf("burn: %v\n%s", err, out)
+	}
+	return string(out)
+}
+
+// burnReport is the part of the JSON report that the test looks at.
+type burnReport struct {
+	Instances  []string
+	Missing    []struct{ Name string }
+	Objectives []burnLine
+}
+
+type burnLine struct {
+	Name      string
+	Windows   []struct{ Bad, All float64 }
+	Overspend *float64
+}
+
+func (r burnReport) line(name string) burnLine {
+	for _, l := range r.Objectives {
+		if l.Name == name {
+			return l
+		}
+	}
+	return burnLine{}
+}
+
+// Requests must be counted once on the instance that they were sent to, under
+// the names and labels of docs/metrics.md, and the burn report must say the
+// same as the metrics, also about an instance that doesn't answer.
+func TestMetrics(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 20_000, false)
+	f.engine("engine-a", "a", []int{0})
+	f.orders("order-a", "a", []int{0})
+	objectives := filepath.Join(f.dir, "objectives.toml")
+	text := printer.Text(f.sampler.Venture().WithObjectives(
+		venture.Objective{Name: "up", Measure: venture.Availability, Share: 0.999},
+		venture.Objective{Name: "first", Measure: venture.FirstToken, Limit: 420, Share: 0.95},
+		venture.Objective{Name: "refusals", Account: "wondimu", Measure: venture.FalseRefusals, Share: 0.9999},
+		venture.Objective{Name: "over", Measure: venture.Overspend, Share: 1}))
+	if err := os.WriteFile(objectives, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i := range f.names {
+		f.routes(i)
+	}
+	if out := f.burn(objectives); !strings.Contains(out, "Burn rates need a second scrape.") {
+		t.Errorf("first burn report: got\n%s", out)
+	}
+	var total float64
+	for i := range f.names {
+		f.mix(i)
+	}
+	for _, n := range sent {
+		total += n
+	}
+
+	var billed, books, leaders float64
+	for i, name := range f.names {
+		s := f.scrape(i)
+		s.matchPage(t, name, f.names[i] != "a2")
+		for code, want := range sent {
+			label := fmt.Sprintf("code=%q", code)
+			if got := s.sum("papayapond_requests_total", label); got != want {
+				t.Errorf("%s: requests with %s: got %v, want %v", name, label, got, want)
+			}
+			if got := s.sum("papayapond_account_requests_total", label); got != want {
+				t.Errorf("%s: account requests with %s: got %v, want %v", name, label, got, want)
+			}
+		}
+		for metric, want := range map[string]float64{
+			"papayapond_requests_total": total, "papayapond_request_seconds": total,
+			"papayapond_first_token_seconds": 1, "papayapond_token_interval_seconds": 5,
+			"papayapond_account_first_token_seconds": 1, "papayapond_account_token_interval_seconds": 5,
+			"papayapond_budget_refusals_total": sent["exhausted"], "papayapond_requests_in_flight": 0,
+			"papayapond_requests_waiting": 0, "papayapond_requests_admitted": 0, "papayapond_targets_ejected": 0,
+			"papayapond_configuration_version": 1, "papayapond_configuration_stale": 0,
+			"papayapond_broken_invariants_total": 0, "papayapond_usage_over_bound_total": 0,
+		} {
+			if got := s.sum(metric); got != want {
+				t.Errorf("%s: %s: got %v, want %v", name, metric, got, want)
+			}
+		}
+		billed += s.sum("papayapond_billed_tokens_total")
+		books += s.sum("papayapond_zone_tokens", `state="billed"`)
+		leaders += s.sum("papayapond_log_leader")
+	}
+	if s := f.bills(0, 3*len(f.names)); billed != float64(s.Billed) || books != billed || leaders != 1 {
+		t.Errorf("got %v tokens billed, %v in the books, %v leaders, want %v tokens and one leader", billed, books, leaders, s.Billed)
+	}
+	f.matchBurn(objectives, total)
+}
+
+// matchBurn compares the burn report with the requests sent.
+func (f *fleet) matchBurn(objectives string, total float64) {
+	f.t.Helper()
+	parse := func() (r burnReport) {
+		if err := json.Unmarshal([]byte(f.burn(objectives, "--json")), &r); err != nil {
+			f.t.Fatal(err)
+		}
+		return r
+	}
+	n := float64(len(f.names))
+	r := parse()
+	unknown := sent["unauthorized"]
+	for name, want := range map[string]struct{ bad, all float64 }{
+		"up": {0, n * (sent["ok"] + sent["replayed"])}, "first": {0, n}, "refusals": {n * sent["exhausted"], n * (total - unknown)},
+	} {
+		for _, w := range r.line(name).Windows {
+			if w.Bad != want.bad || w.All != want.all {
+				f.t.Errorf("%s: got %+v, want %+v", name, w, want)
+			}
+		}
+		if got, want := len(r.line(name).Windows), 4; got != want {
+			f.t.Errorf("%s: got %d windows, want %d", name, got, want)
+		}
+	}
+	if o := r.line("over").Overspend; len(r.Missing) > 0 || len(r.Instances) != len(f.names) || o == nil || *o != 0 {
+		f.t.Errorf("got instances %v, missing %v, overspend %v, want all instances and 0", r.Instances, r.Missing, o)
+	}
+	f.kill("a2")
+	r = parse()
+	if len(r.Missing) != 1 || r.Missing[0].Name != "a2" || r.line("over").Overspend != nil {
+		f.t.Errorf("without a2: got missing %v, overspend %v, want a2 and none", r.Missing, r.line("over").Overspend)
+	}
+	out := f.burn(objectives)
+	for _, want := range []string{"Missing: a2 (", "of 3 instances", fmt.Sprintf("  %.0f  ", n*(total-unknown)), "unknown"} {
+		if !strings.Contains(out, want) {
+			f.t.Errorf("text report: got no %q in\n%s", want, out)
+		}
+	}
+}
