Test a full disk with real processes; log a stopped merge once

Cause: the runbook's section on a full disk rested on tests with a fake disk. The run showed one fault: the holder logged "Bills of another zone are not merged." 20 times a second (197 lines in 10 s), on a disk that may be full. It is logged once now, when merging starts to fail.

--- a/internal/holder/merge.go
+++ b/internal/holder/merge.go
@@ -53,9 +53,10 @@
 	merged := false
 	for zone, r := range replicas {
 		some, err := r.merge(zone, l)
-		if err != nil {
+		if err != nil && !r.stalled {
 			h.cfg.Logger.Warn("Bills of another zone are not merged.", zap.String("zone", zone), zap.Error(err))
 		}
+		r.stalled = err != nil
 		merged = merged || some
 	}
 	if merged {
--- a/internal/holder/replica.go
+++ b/internal/holder/replica.go
@@ -33,6 +33,11 @@
 	journals [2]*journal.Journal
 	contact  int64  // time of the last call of the zone
 	merged   uint64 // position before which the bills were merged
+
+	// stalled is set while merging fails, so that a ledger that accepts nothing
+	// more doesn't log it 20 times a second on a disk that may be full. Only
+	// mergeAll uses it.
+	stalled bool
 }
 
 // state is stored in the file "state" of the replica.
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -57,6 +57,8 @@
 	ports     []string
 	procs     map[string]*process
 	relays    map[[2]int]*relay
+	// limits bound the size of each file of a process, in blocks of 512 bytes.
+	limits map[string]int64
 }
 
 type process struct {
@@ -82,7 +84,7 @@
 func run(t *testing.T, zones []int, budget int64, cuttable bool, a *authority) *fleet {
 	t.Helper()
 	t.Parallel()
-	f := &fleet{t: t, authority: a, dir: t.TempDir(), procs: map[string]*process{}, relays: map[[2]int]*relay{}}
+	f := &fleet{t: t, authority: a, dir: t.TempDir(), procs: map[string]*process{}, relays: map[[2]int]*relay{}, limits: map[string]int64{}}
 	total := 0
 	for _, n := range zones {
 		total += n
@@ -194,14 +196,22 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	defer out.Close()
 	cmd := exec.Command(filepath.Join(binaries, program), args...)
 	cmd.Stdout, cmd.Stderr = out, out
+	if blocks := f.limits[name]; blocks > 0 {
+		cmd = exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -f %d; exec "$0" "$@"`, blocks), cmd.Path}, args...)...)
+		// The limit must not hold for the log of the test: a pipe has none.
+		w := struct{ io.Writer }{out}
+		cmd.Stdout, cmd.Stderr = w, w
+	}
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
 	p := &process{cmd: cmd, done: make(chan error, 1), log: log}
-	go func() { p.done <- cmd.Wait() }()
+	go func() {
+		p.done <- cmd.Wait()
+		_ = out.Close()
+	}()
 	f.procs[name] = p
 }
 
