Answer with the identity of the request

Cause: a caller without an Idempotency-Key couldn't name a request that had succeeded, so that nobody could find it in the logs. Change: each answer carries the identity in X-Request-Id. A process test follows a completion without a key, one with a key and an order through the logs of the entry instance, the holder and the control members and the header that the target gets, and checks that no line has a key or a prompt. Seen failing: before the change the answers had no such header.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,6 +187,7 @@
 		defer g.flight.Add(-1)
 		s := &session{ResponseWriter: w, request: r, start: g.cfg.Now(), outcome: Outcome{Class: class}}
 		err := g.open(s)
+		w.Header().Set(dispatcher.RequestHeader, s.identity)
 		if err == nil {
 			err = handle(s)
 		}
--- /dev/null
+++ b/test/fleet/follow_test.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/papayapond/papayapond/internal/sampler"
+)
+
+// echo is a target that keeps the last identity that it was sent, by path.
+type echo struct {
+	mu  sync.Mutex
+	ids map[string]string
+}
+
+func (e *echo) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ids[r.URL.Path] = r.Header.Get("X-Request-Id")
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, `{"choices":[{"index":0,"finish_reason":"stop","message":{"content":"ok"}}],"usage":{"prompt_tokens":3,"completion_tokens":2}}`)
+}
+
+// lines returns the log lines of a process that have a text.
+func (f *fleet) lines(name, text string) string {
+	f.t.Helper()
+	log, err := os.ReadFile(f.procs[name].log)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var found []string
+	for line := range strings.Lines(string(log)) {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "")
+}
+
+// A request must be found by the identity that its caller got in the logs of
+// the entry instance, the holder and a control member, and by the attempt in
+// the header that its target got. No line may have a key or a prompt.
+func TestFollowRequest(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 100_000, false)
+	e := &echo{ids: map[string]string{}}
+	server := httptest.NewServer(e)
+	defer server.Close()
+	for i := range f.names {
+		if _, err := f.client(i).Call(t.Context(), http.MethodPut, "/v1/level", struct {
+			Level string `json:"level"`
+		}{"debug"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, more := range map[string][2]string{"engine-x": {sampler.EngineKey, `"models":["papaya-small"]`}, "order-x": {sampler.OrderKey, `"services":["orders"]`}} {
+		body := fmt.Sprintf(`{"name":%q,"zone":"a","address":%q,"state":"ready","incarnation":1,%s}`, name, server.Listener.Addr(), more[1])
+		if a := f.call(1, http.MethodPost, "/v1/targets", body, "", more[0]); a.status >= 300 {
+			t.Fatalf("announcement of %s: got %d %s", name, a.status, a.body)
+		}
+	}
+	f.routes(1)
+	const prompt, body = "forty pairs of brown oxfords", "order-of-the-secret-kind"
+	for _, test := range []struct {
+		name, path, entry, holder, control string
+		send                               func() answer
+	}{
+		{"unkeyed completion", "/v1/chat/completions", "Request arrived.|Tokens reserved.|Attempt starts.|Bill settled.|Request ended.", "Bill stored.", "",
+			func() answer { return f.chat(1, prompt, 4, false, "") }},
+		{"keyed completion", "/v1/chat/completions", "Request arrived.|Tokens reserved.|Attempt starts.|Bill settled.|Request ended.", "Identity looked up.|Bill stored.", "",
+			func() answer { return f.chat(1, prompt, 4, false, "follow-1") }},
+		{"order", "/orders", "Request arrived.|Tokens reserved.|Claim proposed.|Attempt starts.|Bill settled.|Request ended.", "Identity looked up.|Bill stored.", "Claim committed.|Outcome committed.",
+			func() answer {
+				return f.call(1, http.MethodPost, "/v1/services/orders/orders", body, "follow-2", sampler.WondimuKey)
+			}},
+	} {
+		a := test.send()
+		identity := a.header.Get("X-Request-Id")
+		if a.status != http.StatusOK || identity == "" {
+			t.Errorf("%s: got %d %s with identity %q, want 200", test.name, a.status, a.body, identity)
+			continue
+		}
+		field := fmt.Sprintf(`"request":%q`, identity)
+		control := f.lines("a1", field) + f.lines("b1", field) + f.lines("c1", field)
+		for want, lines := range map[string]string{test.entry: f.lines("a2", field), test.holder: f.lines("a1", field), test.control: control} {
+			for text := range strings.SplitSeq(want, "|") {
+				if !strings.Contains(lines, text) {
+					t.Errorf("%s: got no line %q in\n%s", test.name, text, lines)
+				}
+			}
+		}
+		if attempt := fmt.Sprintf(`"attempt":%q`, e.ids[test.path]); !strings.Contains(f.lines("a2", field), attempt) {
+			t.Errorf("%s: got no line with %s", test.name, attempt)
+		}
+	}
+	for _, name := range f.names {
+		for _, secret := range []string{prompt, body, sampler.WondimuKey, sampler.EngineKey, sampler.OrderKey, sampler.OperatorKey} {
+			if got := f.lines(name, secret); got != "" {
+				t.Errorf("%s: got %q in\n%s", name, secret, got)
+			}
+		}
+	}
+}
