Share the start-up of the stand-ins

Cause: the programs of engine and order service had the same common options, signals, listener, log and errors twice, and both packages the same function that writes a JSON answer. Change: package starter holds the options and the start, host the answer.

--- a/cmd/papayaengine/main.go
+++ b/cmd/papayaengine/main.go
@@ -4,30 +4,21 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/engine"
-	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/host"
-	"github.com/papayapond/papayapond/internal/logger"
+	"github.com/papayapond/papayapond/internal/starter"
 )
 
 type arguments struct {
-	Name    string   `arg:"--name" default:"engine-1" help:"name of the target; it starts with the name of its group"`
-	Zone    string   `arg:"--zone" default:"a" help:"availability zone"`
-	Address string   `arg:"--address" default:"127.0.0.1:9001" help:"host:port to listen on; port 0 takes a free one"`
-	Entries []string `arg:"--entry,separate" help:"entry instance to announce to, host:port; may be repeated"`
-	Key     string   `arg:"--key,env:PAPAYA_TARGET_KEY" help:"bearer key of the target group"`
-	Models  []string `arg:"--model,separate" help:"model that is loaded at the start; may be repeated [default: small]"`
+	starter.Starter
+
+	Models []string `arg:"--model,separate" help:"model that is loaded at the start; may be repeated [default: small]"`
 
 	Slots    int           `arg:"--slots" default:"16" help:"requests in one batch"`
 	Queue    int           `arg:"--queue" default:"256" help:"requests that may wait; more are answered 503; 0 is unlimited"`
@@ -49,11 +40,7 @@
 	IgnoreFence bool          `arg:"--ignore-fence" help:"obey orders with an old fencing number"`
 	OrderKey    string        `arg:"--order-key" help:"bearer key that orders must have; empty takes orders from anybody"`
 
-	Faults []string      `arg:"--fault,separate" help:"fault to produce: KIND[,marker=TEXT][,share=0..1][,times=N][,value=X] with KIND crash, hang, slow, truncate, reset-before, reset-after, status or swap; may be repeated"`
-	Seed   uint64        `arg:"--seed" default:"1" help:"seed of lost events and of faults with a share"`
-	Grace  time.Duration `arg:"--grace" default:"3s" help:"time for which a leaving engine still accepts requests"`
-	Drain  time.Duration `arg:"--drain" default:"2m" help:"bound on the wait for running requests on SIGTERM"`
-	Level  string        `arg:"--level" default:"info" help:"log level: debug, info, warn or error"`
+	Faults []string `arg:"--fault,separate" help:"fault to produce: KIND[,marker=TEXT][,share=0..1][,times=N][,value=X] with KIND crash, hang, slow, truncate, reset-before, reset-after, status or swap; may be repeated"`
 }
 
 // Description is shown by --help.
@@ -63,38 +50,18 @@
 }
 
 func main() {
-	var args arguments
+	args := arguments{Starter: starter.Starter{Name: "engine-1", Address: "127.0.0.1:9001", Drain: 2 * time.Minute}}
 	arg.MustParse(&args)
-	log, err := logger.New(args.Level)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(fault.Of(err).Exit())
-	}
-	if err := run(args, log.Named("engine").With(zap.String("name", args.Name))); err != nil {
-		log.Fatal("Engine failed.", zap.Error(err))
-	}
-}
-
-func run(args arguments, logger *zap.Logger) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	listener, err := net.Listen("tcp", args.Address)
-	if err != nil {
-		return err
-	}
-	args.Address = listener.Addr().String()
 	if len(args.Models) == 0 {
 		args.Models = []string{"small"}
 	}
-	e, err := engine.New(configure(args, logger))
-	if err != nil {
-		return err
-	}
-	logger.Info("Serving.", zap.String("address", args.Address), zap.Strings("models", args.Models))
-	return host.New(host.Config{
-		Listener: listener, Handler: e, Serve: e.Run, Entries: args.Entries, Key: args.Key,
-		Report: e.Report, Leave: e.Leave, Grace: args.Grace, Drain: args.Drain, Logger: logger,
-	}).Run(ctx)
+	args.Main("engine", func(log *zap.Logger) (host.Config, error) {
+		e, err := engine.New(configure(args, log))
+		if err != nil {
+			return host.Config{}, err
+		}
+		return host.Config{Handler: e, Serve: e.Run, Report: e.Report, Leave: e.Leave}, nil
+	})
 }
 
 func configure(args arguments, logger *zap.Logger) engine.Config {
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/papayapond/papayapond/internal/completion"
+	"github.com/papayapond/papayapond/internal/host"
 )
 
 // maxBody bounds the body of a request.
@@ -175,7 +176,7 @@
 		e.stop(n)
 	}
 	e.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"request": q.Request, "cancelled": found})
+	host.Reply(w, http.StatusOK, map[string]any{"request": q.Request, "cancelled": found})
 }
 
 // tokenize serves POST /tokenize for messages and tools, or a plain prompt.
@@ -194,7 +195,7 @@
 		}
 		count = tokens
 	}
-	reply(w, http.StatusOK, map[string]any{"model": q.Model, "count": count})
+	host.Reply(w, http.StatusOK, map[string]any{"model": q.Model, "count": count})
 }
 
 // stop cancels an active run. The caller holds the lock.
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/papayapond/papayapond/internal/host"
 )
 
 // order is one order to the engine.
@@ -30,7 +32,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if o.Fence < e.fence && !e.cfg.IgnoreFence {
-		reply(w, http.StatusConflict, map[string]any{
+		host.Reply(w, http.StatusConflict, map[string]any{
 			"error": map[string]string{"code": "fenced", "type": "fenced", "message": "the fencing number is old"},
 			"fence": e.fence,
 		})
@@ -52,7 +54,7 @@
 	}
 	e.fence = max(e.fence, o.Fence)
 	e.orders = append(e.orders, o)
-	reply(w, http.StatusOK, map[string]any{"request": o.Request, "fence": e.fence})
+	host.Reply(w, http.StatusOK, map[string]any{"request": o.Request, "fence": e.fence})
 }
 
 // fetch loads a model, which is usable after LoadTime. The caller holds the
@@ -76,5 +78,5 @@
 	e.mu.Lock()
 	orders := append([]order{}, e.orders...)
 	e.mu.Unlock()
-	reply(w, http.StatusOK, orders)
+	host.Reply(w, http.StatusOK, orders)
 }
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -1,11 +1,11 @@
 package engine
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/papayapond/papayapond/internal/host"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -94,7 +94,7 @@
 		"slots": e.cfg.Slots, "blocks": e.cache.order.Len(), "fence": e.fence, "counts": e.counts,
 	}
 	e.mu.Unlock()
-	reply(w, http.StatusOK, body)
+	host.Reply(w, http.StatusOK, body)
 }
 
 func (e *Engine) list(w http.ResponseWriter, _ *http.Request) {
@@ -108,21 +108,9 @@
 		data = append(data, model{m, "model"})
 	}
 	e.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"object": "list", "data": data})
-}
-
-// reply writes a JSON answer. A caller that is gone is no error here.
-func reply(w http.ResponseWriter, status int, body any) {
-	text, err := json.Marshal(body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(text)
+	host.Reply(w, http.StatusOK, map[string]any{"object": "list", "data": data})
 }
 
 func refuse(w http.ResponseWriter, status int, code, message string) {
-	reply(w, status, map[string]any{"error": map[string]string{"code": code, "type": code, "message": message}})
+	host.Reply(w, status, map[string]any{"error": map[string]string{"code": code, "type": code, "message": message}})
 }
--- /dev/null
+++ b/internal/host/reply.go
@@ -0,0 +1,18 @@
+package host
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Reply writes a JSON answer of a target. A caller that is gone is no error here.
+func Reply(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/host"
 	"github.com/papayapond/papayapond/internal/injector"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -136,24 +137,24 @@
 		err = json.Unmarshal(body, &in)
 	}
 	if err != nil || in.Order == "" {
-		reply(w, http.StatusBadRequest, map[string]string{"error": "want a JSON object with order, sku and quantity"})
+		host.Reply(w, http.StatusBadRequest, map[string]string{"error": "want a JSON object with order, sku and quantity"})
 		return
 	}
 	text := string(body)
 	if status, ok := o.faults.Hit("status", text); ok {
-		reply(w, int(max(status, http.StatusInternalServerError)), map[string]string{"error": "fault on purpose"})
+		host.Reply(w, int(max(status, http.StatusInternalServerError)), map[string]string{"error": "fault on purpose"})
 		return
 	}
 	o.delay(text)
 	out, err := o.execute(in)
 	if err != nil {
-		reply(w, http.StatusInternalServerError, map[string]string{"error": err.Error()})
+		host.Reply(w, http.StatusInternalServerError, map[string]string{"error": err.Error()})
 		return
 	}
 	if o.sabotage(r, text) {
 		return
 	}
-	reply(w, http.StatusCreated, out)
+	host.Reply(w, http.StatusCreated, out)
 }
 
 // execute counts a run of the order and stores it.
@@ -237,10 +238,10 @@
 	}
 	o.mu.Unlock()
 	if e == nil {
-		reply(w, http.StatusNotFound, map[string]string{"error": "no such order"})
+		host.Reply(w, http.StatusNotFound, map[string]string{"error": "no such order"})
 		return
 	}
-	reply(w, http.StatusOK, out)
+	host.Reply(w, http.StatusOK, out)
 }
 
 // stock shows a quantity that depends on the sku alone, so that a caller can
@@ -248,7 +249,7 @@
 func (o *Orderer) stock(w http.ResponseWriter, r *http.Request) {
 	o.delay("")
 	sku := mux.Vars(r)["sku"]
-	reply(w, http.StatusOK, map[string]any{"sku": sku, "quantity": Stock(sku)})
+	host.Reply(w, http.StatusOK, map[string]any{"sku": sku, "quantity": Stock(sku)})
 }
 
 // Stock returns the quantity in stock of a sku.
@@ -266,17 +267,5 @@
 		runs[id] = e.Runs
 	}
 	o.mu.Unlock()
-	reply(w, http.StatusOK, runs)
-}
-
-// reply writes a JSON answer. A caller that is gone is no error here.
-func reply(w http.ResponseWriter, status int, body any) {
-	text, err := json.Marshal(body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(text)
+	host.Reply(w, http.StatusOK, runs)
 }
