--- a/test/fleet/disk_test.go
+++ b/test/fleet/disk_test.go
@@ -3,21 +3,10 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 )
 
-// logged counts the lines of a process's log that contain a text.
-func (f *fleet) logged(name, text string) int {
-	f.t.Helper()
-	log, err := os.ReadFile(f.procs[name].log)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return strings.Count(string(log), text)
-}
-
 // A holder whose files can't grow any more must accept nothing more and go on
 // as a process: the zone bills with another holder, the others still take
 // top-ups, its log isn't flooded, and after a restart with space each request
@@ -38,23 +27,11 @@
 		}
 	}
 	for n := range topups {
-		f.eventually("top up", func() error {
-			_, err := f.client(0).Call(t.Context(), http.MethodPost, "/v1/topups", struct {
-				Name    string `json:"name"`
-				Account string `json:"account"`
-				Tokens  int64  `json:"tokens"`
-			}{fmt.Sprintf("%s-%d", strings.Repeat("t", 100), n), "wondimu", tokens})
-			return err
-		})
+		f.eventually("top up", func() error { return f.topup(0, fmt.Sprintf("%s-%d", strings.Repeat("t", 100), n), tokens) })
 	}
 	for text, most := range map[string]int{"Journal accepts nothing more.": 10, "Member stopped.": 1, "Bills of another zone are not merged.": 2} {
-		f.eventually("log "+text, func() error {
-			if got := f.logged("b1", text); got < 1 {
-				return fmt.Errorf("got %d lines", got)
-			}
-			return nil
-		})
-		if got := f.logged("b1", text); got > most {
+		f.logs("b1", text)
+		if got := len(f.lines("b1", text)); got > most {
 			t.Errorf("%s: got %d lines, want at most %d", text, got, most)
 		}
 	}
--- a/test/fleet/failure_test.go
+++ b/test/fleet/failure_test.go
@@ -7,8 +7,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/papayapond/papayapond/internal/sampler"
 )
 
 // slow makes an engine that needs 20 ms for each token.
@@ -78,25 +76,19 @@
 			t.Errorf("request %d in the cut-off zone: got %d %s, want 200", n, a.status, a.body)
 		}
 	}
-	a := f.call(2, http.MethodPost, "/v1/services/orders/orders", `{"order":"o-1"}`, "order-1", sampler.WondimuKey)
+	a := f.order(2, "o-1", "order-1")
 	if code, run := a.code(); code != "isolated" || run != "no" {
 		t.Errorf("order in the cut-off zone: got %s run=%s, want isolated run=no", code, run)
 	}
-	topup := struct {
-		Name    string `json:"name"`
-		Account string `json:"account"`
-		Tokens  int64  `json:"tokens"`
-	}{"june", "wondimu", 5000}
-	if _, err := f.client(2).Call(t.Context(), http.MethodPost, "/v1/topups", topup); err == nil {
+	if err := f.topup(2, "june", 5000); err == nil {
 		t.Error("top-up in the cut-off zone: got success, want a refusal")
 	}
 	for range 2 {
-		if _, err := f.client(0).Call(t.Context(), http.MethodPost, "/v1/topups", topup); err != nil {
+		if err := f.topup(0, "june", 5000); err != nil {
 			t.Errorf("top-up on the side of the quorum: %v", err)
 		}
 	}
-	topup.Tokens = 6000
-	if _, err := f.client(0).Call(t.Context(), http.MethodPost, "/v1/topups", topup); err == nil {
+	if err := f.topup(0, "june", 6000); err == nil {
 		t.Error("same top-up with another amount: got success, want a conflict")
 	}
 
@@ -121,7 +113,7 @@
 	if got, want := s.Topups, int64(5000); got != want {
 		t.Errorf("top-ups: got %d, want %d", got, want)
 	}
-	a = f.call(2, http.MethodPost, "/v1/services/orders/orders", `{"order":"o-1"}`, "order-1", sampler.WondimuKey)
+	a = f.order(2, "o-1", "order-1")
 	if a.status >= 300 {
 		t.Errorf("order after the cut: got %d %s, want success", a.status, a.body)
 	}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -356,28 +356,6 @@
 	return f.call(i, http.MethodPost, "/v1/chat/completions", body, identity, sampler.WondimuKey)
 }
 
-// statement is the part of a statement that the tests look at.
-type statement struct {
-	Prepaid, Topups, Unassigned, Assigned, Free, Allowances, Billed, Stranded, Refundable int64
-	Requests                                                                              uint64
-	Missing                                                                               []string
-	Bills                                                                                 []struct {
-		Request string
-		Amount  int64
-		Zone    string
-	}
-}
-
-// statement reads the statement of the account wondimu.
-func (f *fleet) statement(i int) (statement, error) {
-	var s statement
-	text, err := f.client(i).Call(f.t.Context(), http.MethodGet, "/v1/accounts/wondimu/statement", nil)
-	if err != nil {
-		return s, err
-	}
-	return s, json.Unmarshal(text, &s)
-}
-
 // fleets counts the fleets of this process.
 var fleets atomic.Int64
 
--- a/test/fleet/follow_test.go
+++ b/test/fleet/follow_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -28,22 +27,6 @@
 	_, _ = io.WriteString(w, `{"choices":[{"index":0,"finish_reason":"stop","message":{"content":"ok"}}],"usage":{"prompt_tokens":3,"completion_tokens":2}}`)
 }
 
-// lines returns the log lines of a process that have a text.
-func (f *fleet) lines(name, text string) string {
-	f.t.Helper()
-	log, err := os.ReadFile(f.procs[name].log)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	var found []string
-	for line := range strings.Lines(string(log)) {
-		if strings.Contains(line, text) {
-			found = append(found, line)
-		}
-	}
-	return strings.Join(found, "")
-}
-
 // A request must be found by the identity that its caller got in the logs of
 // the entry instance, the holder and a control member, and by the attempt in
 // the header that its target got. No line may have a key or a prompt.
@@ -53,11 +36,7 @@
 	server := httptest.NewServer(e)
 	defer server.Close()
 	for i := range f.names {
-		if _, err := f.client(i).Call(t.Context(), http.MethodPut, "/v1/level", struct {
-			Level string `json:"level"`
-		}{"debug"}); err != nil {
-			t.Fatal(err)
-		}
+		f.level(i, "debug")
 	}
 	for name, more := range map[string][2]string{"engine-x": {sampler.EngineKey, `"models":["papaya-small"]`}, "order-x": {sampler.OrderKey, `"services":["orders"]`}} {
 		body := fmt.Sprintf(`{"name":%q,"zone":"a","address":%q,"state":"ready","incarnation":1,%s}`, name, server.Listener.Addr(), more[1])
@@ -87,21 +66,20 @@
 			continue
 		}
 		field := fmt.Sprintf(`"request":%q`, identity)
-		control := f.lines("a1", field) + f.lines("b1", field) + f.lines("c1", field)
-		for want, lines := range map[string]string{test.entry: f.lines("a2", field), test.holder: f.lines("a1", field), test.control: control} {
+		entry := strings.Join(f.lines("a2", field), "\n")
+		holder := strings.Join(f.lines("a1", field), "\n")
+		control := strings.Join(append(f.lines("b1", field), f.lines("c1", field)...), "\n") + holder
+		for want, lines := range map[string]string{test.entry: entry, test.holder: holder, test.control: control, fmt.Sprintf(`"attempt":%q`, e.ids[test.path]): entry} {
 			for text := range strings.SplitSeq(want, "|") {
 				if !strings.Contains(lines, text) {
-					t.Errorf("%s: got no line %q in\n%s", test.name, text, lines)
+					t.Errorf("%s: got no %q in\n%s", test.name, text, lines)
 				}
 			}
 		}
-		if attempt := fmt.Sprintf(`"attempt":%q`, e.ids[test.path]); !strings.Contains(f.lines("a2", field), attempt) {
-			t.Errorf("%s: got no line with %s", test.name, attempt)
-		}
 	}
 	for _, name := range f.names {
 		for _, secret := range []string{prompt, body, sampler.WondimuKey, sampler.EngineKey, sampler.OrderKey, sampler.OperatorKey} {
-			if got := f.lines(name, secret); got != "" {
+			if got := f.lines(name, secret); len(got) > 0 {
 				t.Errorf("%s: got %q in\n%s", name, secret, got)
 			}
 		}
--- a/test/fleet/metrics_test.go
+++ b/test/fleet/metrics_test.go
@@ -6,69 +6,16 @@
 	"maps"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"regexp"
-	"slices"
 	"strings"
 	"testing"
 
-	"github.com/prometheus/common/expfmt"
-	"github.com/prometheus/common/model"
-
 	"github.com/papayapond/papayapond/internal/sampler"
 	"github.com/papayapond/papayapond/pkg/printer"
 	"github.com/papayapond/papayapond/pkg/venture"
 )
 
-// series is one value that an instance answers to GET /metrics; of a histogram
-// it is the count.
-type series struct {
-	metric, kind string
-	// labels are pairs such as `code="ok"`.
-	labels []string
-	value  float64
-}
-
-type scrape []series
-
-func (f *fleet) scrape(i int) scrape {
-	f.t.Helper()
-	r, err := http.Get("http://" + f.ports[i*4+3] + "/metrics")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer r.Body.Close()
-	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(r.Body)
-	if err != nil {
-		f.t.Fatalf("metrics of %s: %v", f.names[i], err)
-	}
-	var list scrape
-	for name, family := range families {
-		for _, m := range family.GetMetric() {
-			s := series{metric: name, kind: strings.ToLower(family.GetType().String())}
-			for _, l := range m.GetLabel() {
-				s.labels = append(s.labels, fmt.Sprintf("%s=%q", l.GetName(), l.GetValue()))
-			}
-			s.value = m.GetCounter().GetValue() + m.GetGauge().GetValue() + float64(m.GetHistogram().GetSampleCount())
-			list = append(list, s)
-		}
-	}
-	return list
-}
-
-// sum adds the values of the series of a metric that have all the labels.
-func (s scrape) sum(metric string, labels ...string) float64 {
-	var total float64
-	for _, v := range s {
-		if v.metric == metric && !slices.ContainsFunc(labels, func(l string) bool { return !slices.Contains(v.labels, l) }) {
-			total += v.value
-		}
-	}
-	return total
-}
-
 var metricRow = regexp.MustCompile("(?m)^\\| `(papayapond_\\w+)` \\| (\\w+) \\| (.*?) \\|")
 
 // onDisk are the metrics that only instances with a disk have.
@@ -122,7 +69,7 @@
 		f.chat(i, "hi", tokens, true, ""),
 		chat(body(sampler.Model, tokens), "json-"+f.names[i], sampler.WondimuKey),
 		chat(body(sampler.Model, tokens), "json-"+f.names[i], sampler.WondimuKey),
-		f.call(i, http.MethodPost, "/v1/services/orders/orders", `{"order":"o"}`, "order-"+f.names[i], sampler.WondimuKey),
+		f.order(i, "o", "order-"+f.names[i]),
 		chat(body(sampler.Model, tokens), "", ""),
 		chat(body(sampler.Model, tokens), "", "wrong"),
 		chat("{", "", sampler.WondimuKey),
@@ -149,12 +96,12 @@
 // burn runs `papayapond burn` with the given objectives and options.
 func (f *fleet) burn(objectives string, options ...string) string {
 	f.t.Helper()
-	args := append([]string{"burn", "--settings", filepath.Join(f.dir, "a1.toml"), "--configuration", objectives, "--history", filepath.Join(f.dir, "scrapes")}, options...)
-	out, err := exec.Command(filepath.Join(binaries, "papayapond"), args...).CombinedOutput()
+	args := []string{"burn", "--settings", filepath.Join(f.dir, "a1.toml"), "--configuration", objectives, "--history", filepath.Join(f.dir, "scrapes")}
+	out, err := f.command(0, append(args, options...)...)
 	if err != nil {
 		f.t.Fatalf("burn: %v\n%s", err, out)
 	}
-	return string(out)
+	return out
 }
 
 // burnReport is the part of the JSON report that the test looks at.
--- a/test/fleet/path_test.go
+++ b/test/fleet/path_test.go
@@ -46,7 +46,7 @@
 		t.Errorf("stream: got %q, want usage and [DONE] at the end", stream.body)
 	}
 
-	order := f.call(2, http.MethodPost, "/v1/services/orders/orders", `{"order":"o-1"}`, "order-1", sampler.WondimuKey)
+	order := f.order(2, "o-1", "order-1")
 	if order.status >= 300 {
 		t.Errorf("order: got %d %s, want success", order.status, order.body)
 	}
--- a/test/fleet/silent_test.go
+++ b/test/fleet/silent_test.go
@@ -1,56 +1,13 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/papayapond/papayapond/internal/sampler"
 )
 
-// states returns the states of all instances as one of them shows them to
-// operators, such as "a1 alive, b1 cut".
-func (f *fleet) states(i int) (string, error) {
-	var list struct {
-		Instances []struct{ Name, State string }
-	}
-	text, err := f.client(i).Call(f.t.Context(), http.MethodGet, "/v1/fleet", nil)
-	if err == nil {
-		err = json.Unmarshal(text, &list)
-	}
-	var states []string
-	for _, p := range list.Instances {
-		states = append(states, p.Name+" "+p.State)
-	}
-	return strings.Join(states, ", "), err
-}
-
-// shows waits until an instance shows the given states.
-func (f *fleet) shows(i int, want string) {
-	f.t.Helper()
-	f.eventually("show "+want, func() error {
-		got, err := f.states(i)
-		if err == nil && got != want {
-			err = fmt.Errorf("got %s", got)
-		}
-		return err
-	})
-}
-
-// logs waits until the log of a process has a line with the text.
-func (f *fleet) logs(name, text string) {
-	f.t.Helper()
-	f.eventually("log "+text, func() error {
-		if f.logged(name, text) == 0 {
-			return fmt.Errorf("%s has no such line", name)
-		}
-		return nil
-	})
-}
-
 // Connections between zones that go silent for good while new ones work must
 // delay what needs another zone by seconds only, and cost no bill.
 func TestSilentPeers(t *testing.T) {
@@ -66,7 +23,7 @@
 		t.Errorf("request: got %d %s, want 200", a.status, a.body)
 	}
 	f.eventually("take an order", func() error {
-		a := f.call(2, http.MethodPost, "/v1/services/orders/orders", `{"order":"o-1"}`, "order-1", sampler.WondimuKey)
+		a := f.order(2, "o-1", "order-1")
 		if code, run := a.code(); a.status >= 300 && (code != "isolated" || run != "no") {
 			t.Errorf("order: got %s run=%s, want success, or isolated run=no", code, run)
 		}
@@ -114,7 +71,7 @@
 		if a := <-done; a.status != http.StatusOK || test.stream && !strings.HasSuffix(a.body, "[DONE]\n\n") {
 			t.Errorf("%s: got %d %s, want a whole answer", test.identity, a.status, a.body)
 		}
-		if got := f.logged("a1", fmt.Sprintf(`%s","instance":"a1","request":%q`, test.line, test.identity)); got == 0 {
+		if got := f.lines("a1", fmt.Sprintf(`%s","instance":"a1","request":%q`, test.line, test.identity)); len(got) == 0 {
 			t.Errorf("%s: got no line %q", test.identity, test.line)
 		}
 	}
