--- a/internal/holder/replica.go
+++ b/internal/holder/replica.go
@@ -35,6 +35,11 @@
 	merged   uint64 // position before which the bills were merged
 	latest   int64  // time of the latest merged record
 	whole    int64  // time of the last call that found the copy in front whole
+
+	// stalled is set while merging fails, so that a ledger that accepts nothing
+	// more doesn't log it 20 times a second on a disk that may be full. Only
+	// mergeAll uses it.
+	stalled bool
 }
 
 // state is stored in the file "state" of the replica.
