Give the router its own package for prefix hashes

Cause: the gateway turned messages into a prompt with the template of the stand-in engine, and the router repeated its block hash, so that the product depended on a stand-in.

A prompt that can't be read still has no affinity.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -76,7 +76,7 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Prompt is the prompt as the engine sees it, for the choice of a target. It
+	// Prompt is the prefix text of the request, for the choice of a target. It
 	// may be nil.
 	Prompt []byte
 	// Digest is the digest of the content.
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -13,10 +13,10 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	template "github.com/papayapond/papayapond/internal/completion"
 	"github.com/papayapond/papayapond/internal/dispatcher"
 	"github.com/papayapond/papayapond/internal/estimator"
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/hasher"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -86,10 +86,8 @@
 	job := dispatcher.Job{
 		Request: s.identity, Identity: s.identity, Model: c.model, Method: http.MethodPost, Path: "/v1/chat/completions",
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Digest: s.digest, Repeatable: true,
-		Allowed: g.allowed(s),
+		Allowed: g.allowed(s), Prompt: hasher.Text(c.body["messages"], c.body["tools"]),
 	}
-	// A prompt that can't be read has no affinity; the engine refuses it.
-	job.Prompt, _, _ = template.Prompt(c.body["messages"], c.body["tools"])
 	if c.stream {
 		job.Progress = func() int { return int(relay.output) }
 	}
--- a/internal/router/cache.go
+++ b/internal/router/cache.go
@@ -4,15 +4,14 @@
 	"container/list"
 	"time"
 
+	"github.com/papayapond/papayapond/internal/hasher"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
 const (
-	// blockBytes of a prompt form one block of an engine's prefix cache.
-	blockBytes = 256
 	// bytesPerToken is the usual ratio for English text.
 	bytesPerToken = 4
-	blockTokens   = blockBytes / bytesPerToken
+	blockTokens   = hasher.Block / bytesPerToken
 	// maxBlocks bounds the blocks that are remembered of one prompt, maxCache
 	// those of one target, and maxTotal those of all targets. A block takes
 	// about 200 bytes, so that all of them stay within 26 MB.
@@ -24,37 +23,8 @@
 	eventAge = 2 * time.Second
 )
 
-// Parameters of the hash FNV-1a with 64 bits.
-const (
-	fnvOffset = 14695981039346656037
-	fnvPrime  = 1099511628211
-)
-
 func tokens(bytes int) int { return (bytes + bytesPerToken - 1) / bytesPerToken }
 
-// blocks returns the hash of each prefix of the prompt that ends at a block
-// boundary, as engines announce them: FNV-1a of the model, a line feed and the
-// prefix.
-func blocks(model string, prompt []byte) []uint64 {
-	n := min(len(prompt)/blockBytes, maxBlocks)
-	if n == 0 {
-		return nil
-	}
-	h := uint64(fnvOffset)
-	for i := range len(model) {
-		h = (h ^ uint64(model[i])) * fnvPrime
-	}
-	h = (h ^ '\n') * fnvPrime
-	hashes := make([]uint64, n)
-	for i := range hashes {
-		for _, b := range prompt[i*blockBytes : (i+1)*blockBytes] {
-			h = (h ^ uint64(b)) * fnvPrime
-		}
-		hashes[i] = h
-	}
-	return hashes
-}
-
 // cache is an estimate of the prefix cache of a target, from its announced
 // events and the prompts that this instance has sent. The events come late and
 // with gaps, so it forgets the least recently used blocks by itself.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/hasher"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -101,11 +102,11 @@
 
 // Pick chooses a target for a model or a service among those that allowed
 // accepts: in this zone while it has one with a free slot, else in any zone.
-// Prompt is the prompt as the engine sees it, or nil. The request counts as
+// Prompt is the prefix text of the request, or nil. The request counts as
 // outstanding until done is called. The error wraps fault.Unavailable if there
 // is no target.
 func (r *Router) Pick(model, service string, prompt []byte, allowed func(target string) bool) (t *wire.Target, done func(), err error) {
-	q := &question{tokens: tokens(len(prompt)), blocks: blocks(model, prompt), now: r.cfg.Now()}
+	q := &question{tokens: tokens(len(prompt)), blocks: hasher.New(model).Hashes(prompt, maxBlocks), now: r.cfg.Now()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sweep(q.now)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,13 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/papayapond/papayapond/internal/engine"
+	"github.com/papayapond/papayapond/internal/hasher"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -56,32 +54,6 @@
 	return target.Name, done
 }
 
-// A router that hashes prompts differently from the engines would never find
-// a cached prefix.
-func TestHashes(t *testing.T) {
-	e, err := engine.New(engine.Config{Name: "e", Models: []string{"m"}, Blocks: 64, Slots: 1, Chunk: 1 << 20})
-	if err != nil {
-		t.Fatal(err)
-	}
-	go e.Run(t.Context())
-	content := strings.Repeat("brown shoes ", 100)
-	body := `{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"` + content + `"}]}`
-	e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body)))
-	announced := map[uint64]bool{}
-	for _, ev := range e.Report().Events {
-		announced[ev.Hash] = true
-	}
-	hashes := blocks("m", []byte("user\n"+content+"\n"))
-	for i, h := range hashes {
-		if !announced[h] {
-			t.Errorf("block %d: hash %x was not announced", i, h)
-		}
-	}
-	if len(announced) != len(hashes) || len(hashes) == 0 {
-		t.Errorf("got %d hashes, want the %d announced ones", len(hashes), len(announced))
-	}
-}
-
 // Requests must stay in the zone while it has a target, and leave it rather
 // than fail when it has none.
 func TestZone(t *testing.T) {
@@ -212,12 +184,12 @@
 	p.now = p.now.Add(2 * eventAge)
 	target.Incarnation++
 	r.states[target.Name].learn(&wire.Target{Incarnation: 2}, p.now, 0)
-	if got := r.states[target.Name].cache.match(blocks("m", []byte(prompt))); got != 0 {
+	if got := r.states[target.Name].cache.match(hasher.New("m").Hashes([]byte(prompt), maxBlocks)); got != 0 {
 		t.Errorf("after a restart: got %d blocks, want none", got)
 	}
 
 	p, r, target = home(t)
-	hashes := blocks("m", []byte(prompt))
+	hashes := hasher.New("m").Hashes([]byte(prompt), maxBlocks)
 	evicted := &wire.Target{Incarnation: 1}
 	for _, h := range hashes {
 		evicted.Events = append(evicted.Events, &wire.Cache{Hash: h, Evicted: true})
