Send a whole configuration in parts

Cause: at 190,000 accounts and 38 instances the publisher printed the document (0.27 s) for each watch stream in turn under one lock, while a watcher ends a stream that has brought nothing for 3 s and begins again behind the others. The watcher also counted the time in which an update is handled as silence. A run of papayameasure counted 280 streams ended in 33 s and no configuration on the last instance. A stream to a holder of another zone was ended after 5 s even while a configuration was under way.

Ruled out: drpc's message limit (one instance gets the document of 35.7 MiB in 2.2 s); printing alone (with the text printed once, as a trial, 50 streams were still ended, ready after 15 s).

Change: the publisher prints sections in parts of 256 KiB as they are sent; the subscriber decodes them as they arrive and checks a digest over all of them before it puts the configuration in force. Former versions are kept as changes, compared once per version, up to 4 MiB, instead of the last 64 configurations; a watcher within them gets the changes alone. Handling an update no longer counts as silence. The messages are unchanged; the field document of Update is no longer used.

--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -40,7 +39,7 @@
 	accounts, numbers := c.merge(edits)
 	next := index(v, accounts, numbers)
 	if isWhole {
-		problems = append(problems, check(next.Venture())...)
+		problems = append(problems, check(v, accounts)...)
 	} else {
 		problems = append(problems, next.checkEdits(edits)...)
 	}
@@ -83,13 +82,13 @@
 	k.services = func(n string) bool { return c.services[n] != nil }
 	k.groups = func(n string) bool { return c.groups[n] != nil }
 	k.head(c.venture)
-	edited := make([]account.Account, 0, len(edits))
+	edited := make([]*account.Account, 0, len(edits))
 	for _, name := range slices.Sorted(maps.Keys(edits)) {
-		edited = append(edited, *edits[name])
+		edited = append(edited, edits[name])
 	}
-	names(k, "accounts", edited, func(a *account.Account) string { return a.Name })
-	for i := range edited {
-		k.account(i, &edited[i])
+	names(k, "accounts", edited, func(a **account.Account) string { return (*a).Name })
+	for i, a := range edited {
+		k.account(i, a)
 	}
 	k.rivals(c, edits)
 	return k.problems
@@ -129,7 +128,7 @@
 func (c *Configuration) Changes(from *Configuration) []*wire.Section {
 	var changes []*wire.Section
 	if c.Replaces() != from.Version() {
-		changes = append(changes, &wire.Section{Kind: replacesKind, Text: fmt.Appendf(nil, "replaces = %d\n", c.Replaces())})
+		changes = append(changes, &wire.Section{Kind: replacesKind, Text: replacesText(c)})
 	}
 	for _, p := range pairs(from, c) {
 		changes = append(changes, &wire.Section{Kind: p.kind, Name: p.name, Text: p.text})
@@ -137,6 +136,26 @@
 	return changes
 }
 
+// Join returns the changes that lead to this configuration through others in
+// one: the last section of each part.
+func (c *Configuration) Join(changes [][]*wire.Section) []*wire.Section {
+	joined := []*wire.Section{{Kind: replacesKind, Text: replacesText(c)}}
+	numbers := map[string]int{} // by kind and name
+	for _, s := range slices.Concat(changes...) {
+		id := s.Kind + " " + s.Name
+		n, known := numbers[id]
+		switch {
+		case s.Kind == replacesKind:
+		case known:
+			joined[n] = s
+		default:
+			numbers[id] = len(joined)
+			joined = append(joined, s)
+		}
+	}
+	return joined
+}
+
 // pair is a part that differs between two configurations: its texts, nil
 // where it is missing.
 type pair struct {
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -40,14 +40,15 @@
 	topups   map[string]string // account by name of the top-up
 }
 
-func check(v venture.Venture) []problem {
+// check returns the problems of a venture, whose accounts are given apart.
+func check(v venture.Venture, accounts []*account.Account) []problem {
 	c := &checker{keys: map[string]string{}, topups: map[string]string{}}
 	c.head(v)
 	names(c, "operators", v.Operators, func(o *venture.Operator) string { return o.Name })
 	c.models = names(c, "models", v.Models, func(m *model.Model) string { return m.Name })
 	c.services = names(c, "services", v.Services, func(s *service.Service) string { return s.Name })
 	c.groups = names(c, "groups", v.Groups, func(g *group.Group) string { return g.Name })
-	c.accounts = names(c, "accounts", v.Accounts, func(a *account.Account) string { return a.Name })
+	c.accounts = names(c, "accounts", accounts, func(a **account.Account) string { return (*a).Name })
 	names(c, "objectives", v.Objectives, func(o *venture.Objective) string { return o.Name })
 	for i, o := range v.Operators {
 		c.key(fmt.Sprintf("operators[%d].key", i), "operator "+o.Name, o.Key)
@@ -64,8 +65,8 @@
 	for i := range v.Groups {
 		c.group(fmt.Sprintf("groups[%d]", i), v.Groups[i])
 	}
-	for i := range v.Accounts {
-		c.account(i, &v.Accounts[i])
+	for i, a := range accounts {
+		c.account(i, a)
 	}
 	for i, o := range v.Objectives {
 		c.objective(fmt.Sprintf("objectives[%d]", i), o)
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -42,8 +42,12 @@
 	if d.broken {
 		return nil, malformed(d.problems)
 	}
+	accounts := make([]*account.Account, len(v.Accounts))
+	for i := range v.Accounts {
+		accounts[i] = &v.Accounts[i]
+	}
 	problems := d.problems
-	for _, p := range check(v) {
+	for _, p := range check(v, accounts) {
 		if !d.isSuspect(p.path) {
 			problems = append(problems, problem{line: d.line(p.path), text: p.text})
 		}
@@ -51,18 +55,14 @@
 	if len(problems) > 0 {
 		return nil, malformed(problems)
 	}
-	normalise(&v)
-	accounts := make([]*account.Account, len(v.Accounts))
-	for i := range v.Accounts {
-		accounts[i] = &v.Accounts[i]
-	}
+	normalise(&v) // sorts the accounts in place, so the pointers are in order too
 	return index(v, accounts, number(accounts)), nil
 }
 
 // Text returns the printed form, which it prints on each call.
 func (c *Configuration) Text() []byte {
 	var b bytes.Buffer
-	c.print(&b)
+	_ = c.Print(&b) // a buffer doesn't fail
 	return b.Bytes()
 }
 
@@ -171,25 +171,32 @@
 	c.lengths = slices.Compact(c.lengths)
 	c.digest = sync.OnceValue(func() []byte {
 		h := sha256.New()
-		c.print(h)
+		_ = c.Print(h) // a hash doesn't fail
 		return h.Sum(nil)
 	})
 	return c
 }
 
-// print writes what package printer prints, one account at a time, since the
-// whole text takes as much memory as the configuration itself. Writers of
-// memory and hashes don't fail.
-func (c *Configuration) print(w io.Writer) {
+// Print writes what package printer prints, one account at a time, since the
+// whole text takes as much memory as the configuration itself. The error is
+// that of w.
+func (c *Configuration) Print(w io.Writer) error {
 	v := c.venture
 	v.Objectives = nil
-	_, _ = w.Write(printer.Text(v))
+	if _, err := w.Write(printer.Text(v)); err != nil {
+		return err
+	}
 	for _, a := range c.accounts {
-		_, _ = w.Write(append([]byte{'\n'}, printer.Account(*a)...))
+		if _, err := w.Write(append([]byte{'\n'}, printer.Account(*a)...)); err != nil {
+			return err
+		}
 	}
 	for _, o := range c.venture.Objectives {
-		_, _ = w.Write(append([]byte{'\n'}, printer.Objective(o)...))
+		if _, err := w.Write(append([]byte{'\n'}, printer.Objective(o)...)); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 func number(accounts []*account.Account) map[string]int32 {
--- a/internal/configuration/section.go
+++ b/internal/configuration/section.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"strings"
 
 	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/account"
 	"github.com/papayapond/papayapond/pkg/group"
 	"github.com/papayapond/papayapond/pkg/model"
 	"github.com/papayapond/papayapond/pkg/printer"
@@ -26,17 +28,20 @@
 )
 
 // Sections returns all parts as sections, without the version.
-func (c *Configuration) Sections() []*wire.Section {
-	v := c.venture
-	s := []*wire.Section{{Kind: headKind, Text: printer.Head(v)}}
-	s = list(s, operatorKind, v.Operators, func(o *venture.Operator) string { return o.Name }, printer.Operator)
-	s = list(s, modelKind, v.Models, func(m *model.Model) string { return m.Name }, printer.Model)
-	s = list(s, serviceKind, v.Services, func(s *service.Service) string { return s.Name }, printer.Service)
-	s = list(s, groupKind, v.Groups, func(g *group.Group) string { return g.Name }, printer.Group)
-	for a := range c.Accounts(nil) {
-		s = append(s, &wire.Section{Kind: accountKind, Name: a.Name, Text: printer.Account(*a)})
+func (c *Configuration) Sections() []*wire.Section { return slices.Collect(c.sections()) }
+
+// sections returns the sections one at a time.
+func (c *Configuration) sections() iter.Seq[*wire.Section] {
+	return func(yield func(*wire.Section) bool) {
+		v := c.venture
+		_ = yield(&wire.Section{Kind: headKind, Text: printer.Head(v)}) &&
+			list(yield, operatorKind, v.Operators, func(o *venture.Operator) string { return o.Name }, printer.Operator) &&
+			list(yield, modelKind, v.Models, func(m *model.Model) string { return m.Name }, printer.Model) &&
+			list(yield, serviceKind, v.Services, func(s *service.Service) string { return s.Name }, printer.Service) &&
+			list(yield, groupKind, v.Groups, func(g *group.Group) string { return g.Name }, printer.Group) &&
+			list(yield, accountKind, c.accounts, func(a **account.Account) string { return (*a).Name }, func(a *account.Account) []byte { return printer.Account(*a) }) &&
+			list(yield, objectiveKind, v.Objectives, func(o *venture.Objective) string { return o.Name }, printer.Objective)
 	}
-	return list(s, objectiveKind, v.Objectives, func(o *venture.Objective) string { return o.Name }, printer.Objective)
 }
 
 // apply changes v by one section and returns the problems of the section.
@@ -120,9 +125,12 @@
 	return true
 }
 
-func list[T any](s []*wire.Section, kind string, parts []T, name func(*T) string, lines func(T) []byte) []*wire.Section {
+// list yields the sections of one kind and tells whether to go on.
+func list[T any](yield func(*wire.Section) bool, kind string, parts []T, name func(*T) string, lines func(T) []byte) bool {
 	for i := range parts {
-		s = append(s, &wire.Section{Kind: kind, Name: name(&parts[i]), Text: lines(parts[i])})
+		if !yield(&wire.Section{Kind: kind, Name: name(&parts[i]), Text: lines(parts[i])}) {
+			return false
+		}
 	}
-	return s
+	return true
 }
--- a/internal/measurer/bench_test.go
+++ b/internal/measurer/bench_test.go
@@ -36,6 +36,16 @@
 				}
 			}
 		})
+		b.Run(fmt.Sprintf("parts/%d", accounts), func(b *testing.B) {
+			for b.Loop() {
+				add := configuration.Assemble(1)
+				for part := range old.Parts(256 << 10) {
+					if _, err := add(part); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
 		b.Run(fmt.Sprintf("sections/%d", accounts), func(b *testing.B) {
 			for b.Loop() {
 				if _, err := old.With(change.Sections, change.Version); err != nil {
--- a/internal/measurer/instances.go
+++ b/internal/measurer/instances.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,24 +24,53 @@
 func (m *Measurer) Run(ctx context.Context) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	begin := time.Now()
 	var last *subscriber.Subscriber
+	var configured sync.WaitGroup
 	for i := range m.cfg.Instances {
 		s, err := m.start(ctx, fmt.Sprintf("a%d", i+1))
 		if err != nil {
 			return Result{}, err
 		}
 		last = s
+		configured.Go(func() { wait(ctx, s) })
 		for t := i; t < m.cfg.Targets; t += m.cfg.Instances {
 			go m.announce(ctx, s, t)
 		}
 	}
+	ready := make(chan time.Duration, 1)
+	go func() {
+		configured.Wait()
+		ready <- time.Since(begin)
+	}()
 	r, err := m.count(ctx)
+	select {
+	case d := <-ready:
+		r.Ready = d.Seconds()
+	default:
+	}
 	if last != nil {
 		r.Version = last.Version()
 	}
+	r.Silent = m.silent.Load()
 	return r, err
 }
 
+// wait returns when a configuration is in force, or ctx ends.
+func wait(ctx context.Context, s *subscriber.Subscriber) {
+	for s.Version() == 0 {
+		changed := s.Changed()
+		if s.Version() > 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // start starts the control parts of one instance.
 func (m *Measurer) start(ctx context.Context, name string) (*subscriber.Subscriber, error) {
 	d := dialer.New(dialer.Config{
@@ -58,7 +88,7 @@
 		Watch: func(ctx context.Context, _ string, q *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error) {
 			return client().Watch(ctx, q)
 		},
-		Silent: func(string) {},
+		Silent: func(string) { m.silent.Add(1) },
 	}).Follow
 	s, err := subscriber.New(subscriber.Config{
 		Name: name, Zone: "a", Holders: []string{"holder"},
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -46,7 +46,10 @@
 	Received  float64 `json:"received_bytes"`
 	Messages  float64 `json:"messages"` // calls and updates
 	Heap      float64 `json:"heap_mib"` // at the end
+	Peak      float64 `json:"peak_mib"` // largest resident memory of the process
 	Version   uint64  `json:"version"`  // configuration in force on the last instance
+	Ready     float64 `json:"ready_s"`  // time until all instances had a configuration, 0 if not all had
+	Silent    int64   `json:"silent"`   // streams that were ended because they went silent
 }
 
 // Measurer measures one side.
@@ -54,6 +57,7 @@
 	cfg            Config
 	sent, received atomic.Int64
 	messages       atomic.Int64
+	silent         atomic.Int64
 }
 
 // New returns a measurer.
@@ -82,15 +86,19 @@
 	runtime.GC()
 	runtime.ReadMemStats(&memory)
 	r.Heap = float64(memory.HeapAlloc) / (1 << 20)
+	r.Peak = float64(usage().Maxrss) / (1 << 10)
 	return r, nil
 }
 
+// usage returns what this process has used so far.
+func usage() (u syscall.Rusage) {
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u) // doesn't fail for the process itself
+	return u
+}
+
 // processor returns the processor time of this process.
 func processor() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
+	usage := usage()
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
--- a/internal/planner/row.go
+++ b/internal/planner/row.go
@@ -5,8 +5,6 @@
 	mib = 1 << 20
 	// core is one processor, in ms per second, or one second in ms.
 	core = 1000
-	// messageLimit is that of one drpc message, in MiB.
-	messageLimit = 256
 )
 
 // Roles.
@@ -64,9 +62,11 @@
 			return p.sizes.Requests / p.sizes.Daemons * p.sizes.Targets * p.values["ready-time"]
 		}, coreLimit},
 	{entryRole, "first update, the whole configuration", "MiB", "publisher, subscriber", "budgets × document-account", []string{"document-account"},
-		func(p *Planner) float64 { return p.sizes.Budgets * p.values["document-account"] / mib }, func(*Planner) float64 { return messageLimit }},
-	{entryRole, "time to parse it", "ms", "configuration", "budgets × parse-time", []string{"parse-time"},
-		func(p *Planner) float64 { return p.sizes.Budgets * p.values["parse-time"] }, nil},
+		func(p *Planner) float64 { return p.sizes.Budgets * p.values["document-account"] / mib }, nil},
+	{entryRole, "time to print and assemble it", "ms", "configuration", "budgets × assemble-time", []string{"assemble-time"},
+		func(p *Planner) float64 { return p.sizes.Budgets * p.values["assemble-time"] }, nil},
+	{entryRole, "resident memory while it is received", "MiB", "configuration, subscriber", "budgets × assemble-memory", []string{"assemble-memory"},
+		func(p *Planner) float64 { return p.sizes.Budgets * p.values["assemble-memory"] / mib }, memoryLimit},
 	{entryRole, "processor for requests and streams (no control)", "ms/s", "gateway, dispatcher", "(requests × request-time + tokens × token-time) per daemon", []string{"request-time", "token-time"},
 		func(p *Planner) float64 {
 			return (p.sizes.Requests*p.values["request-time"] + p.sizes.Tokens*p.values["token-time"]) / p.sizes.Daemons
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"iter"
 	"math"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,9 +21,10 @@
 	keepalive = time.Second
 	// coalesce is the least time between two updates.
 	coalesce = 50 * time.Millisecond
-	// kept is the number of former configurations from which a watcher gets
-	// changed sections instead of the whole document.
-	kept = 64
+	// partBytes is the size of the parts in which a whole configuration is
+	// sent. A watcher gets many of them within the 3 s after which it takes a
+	// stream for dead, and holds no more than one beside what it has decoded.
+	partBytes = 256 << 10
 )
 
 // Config configures a Publisher.
@@ -53,10 +54,8 @@
 
 // Publisher serves the watch streams of a holder.
 type Publisher struct {
-	cfg Config
-
-	mu      sync.Mutex
-	history []*configuration.Configuration
+	cfg     Config
+	history history
 }
 
 // New returns a publisher.
@@ -80,6 +79,7 @@
 func (p *Publisher) Watch(r *wire.WatchRequest, stream wire.DRPCFleet_WatchStream) error {
 	ctx := stream.Context()
 	w := &watcher{version: r.Version, first: true}
+	defer w.end()
 	if r.Local {
 		w.zone, w.version = p.cfg.Zone, math.MaxUint64
 	}
@@ -94,6 +94,9 @@
 		if err := stream.Send(update); err != nil {
 			return err
 		}
+		if w.next != nil {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -116,6 +119,24 @@
 	// targets and contents are closed at the next change of a target and of a
 	// blocked content.
 	targets, contents <-chan struct{}
+	// next returns the next part of the whole configuration of the version
+	// coming. It is nil if none is under way.
+	next   func() (part []*wire.Section, last, ok bool)
+	stop   func()
+	coming uint64
+}
+
+// begin starts to send a whole configuration.
+func (w *watcher) begin(c *configuration.Configuration) {
+	w.next, w.stop = iter.Pull2(c.Parts(partBytes))
+	w.coming = c.Version()
+}
+
+func (w *watcher) end() {
+	if w.stop != nil {
+		w.stop()
+	}
+	w.next, w.stop = nil, nil
 }
 
 // update returns what has changed for a watcher.
@@ -126,8 +147,7 @@
 	}
 	u := &wire.Update{Version: state.Version, Phase: state.Phase, Time: p.cfg.Now().UnixNano(), Quorum: p.cfg.Quorum()}
 	if state.Version > w.version {
-		p.fill(u, w.version)
-		w.version = u.Version
+		p.fill(u, w)
 	}
 	targets, sequence, changed := p.cfg.Registry.Since(w.zone, w.sequence)
 	w.targets = changed
@@ -142,41 +162,28 @@
 	return u, nil
 }
 
-// fill adds the configuration: the changed sections if the version that the
-// watcher has is still known here, else the whole document.
-func (p *Publisher) fill(u *wire.Update, held uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	current := p.current()
-	if current == nil {
-		return
-	}
-	u.Version = current.Version()
-	for _, old := range p.history {
-		if old.Version() == held {
-			u.Replaces = held
-			u.Sections = current.Changes(old)
+// fill adds the changed sections if all changes since the version of the
+// watcher are kept, else the next part of the whole configuration. A
+// configuration that is under way is sent to its end, whatever changes.
+func (p *Publisher) fill(u *wire.Update, w *watcher) {
+	if w.next == nil {
+		current, sections, ok := p.history.since(w.version, p.cfg.Configuration())
+		if current == nil {
 			return
 		}
+		if ok {
+			u.Version, u.Replaces, u.Sections = current.Version(), w.version, sections
+			w.version = u.Version
+			return
+		}
+		w.begin(current)
 	}
-	u.Document = current.Text()
-}
-
-// current returns the configuration in force at the local controller, or nil
-// if there is none, and keeps it for later changes.
-func (p *Publisher) current() *configuration.Configuration {
-	c := p.cfg.Configuration()
-	if c == nil {
-		return nil
-	}
-	if n := len(p.history); n > 0 && p.history[n-1].Version() >= c.Version() {
-		return p.history[n-1]
-	}
-	p.history = append(p.history, c)
-	if len(p.history) > kept {
-		p.history = p.history[1:]
+	part, last, _ := w.next()
+	u.Version, u.Sections = w.coming, part
+	if last {
+		w.version = w.coming
+		w.end()
 	}
-	return c
 }
 
 // List returns the instances and the targets that this holder knows.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"bufio"
 	"context"
 	"os"
 	"path/filepath"
@@ -20,7 +21,8 @@
 
 const (
 	// homeInterval is the time after which a stream to a holder of another
-	// zone is ended to try the nearest one again.
+	// zone is ended to try the nearest one again, unless a configuration is
+	// under way on it.
 	homeInterval = 5 * time.Second
 	// retryDelay is the pause after all holders have failed.
 	retryDelay = 200 * time.Millisecond
@@ -58,6 +60,10 @@
 	phase   atomic.Pointer[string]
 	quorum  atomic.Int64 // time of the last update from a holder with a quorum
 
+	// assemble takes the parts of the configuration that the present stream
+	// is bringing, nil if none is. It is used by the goroutine of Run alone.
+	assemble func(part []*wire.Section) (*configuration.Configuration, error)
+
 	mu       sync.Mutex
 	attached string
 	changed  chan struct{}
@@ -177,17 +183,18 @@
 func (s *Subscriber) watch(ctx context.Context, holder string, home bool) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !home {
-		stop := time.AfterFunc(homeInterval, cancel)
-		defer stop.Stop()
-	}
-	attached := false
+	begin, attached := s.cfg.Now(), false
+	s.assemble = nil
 	received, err := s.cfg.Follow(ctx, holder, &wire.WatchRequest{Instance: s.cfg.Name, Zone: s.cfg.Zone, Version: s.Version()}, func(u *wire.Update) error {
 		if !attached {
 			attached = true
 			s.attach(holder)
 		}
-		return s.apply(holder, u)
+		err := s.apply(holder, u)
+		if !home && s.assemble == nil && s.cfg.Now().Sub(begin) > homeInterval {
+			cancel()
+		}
+		return err
 	})
 	if err != nil {
 		s.cfg.Logger.Error("Update can't be applied.", zap.String("holder", holder), zap.Error(err))
@@ -222,33 +229,43 @@
 		s.cfg.Blocker.Merge(u.Poisons)
 	}
 	held := s.Version()
+	var next *configuration.Configuration
+	var err error
 	switch {
 	case u.Version <= held:
 		return nil
-	case len(u.Document) > 0, u.Replaces == held && held > 0:
+	case u.Replaces == held && held > 0:
 		// A new version may change no section at all.
-		return s.install(u)
+		next, err = s.Current().With(u.Sections, u.Version)
 	case u.Replaces > 0:
 		return eris.Wrapf(fault.Conflict, "update to version %d builds on version %d, held is %d", u.Version, u.Replaces, held)
+	case len(u.Sections) > 0:
+		next, err = s.take(u)
 	}
-	return nil
+	if err != nil || next == nil {
+		return err
+	}
+	return s.install(next)
 }
 
-// install makes the configuration of an update durable, if there is a disk,
-// and then puts it in force.
-func (s *Subscriber) install(u *wire.Update) error {
-	var next *configuration.Configuration
-	var err error
-	if len(u.Document) > 0 {
-		next, err = configuration.Parse(u.Document)
-	} else {
-		next, err = s.Current().With(u.Sections, u.Version)
+// take takes a part of a whole configuration and returns the configuration
+// with the last one, before that nil.
+func (s *Subscriber) take(u *wire.Update) (*configuration.Configuration, error) {
+	if s.assemble == nil {
+		s.assemble = configuration.Assemble(u.Version)
 	}
-	if err != nil {
-		return err
+	next, err := s.assemble(u.Sections)
+	if next != nil {
+		s.assemble = nil
 	}
+	return next, err
+}
+
+// install makes a configuration durable, if there is a disk, and then puts it
+// in force.
+func (s *Subscriber) install(next *configuration.Configuration) error {
 	if s.cfg.Path != "" {
-		if err := writeFile(s.cfg.Path, next.Text()); err != nil {
+		if err := writeFile(s.cfg.Path, next); err != nil {
 			return eris.Wrapf(fault.Corrupt, "store configuration: %v", err)
 		}
 	}
@@ -263,14 +280,18 @@
 }
 
 // writeFile replaces the stored configuration atomically and syncs it.
-func writeFile(dir string, text []byte) error {
+func writeFile(dir string, c *configuration.Configuration) error {
 	path := filepath.Join(dir, fileName)
 	f, err := os.CreateTemp(dir, fileName)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = os.Remove(f.Name()) }()
-	if _, err := f.Write(text); err != nil {
+	w := bufio.NewWriter(f)
+	if err := c.Print(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
 		return err
 	}
 	if err := f.Sync(); err != nil {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -48,10 +48,13 @@
 		if err != nil {
 			return received, nil
 		}
-		timer.Reset(Silence)
+		// Putting a large configuration in force takes more than a second, in
+		// which the holder isn't silent.
+		timer.Stop()
 		received = true
 		if err := handle(update); err != nil {
 			return true, err
 		}
+		timer.Reset(Silence)
 	}
 }
--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,67 @@
+package watcher
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// A stream must end when the holder is silent, but not because an update takes
+// long to be handled: each new stream would then begin with the same update.
+func TestSilence(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		pause, handled time.Duration
+		want           int // updates handled
+	}{
+		{"updates in time", time.Second, 0, 3},
+		{"slow handling", time.Second, 2 * Silence, 3},
+		{"silent holder", 2 * Silence, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				silent, got := false, 0
+				w := New(Config{
+					Watch: func(ctx context.Context, _ string, _ *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error) {
+						return &stream{ctx: ctx, pause: c.pause}, nil
+					},
+					Silent: func(string) { silent = true },
+				})
+				_, err := w.Follow(t.Context(), "h", nil, func(*wire.Update) error {
+					time.Sleep(c.handled)
+					got++
+					return nil
+				})
+				if err != nil || got != c.want || silent != (c.want == 0) {
+					t.Errorf("got %d updates, silent %v, %v, want %d", got, silent, err, c.want)
+				}
+			})
+		})
+	}
+}
+
+// stream brings three updates with a pause before each.
+type stream struct {
+	wire.DRPCFleet_WatchClient
+	ctx   context.Context
+	pause time.Duration
+	sent  int
+}
+
+func (s *stream) Recv() (*wire.Update, error) {
+	if s.sent++; s.sent > 3 {
+		return nil, io.EOF
+	}
+	select {
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	case <-time.After(s.pause):
+		return &wire.Update{}, nil
+	}
+}
+
+func (s *stream) Close() error { return nil }
