Find the tokens of draws whose reply was lost

Cause: a draw whose reply was lost left its tokens with the incarnation until that was fenced. The reserver also freed the tokens of a bill that came back as a duplicate of itself, so that it believed to hold more than its ledger; its returns were then refused as a whole, and some bills too.

Guessing from the reply of a return or a settle, since they cross with draws.

Change: DrawReply.unspent, which nobody read, is now all that the incarnation may bill to the account, also with exhausted, and durable before it is told. What exceeds the drawn tokens and those known when the draw was sent (free, reserved, being returned, in doubt) was in lost replies. Settles and returns that cross only hide tokens until a later draw. A duplicate is taken for the bill itself; if it isn't, the next draw finds the tokens. An exhausted holder counts as one that answers.

In the randomised run draws lose their replies now, and at its end each instance must know of all its tokens; in the model of the ledger a draw on a failing disk is followed by another one instead of a fence.

Conclusion: a lost reply costs its tokens for a few seconds. The tokens of a bill without an outcome stay with the incarnation, as before.

--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -30,7 +30,9 @@
 }
 
 // Draw gives an allowance. Without enough free rights, it asks the log for
-// more and waits up to one second.
+// more and waits up to one second. Unspent in the reply is all that the
+// incarnation may bill to the account, so that a reply makes up for earlier
+// ones that were lost.
 func (h *Holder) Draw(ctx context.Context, request *wire.DrawRequest) (*wire.DrawReply, error) {
 	l, err := h.open()
 	if err == nil && h.closing.Load() {
@@ -41,27 +43,27 @@
 	}
 	need := max(request.Need, 1)
 	h.grants.note(request.Account, need, h.cfg.Now())
-	amount, err := h.draw(ctx, l, request, need)
+	amount, held, err := h.draw(ctx, l, request, need)
+	// The epoch lets the caller bill requests without a price.
+	reply := &wire.DrawReply{Fault: wireFault(err), Amount: amount, Epoch: l.Epoch(), Unspent: held}
 	if err != nil {
-		// The epoch lets the caller bill requests without a price.
-		return &wire.DrawReply{Fault: wireFault(err), Epoch: l.Epoch()}, nil
+		return reply, nil
 	}
 	h.progress.kick()
 	h.grants.note(request.Account, amount-need, h.cfg.Now())
 	h.grants.spend(request.Account, amount, h.cfg.Now())
-	t := tally(l, request.Account)
-	h.refill(l, t)
-	return &wire.DrawReply{Amount: amount, Epoch: l.Epoch(), Unspent: t.Free + t.Allowances}, nil
+	h.refill(l, tally(l, request.Account))
+	return reply, nil
 }
 
 // draw draws from the ledger, and asks for rights while it has too few.
-func (h *Holder) draw(ctx context.Context, l *ledger.Ledger, request *wire.DrawRequest, need int64) (int64, error) {
+func (h *Holder) draw(ctx context.Context, l *ledger.Ledger, request *wire.DrawRequest, need int64) (amount, held int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, grantWait)
 	defer cancel()
 	for {
-		amount, err := l.Draw(request.Holding, request.Account, need, request.Want)
+		amount, held, err = l.Draw(request.Holding, request.Account, need, request.Want)
 		if err == nil || fault.Of(err) != fault.Exhausted || !h.ask(ctx, l, request.Account, need, 0) {
-			return amount, err
+			return amount, held, err
 		}
 	}
 }
--- a/internal/holder/random_test.go
+++ b/internal/holder/random_test.go
@@ -117,14 +117,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	e := r.entries[zone]
-	reply, err := r.holder(zone).Draw(ctx, &wire.DrawRequest{Holding: e.holding, Account: "acme", Need: need, Want: 2 * need})
-	if err != nil || reply.Fault != nil {
+	request := &wire.DrawRequest{Holding: e.holding, Account: "acme", Need: need, Want: 2 * need}
+	reply, err := call(r.net, "entry-"+zone, request, func(q *wire.DrawRequest) (*wire.DrawReply, error) { return r.holder(zone).Draw(ctx, q) })
+	if err != nil || reply.Epoch == 0 {
 		return
 	}
 	if reply.Epoch != e.epoch {
 		e.epoch, e.free = reply.Epoch, 0
 	}
-	e.free += reply.Amount
+	// An earlier reply may have been lost.
+	if reply.Unspent < e.free+reply.Amount {
+		r.t.Errorf("held in %s: got %d tokens, want at least %d and %d", zone, reply.Unspent, e.free, reply.Amount)
+	}
+	e.free = reply.Unspent
 }
 
 func (r *random) settle(zone, request string, amount int64) {
@@ -266,6 +271,13 @@
 	r.net.disturb(nil)
 	r.replicated()
 	r.verify()
+	r.net.delayed.Wait()
+	for _, zone := range zones {
+		r.draw(zone, 0)
+		if got, want := r.entries[zone].free, tally(r.holder(zone).Ledger(), "acme").Allowances; got != want {
+			r.t.Errorf("known to the entry instance of %s: got %d tokens, want %d", zone, got, want)
+		}
+	}
 	waitFor(r.t, "each bill once", func() bool { return r.doubled() == "" })
 	for request := range r.durable {
 		waitFor(r.t, "acknowledged request "+request+" in the books", func() bool {
--- a/internal/holder/reserver_test.go
+++ b/internal/holder/reserver_test.go
@@ -64,6 +64,9 @@
 	if billed < least || billed > most {
 		t.Errorf("billed: got %d, want %d to %d", billed, least, most)
 	}
+	if left != 0 {
+		t.Errorf("left in allowances that were returned: got %d tokens, want 0", left)
+	}
 	if allowances != 0 {
 		t.Errorf("allowances of fenced incarnations: got %d tokens, want 0", allowances)
 	}
@@ -72,7 +75,7 @@
 }
 
 // fence fences all entry instances and returns the tokens that were left in
-// their allowances. A lost reply to a draw leaves some there.
+// their allowances.
 func (f *fleet) fence() int64 {
 	var left int64
 	for _, zone := range zones {
@@ -102,6 +105,12 @@
 		})
 	}
 	load.Wait()
+	// A draw that all holders refuse tells what is left from lost replies.
+	f.net.disturb(nil)
+	time.Sleep(2 * lateAfter)
+	if _, err := r.Reserve(context.Background(), "acme", 3_000_001); err == nil {
+		f.t.Errorf("reserved more than the budget in %s", zone)
+	}
 	stop()
 	running.Wait()
 }
--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -15,34 +15,46 @@
 // It is want if that is at most one eighth of the free rights. The error
 // wraps fault.Exhausted if less than need is free, and fault.Fenced if the
 // incarnation is fenced.
-func (l *Ledger) Draw(h *wire.Holding, account string, need, want int64) (int64, error) {
+//
+// Held is all that the incarnation may bill to the account after the draw,
+// also with fault.Exhausted. An instance that missed the reply of an earlier
+// draw learns from it what it holds.
+func (l *Ledger) Draw(h *wire.Holding, account string, need, want int64) (amount, held int64, err error) {
 	if err := check(account, need, want); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	if h.GetInstance() == "" || !valid(h.GetInstance()) {
-		return 0, eris.Wrapf(fault.Malformed, "instance %q", h.GetInstance())
+		return 0, 0, eris.Wrapf(fault.Malformed, "instance %q", h.GetInstance())
 	}
 	if err := l.enter(); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	a, err := l.usable(account)
 	if err == nil && l.fenced(h.GetInstance(), h.GetIncarnation()) {
 		err = eris.Wrapf(fault.Fenced, "instance %s, incarnation %d", h.GetInstance(), h.GetIncarnation())
 	}
-	need = max(need, 1)
-	if err == nil && a.free < need {
-		err = eris.Wrapf(fault.Exhausted, "account %s: %d tokens free, %d needed", account, a.free, need)
-	}
 	if err != nil {
 		l.mu.Unlock()
-		return 0, err
+		return 0, 0, err
+	}
+	if al := l.holding(h.GetInstance(), h.GetIncarnation(), account); al != nil {
+		held = al.amount
+	}
+	need = max(need, 1)
+	if a.free < need {
+		refused := eris.Wrapf(fault.Exhausted, "account %s: %d tokens free, %d needed", account, a.free, need)
+		// What the caller is told that it holds must be durable.
+		if _, err := l.store(); err != nil {
+			return 0, 0, err
+		}
+		return 0, held, refused
 	}
-	amount := max(need, min(want, a.free/drawShare))
+	amount = max(need, min(want, a.free/drawShare))
 	err = l.commit(recordDraw, &wire.ReturnRequest{Holding: h, Account: account, Epoch: l.epoch, Amount: amount})
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	return amount, nil
+	return amount, held + amount, nil
 }
 
 // Return gives back a part of an allowance. A repeated sequence of the
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -97,7 +97,7 @@
 		{0, 1, 0, fault.Exhausted},
 		{-1, 1, 0, fault.Malformed},
 	} {
-		got, err := l.Draw(holding("entry", 1), "a", test.need, test.want)
+		got, _, err := l.Draw(holding("entry", 1), "a", test.need, test.want)
 		if got != test.amount || !errors.Is(err, test.err) {
 			t.Errorf("draw(%d, %d): got %d, %v, want %d, %v", test.need, test.want, got, err, test.amount, test.err)
 		}
@@ -172,14 +172,14 @@
 	if err := l.Return(h, "a", 1, 1, 1); !errors.Is(err, fault.Broken) {
 		t.Errorf("return: got %v, want %v", err, fault.Broken)
 	}
-	if _, err := l.Draw(h, "a", 1, 1); !errors.Is(err, fault.Broken) {
+	if _, _, err := l.Draw(h, "a", 1, 1); !errors.Is(err, fault.Broken) {
 		t.Errorf("draw: got %v, want %v", err, fault.Broken)
 	}
 	settle(t, l, h, bill("x", 1), refused)
 	if got, want := l.Violations(), uint64(1); got != want {
 		t.Errorf("violations: got %d, want %d", got, want)
 	}
-	if _, err := l.Draw(h, "b", 1, 1); err != nil {
+	if _, _, err := l.Draw(h, "b", 1, 1); err != nil {
 		t.Errorf("other account: got %v, want no error", err)
 	}
 }
@@ -223,7 +223,7 @@
 
 func draw(t *testing.T, l *Ledger, h *wire.Holding, need int64) {
 	t.Helper()
-	if got, err := l.Draw(h, "a", need, 0); err != nil || got != need {
+	if got, _, err := l.Draw(h, "a", need, 0); err != nil || got != need {
 		t.Fatalf("draw: got %d, %v, want %d", got, err, need)
 	}
 }
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -227,15 +227,26 @@
 func (w *world) drawFor(t *rapid.T, z *zone, a, e string) {
 	need, want := 1+tokens(t, "need"), tokens(t, "want")
 	b := z.books[a]
-	var got int64
-	uncertain, err := z.attempt(t, false, func() (err error) {
-		got, err = z.ledger.Draw(z.entries[e], a, need, want)
+	var got, held int64
+	call := func() (err error) {
+		got, held, err = z.ledger.Draw(z.entries[e], a, need, want)
 		return err
-	})
+	}
+	uncertain, err := z.attempt(t, false, call)
+	if uncertain {
+		// The allowance may have been issued; the next draw tells.
+		err = call()
+		lost := held - got - z.held[e][a]
+		b.free -= lost
+		b.allowances += lost
+		z.held[e][a] += lost
+	}
+	if got > 0 || errors.Is(err, fault.Exhausted) {
+		if want := z.held[e][a] + got; held != want {
+			t.Fatalf("draw: got %d tokens held, want %d", held, want)
+		}
+	}
 	switch {
-	case uncertain:
-		// The allowance may have been issued, so that only a fence tells.
-		z.fence(t, e)
 	case b.free < need:
 		if !errors.Is(err, fault.Exhausted) {
 			t.Fatalf("draw: got %d, %v, want %v", got, err, fault.Exhausted)
--- a/internal/reserver/account.go
+++ b/internal/reserver/account.go
@@ -25,6 +25,7 @@
 	source
 	free     int64 // tokens that can be reserved
 	reserved int64 // tokens of open tickets
+	doubt    int64 // tokens of bills that were sent and have no outcome
 	used     time.Time
 	void     bool // the ledger refuses bills on it
 }
@@ -46,7 +47,8 @@
 	demand     counter.Counter // tokens reserved
 	waiters    []*waiter
 	drawing    bool
-	early      time.Time // no draw ahead of time before
+	early      time.Time            // no draw ahead of time before
+	unsure     map[string]time.Time // holders whose last reply was lost, not asked for it before
 }
 
 // take reserves from the first allowance that has enough, without those of
@@ -74,6 +76,7 @@
 	for _, l := range a.allowances {
 		if !l.void && (l.incarnation != h.Incarnation || l.instance != h.Instance) {
 			l.void, l.free = true, 0
+			clear(a.unsure)
 		}
 	}
 }
@@ -106,16 +109,32 @@
 	return sum
 }
 
+// known returns the latest epoch in which the incarnation has allowances of
+// the holder, and what it may still bill, cancel or have billed on them.
+func (a *account) known(holder string, h *wire.Holding) (epoch uint64, sum int64) {
+	for _, l := range a.allowances {
+		if l.holder != holder || l.instance != h.Instance || l.incarnation != h.Incarnation || l.epoch < epoch {
+			continue
+		}
+		if l.epoch > epoch {
+			epoch, sum = l.epoch, 0
+		}
+		sum += l.free + l.reserved + l.doubt
+	}
+	return epoch, sum
+}
+
 // prune removes allowances without tokens or tickets that were not used since
-// the given time, and tells whether the account can be forgotten.
+// the given time, and tells whether the account can be forgotten. Tokens in
+// doubt are remembered, since a later draw would take them for its own.
 func (a *account) prune(since time.Time) bool {
 	kept := a.allowances[:0]
 	for _, l := range a.allowances {
-		if l.reserved > 0 || !l.void && (l.free > 0 || l.used.After(since)) {
+		if l.reserved > 0 || !l.void && (l.free > 0 || l.doubt > 0 || l.used.After(since)) {
 			kept = append(kept, l)
 		}
 	}
 	clear(a.allowances[len(kept):])
 	a.allowances = kept
-	return len(kept) == 0 && len(a.waiters) == 0 && !a.drawing
+	return len(kept) == 0 && len(a.waiters) == 0 && len(a.unsure) == 0 && !a.drawing
 }
--- a/internal/reserver/draw.go
+++ b/internal/reserver/draw.go
@@ -26,6 +26,8 @@
 	earlyPause = 50 * time.Millisecond
 	// failedPause separates draws ahead of time after a refused one.
 	failedPause = 500 * time.Millisecond
+	// unsurePause separates the draws that ask for the tokens of a lost reply.
+	unsurePause = 2 * time.Second
 	// drawSpan is the demand that a draw asks for, in demand windows.
 	drawSpan = 2
 )
@@ -116,10 +118,16 @@
 	a.waiters = left
 }
 
-// drawEarly draws ahead of time from the nearest holder that answers. Nobody
-// waits for it, so a refusal only delays the next one.
+// drawEarly draws ahead of time from the nearest holder that answers, or from
+// one whose last reply was lost. Nobody waits for it, so a refusal only delays
+// the next one.
 func (r *Reserver) drawEarly(a *account) {
 	holders := r.order()
+	for holder := range a.unsure {
+		if !r.avoided(holder) {
+			holders = []string{holder}
+		}
+	}
 	if len(holders) == 0 || r.drawFrom(a, holders[0], 1) != nil {
 		a.early = r.cfg.Now().Add(failedPause)
 	}
@@ -170,24 +178,75 @@
 		want = max(want, w.amount)
 	}
 	request := &wire.DrawRequest{Holding: h, Account: a.name, Need: need, Want: max(want-a.free(""), need)}
+	epoch, known := a.known(holder, h)
+	known += r.returning(holder, h, a.name)
 	a.shard.mu.Unlock()
 	reply, err := r.callDraw(holder, request)
 	a.shard.mu.Lock()
-	// A request without a price needs a ledger for its bill, but no tokens.
-	if err != nil && (amount > 0 || reply == nil) {
+	if reply == nil {
+		switch fault.Of(err) {
+		case fault.Unavailable, fault.Corrupt, fault.Internal:
+			// The draw may have had an effect.
+			a.miss(holder, r.cfg.Now())
+		}
 		return err
 	}
+	if reply.Epoch > epoch {
+		known = 0
+	}
 	s := source{holder: holder, instance: h.Instance, incarnation: h.Incarnation, epoch: reply.Epoch}
-	a.credit(s, reply.Amount, r.cfg.Now())
+	found := r.found(a, holder, reply, known)
+	// A request without a price needs a ledger for its bill, but no tokens.
+	if err == nil || amount == 0 || found > 0 {
+		a.credit(s, reply.Amount+found, r.cfg.Now())
+	}
 	for _, l := range a.allowances {
 		if !l.void && l.free >= amount && !r.avoided(l.holder) {
 			return nil
 		}
 	}
+	if err != nil {
+		return err
+	}
 	return eris.Wrapf(fault.Exhausted, "holder %s gave %d of %d tokens", holder, reply.Amount, need)
 }
 
-// callDraw makes one call. With fault.Exhausted, it returns the reply as well.
+// found returns the tokens that the ledger counts for this incarnation beyond
+// the drawn ones and those that were known when the call began: replies with
+// them were lost. Settles and returns that cross with the draw only lower the
+// result, and what they hide is found by a later draw. Draws don't cross,
+// since an account has one at a time.
+func (r *Reserver) found(a *account, holder string, reply *wire.DrawReply, known int64) int64 {
+	delete(a.unsure, holder)
+	found := max(reply.Unspent-reply.Amount-known, 0)
+	if found > 0 {
+		r.cfg.Logger.Info("Tokens of lost replies are found.", zap.String("holder", holder), zap.String("account", a.name), zap.Int64("tokens", found))
+	}
+	return found
+}
+
+// miss notes that the ledger may count more tokens for this instance than it
+// knows of.
+func (a *account) miss(holder string, now time.Time) {
+	if a.unsure == nil {
+		a.unsure = map[string]time.Time{}
+	}
+	a.unsure[holder] = now.Add(unsurePause)
+}
+
+// reconcile draws again where the reply of a draw was lost, so that its tokens
+// don't stay idle until the next request.
+func (r *Reserver) reconcile(a *account, now time.Time) {
+	for holder, next := range a.unsure {
+		if !now.Before(next) && !r.avoided(holder) {
+			r.draw(a)
+			return
+		}
+	}
+}
+
+// callDraw makes one call. With fault.Exhausted, it returns the reply as well;
+// without a reply the outcome may be unknown.
 func (r *Reserver) callDraw(holder string, request *wire.DrawRequest) (*wire.DrawReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
 	defer cancel()
@@ -204,6 +263,7 @@
 	kind := fault.Parse(reply.Fault.Code)
 	err = eris.Wrapf(kind, "draw from %s: %s", holder, reply.Fault.Text)
 	if kind == fault.Exhausted {
+		r.trust(holder)
 		return reply, err
 	}
 	r.shun(holder)
--- a/internal/reserver/fake_test.go
+++ b/internal/reserver/fake_test.go
@@ -18,10 +18,11 @@
 type books struct {
 	mu        sync.Mutex
 	free      int64
-	held      int64
+	held      map[uint64]int64 // by incarnation
 	epoch     uint64
 	down      bool
 	losses    int // replies to settles that are lost after the effect
+	lost      int // the same for draws
 	solo      bool
 	copied    uint64
 	position  uint64
@@ -33,7 +34,7 @@
 }
 
 func newBooks(free int64) *books {
-	return &books{free: free, epoch: 1, billed: map[string]int64{}, sequences: map[uint64]bool{}}
+	return &books{free: free, epoch: 1, held: map[uint64]int64{}, billed: map[string]int64{}, sequences: map[uint64]bool{}}
 }
 
 func (b *books) draw(request *wire.DrawRequest) (*wire.DrawReply, error) {
@@ -49,13 +50,18 @@
 		return nil, eris.New("connection refused")
 	}
 	b.draws++
+	incarnation := request.Holding.Incarnation
 	if b.free < max(request.Need, 1) {
-		return &wire.DrawReply{Epoch: b.epoch, Fault: &wire.Fault{Code: fault.Exhausted.Code()}}, nil
+		return &wire.DrawReply{Epoch: b.epoch, Unspent: b.held[incarnation], Fault: &wire.Fault{Code: fault.Exhausted.Code()}}, nil
 	}
 	amount := min(b.free, max(request.Need, request.Want))
 	b.free -= amount
-	b.held += amount
-	return &wire.DrawReply{Amount: amount, Epoch: b.epoch}, nil
+	b.held[incarnation] += amount
+	if b.lost > 0 {
+		b.lost--
+		return nil, eris.New("connection reset")
+	}
+	return &wire.DrawReply{Amount: amount, Epoch: b.epoch, Unspent: b.held[incarnation]}, nil
 }
 
 func (b *books) giveBack(request *wire.ReturnRequest) (*wire.ReturnReply, error) {
@@ -67,7 +73,7 @@
 	if !b.sequences[request.Sequence] {
 		b.sequences[request.Sequence] = true
 		b.free += request.Amount
-		b.held -= request.Amount
+		b.held[request.Holding.Incarnation] -= request.Amount
 	}
 	return &wire.ReturnReply{}, nil
 }
@@ -100,7 +106,7 @@
 	}
 	b.position++
 	b.billed[bill.Request] = bill.Amount
-	b.held -= bill.Amount
+	b.held[request.Holding.Incarnation] -= bill.Amount
 	return wire.Outcome_OUTCOME_BILLED
 }
 
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -134,6 +134,53 @@
 	}
 }
 
+// The tokens of a draw whose reply is lost must come to use with the next
+// reply, once each, also while a bill is on its way.
+func TestReserveLostReply(t *testing.T) {
+	b := newBooks(1000)
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	mustSettle(t, bed, mustReserve(t, bed, 100), bill("r1", 60))
+	open := mustReserve(t, bed, 100)
+	waitFor(t, func() bool { return !drawing(bed) })
+	b.set(func(b *books) { b.lost = 1 })
+	if _, err := bed.Reserve(context.Background(), "acme", 700); fault.Of(err) != fault.Unavailable {
+		t.Fatalf("lost reply: got %v, want %v", err, fault.Unavailable)
+	}
+	for _, amount := range []int64{700, 840} {
+		bed.Cancel(mustReserve(t, bed, amount))
+	}
+	if _, err := bed.Reserve(context.Background(), "acme", 841); fault.Of(err) != fault.Exhausted {
+		t.Errorf("tokens beyond the budget: got %v, want %v", err, fault.Exhausted)
+	}
+	bed.Cancel(open)
+	mustReserve(t, bed, 940)
+	if _, err := bed.Reserve(context.Background(), "acme", 1); fault.Of(err) != fault.Exhausted {
+		t.Errorf("tokens beyond the budget: got %v, want %v", err, fault.Exhausted)
+	}
+}
+
+func drawing(bed *testbed) bool {
+	s, _ := bed.shard("acme")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accounts["acme"].drawing
+}
+
+// Without another request, the tokens of a lost reply must be returned too.
+func TestSweepLostReply(t *testing.T) {
+	b := newBooks(1000)
+	b.lost = 1
+	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
+	_, _ = bed.Reserve(context.Background(), "acme", 500)
+	waitFor(t, func() bool {
+		bed.advance(idleTime)
+		bed.sweep(bed.cfg.Now().Add(-idleTime))
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.free == 1000
+	})
+}
+
 // Spending from the allowance of a fenced incarnation ends in refused bills.
 func TestReserveNewIncarnation(t *testing.T) {
 	b := newBooks(1000)
--- a/internal/reserver/return.go
+++ b/internal/reserver/return.go
@@ -55,6 +55,9 @@
 				l.free = 0
 			}
 		}
+		if !r.closed.Load() {
+			r.reconcile(a, r.cfg.Now())
+		}
 		if a.prune(before) {
 			delete(s.accounts, name)
 		}
@@ -81,6 +84,26 @@
 	}
 }
 
+// returning returns the queued tokens of an account whose return isn't
+// confirmed.
+func (r *Reserver) returning(holder string, h *wire.Holding, name string) int64 {
+	r.mu.Lock()
+	b := r.returns[holder]
+	r.mu.Unlock()
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var sum int64
+	for _, q := range b.queue {
+		if q.Account == name && q.Holding.Incarnation == h.Incarnation && q.Holding.Instance == h.Instance {
+			sum += q.Amount
+		}
+	}
+	return sum
+}
+
 // sendReturns sends the queued returns until the queue is empty. A return with
 // an unknown outcome is resent for as long as its incarnation lives.
 func (r *Reserver) sendReturns(b *returner) {
--- a/internal/reserver/settle.go
+++ b/internal/reserver/settle.go
@@ -162,11 +162,15 @@
 }
 
 // expire fails a settlement. Its tokens become free only if no call contained
-// the bill; otherwise the ledger may have billed it.
+// the bill; otherwise the ledger may have billed it or may still do so. The
+// part that the bill doesn't need is found by a later draw.
 func (r *Reserver) expire(x *settlement) {
-	var free int64
-	if !x.sent {
-		free = x.ticket.amount
+	free := x.ticket.amount
+	if x.sent {
+		free = 0
+		x.ticket.account.shard.mu.Lock()
+		x.ticket.allowance.doubt += x.ticket.amount
+		x.ticket.account.shard.mu.Unlock()
 	}
 	r.finish(x, free, wire.Outcome_OUTCOME_NONE, eris.Wrapf(fault.Unsettled, "request %s: no outcome within %v", x.bill.Request, settleLimit))
 }
@@ -217,11 +221,10 @@
 	case wire.Outcome_OUTCOME_BILLED:
 		free -= x.bill.Amount
 	case wire.Outcome_OUTCOME_DUPLICATE:
-		// After a lost reply the duplicate can be this bill itself, which used
-		// up its tokens.
-		if x.sent {
-			free -= x.bill.Amount
-		}
+		// The duplicate can be this bill itself, which used up its tokens. If it
+		// isn't, the next draw finds them.
+		free -= x.bill.Amount
+		r.miss(x.ticket)
 	case wire.Outcome_OUTCOME_CONFLICT:
 	default:
 		// The ledger doesn't honour the allowance any more.
@@ -241,6 +244,14 @@
 	close(x.done)
 }
 
+// miss has the account draw once more, to find tokens that the ledger may still
+// count for this instance.
+func (r *Reserver) miss(t ticket) {
+	t.account.shard.mu.Lock()
+	defer t.account.shard.mu.Unlock()
+	t.account.miss(t.allowance.holder, r.cfg.Now())
+}
+
 func (r *Reserver) void(t ticket) {
 	t.account.shard.mu.Lock()
 	defer t.account.shard.mu.Unlock()
