Give the tokens that an incarnation holds a field of their own

Cause: DrawReply.unspent got a new meaning, so that an instance of this version would have taken the rights of the zone, told by a holder of an earlier one, for its own, and its bills would have been refused during a rolling upgrade. Ruled out: a version check at the connection, since zero in a new field is harmless: nothing is found. Conclusion: old and new instances can draw from each other's holders.

--- a/internal/comparer/baseline.go
+++ b/internal/comparer/baseline.go
@@ -43,7 +43,7 @@
 	m := newMeter(c.cfg)
 	c.replay(m, func(e event) (time.Duration, bool) {
 		m.size(proto.Size(&wire.DrawRequest{Holding: &wire.Holding{Instance: "a1", Incarnation: uint64(e.at)}, Account: c.cfg.Accounts[e.account].Name, Need: e.bound, Want: e.bound}) +
-			proto.Size(&wire.DrawReply{Amount: e.bound, Epoch: 1, Unspent: left[e.account]}))
+			proto.Size(&wire.DrawReply{Amount: e.bound, Epoch: 1, Held: left[e.account]}))
 		if c.cfg.Cut.contains(e.at) && e.zone == c.cfg.Cut.Zone {
 			return callLimit, false
 		}
--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -30,7 +30,7 @@
 }
 
 // Draw gives an allowance. Without enough free rights, it asks the log for
-// more and waits up to one second. Unspent in the reply is all that the
+// more and waits up to one second. Held in the reply is all that the
 // incarnation may bill to the account, so that a reply makes up for earlier
 // ones that were lost.
 func (h *Holder) Draw(ctx context.Context, request *wire.DrawRequest) (*wire.DrawReply, error) {
@@ -45,7 +45,7 @@
 	h.grants.note(request.Account, need, h.cfg.Now())
 	amount, held, err := h.draw(ctx, l, request, need)
 	// The epoch lets the caller bill requests without a price.
-	reply := &wire.DrawReply{Fault: wire.NewFault(err), Amount: amount, Epoch: l.Epoch(), Unspent: held}
+	reply := &wire.DrawReply{Fault: wire.NewFault(err), Amount: amount, Epoch: l.Epoch(), Held: held}
 	if err != nil {
 		return reply, nil
 	}
--- a/internal/holder/random_test.go
+++ b/internal/holder/random_test.go
@@ -126,10 +126,10 @@
 		e.epoch, e.free = reply.Epoch, 0
 	}
 	// An earlier reply may have been lost.
-	if reply.Unspent < e.free+reply.Amount {
-		r.t.Errorf("held in %s: got %d tokens, want at least %d and %d", zone, reply.Unspent, e.free, reply.Amount)
+	if reply.Held < e.free+reply.Amount {
+		r.t.Errorf("held in %s: got %d tokens, want at least %d and %d", zone, reply.Held, e.free, reply.Amount)
 	}
-	e.free = reply.Unspent
+	e.free = reply.Held
 }
 
 func (r *random) settle(zone, request string, amount int64) {
--- a/internal/reserver/draw.go
+++ b/internal/reserver/draw.go
@@ -218,7 +218,7 @@
 // since an account has one at a time.
 func (r *Reserver) found(a *account, holder string, reply *wire.DrawReply, known int64) int64 {
 	delete(a.unsure, holder)
-	found := max(reply.Unspent-reply.Amount-known, 0)
+	found := max(reply.Held-reply.Amount-known, 0)
 	if found > 0 {
 		r.cfg.Logger.Info("Tokens of lost replies are found.", zap.String("holder", holder), zap.String("account", a.name), zap.Int64("tokens", found))
 	}
--- a/internal/reserver/fake_test.go
+++ b/internal/reserver/fake_test.go
@@ -52,7 +52,7 @@
 	b.draws++
 	incarnation := request.Holding.Incarnation
 	if b.free < max(request.Need, 1) {
-		return &wire.DrawReply{Epoch: b.epoch, Unspent: b.held[incarnation], Fault: &wire.Fault{Code: fault.Exhausted.Code()}}, nil
+		return &wire.DrawReply{Epoch: b.epoch, Held: b.held[incarnation], Fault: &wire.Fault{Code: fault.Exhausted.Code()}}, nil
 	}
 	amount := min(b.free, max(request.Need, request.Want))
 	b.free -= amount
@@ -61,7 +61,7 @@
 		b.lost--
 		return nil, eris.New("connection reset")
 	}
-	return &wire.DrawReply{Amount: amount, Epoch: b.epoch, Unspent: b.held[incarnation]}, nil
+	return &wire.DrawReply{Amount: amount, Epoch: b.epoch, Held: b.held[incarnation]}, nil
 }
 
 func (b *books) giveBack(request *wire.ReturnRequest) (*wire.ReturnReply, error) {
