Read answers in the goroutine of their request

Cause: 16 % of an instance's processor time went into dispatcher.exchange, where a second goroutine read each part of an answer and handed it to the relay, which set and stopped a timer per part.

Ruled out: deadlines of net.Conn, since a missed deadline makes the transport give up a connection that may only wait for a long prefill; one watcher per instance, which has to keep a list of all conversations.

Change: the consumer reads the body itself. Each read notes its begin under a lock. One timer per conversation, set again at most once per Config.Quiet, starts an inspection when a read takes too long; the inspection holds the probes and the spare connection as before, and its verdict cancels the read. A renewal of the connections of an address starts the inspection at once. The time in which a slow caller holds up the relay no longer counts as silence. A line that a failed connection has cut is no longer passed on, since its syntax error hid the cause. A line over 2 MiB is passed on in parts instead of growing the buffer without a bound.

The tests of dispatcher and gateway and TestFrozenTarget, TestCrossedAndTruncatedAnswers and TestRouterDiesMidStream pass unchanged.

--- a/internal/dispatcher/conversation.go
+++ b/internal/dispatcher/conversation.go
@@ -7,7 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,321 +26,276 @@
 	// prefill delay, and inside a stream.
 	patienceFirst  = 120
 	patienceStream = 30
-	// maxSilent is the number of unanswered questions in a row after which a
-	// target counts as dead.
-	maxSilent = 2
-	// unknownCode is in the answer of a target that doesn't know a stream.
-	unknownCode = `"code":"missing"`
-	// spareAge is the number of checks after which an unanswered question for
-	// the stream is asked again.
-	spareAge = 10
+	// lineSize is the size of the buffer for the lines of a stream, maxLine
+	// bounds a line, both in bytes. A longer line is passed on in parts.
+	lineSize = 4096
+	maxLine  = 2 << 20
 )
 
-// Errors of an attempt whose connection went silent.
-var (
-	errDead  = eris.New("the connection is silent and the target doesn't answer on a new one")
-	errLost  = eris.New("the connection is silent while the target answers on a new one")
-	errStuck = eris.New("the target is alive but makes no progress")
-)
-
-// conversation is the answer of one attempt. When its connection goes silent
-// it asks the target for the same stream on a second connection: the one that
-// delivers first tells whether the target is slow or the connection is dead.
+// conversation is the answer of one attempt. It is read in the goroutine of its
+// consumer. A timer that is set again at most once per Config.Quiet looks
+// whether a read takes too long, and then starts an inspection, whose verdict
+// ends the read.
 type conversation struct {
-	d        *Dispatcher
-	ctx      context.Context
-	a        *attempt
-	pool     *pool
-	renewed  <-chan struct{}
-	active   *exchange
-	spare    *exchange
-	reply    *http.Response // of the spare
-	response *http.Response // of the answer
-	// resumable tells that the target can be asked for the stream again.
-	resumable bool
-	last      time.Time // of the last byte
-	silent    int       // unanswered questions in a row
-	checks    int
-	probe     chan bool
-	probing   bool
+	d         *Dispatcher
+	ctx       context.Context
+	a         *attempt
+	pool      *pool
+	active    *exchange
+	resumable bool // the target can be asked for the stream again
 
-	ready []byte // not yet read
-	tail  []byte // last line of a stream, not yet whole
-	stash []event
+	// renewed ends when the kept connections are renewed; until forget is
+	// called, that starts an inspection.
+	renewed context.Context
+	forget  func() bool
+
+	lines []byte // bytes of a stream
+	next  int    // first byte that is not yet read
+	whole int    // end of the last whole line
 	err   error
+
+	mu         sync.Mutex // guards the fields below
+	timer      *time.Timer
+	waiting    time.Time // begin of the present read, or zero
+	taken      int       // content events that the consumer had then
+	response   *http.Response
+	inspection *inspection // the one that runs, or nil
+	verdict    *verdict    // not yet taken by the reader
+	ended      bool
 }
 
-// converse sends an attempt.
+// converse prepares the sending of an attempt.
 func (d *Dispatcher) converse(ctx context.Context, a *attempt) (*conversation, error) {
 	a.body = &gate{r: bytes.NewReader(a.job.Body)}
-	request, err := a.request(ctx)
-	if err != nil {
-		return nil, err
-	}
-	c := &conversation{d: d, ctx: ctx, a: a, pool: d.pool(a.target.Address), last: time.Now(), probe: make(chan bool, 1)}
+	c := &conversation{d: d, ctx: ctx, a: a, pool: d.pool(a.target.Address)}
 	c.resumable = a.job.Model != "" && a.job.Repeatable
-	transport, renewed := c.pool.take()
-	c.renewed = renewed
+	var transport http.RoundTripper
+	transport, c.renewed = c.pool.take()
 	if !a.job.Repeatable {
 		transport = d.single
 	}
-	c.active = begin(transport, request)
-	return c, nil
+	var err error
+	c.active, err = newExchange(ctx, transport, a.request)
+	return c, err
 }
 
-// head waits for the status and the headers.
+// head sends the attempt and waits for the status and the headers.
 func (c *conversation) head() error {
-	e, err := c.next()
-	if err == nil {
-		err = e.err
+	c.enter()
+	c.mu.Lock()
+	c.timer = time.AfterFunc(c.quiet(), c.tick)
+	c.mu.Unlock()
+	c.forget = context.AfterFunc(c.renewed, c.suspect)
+	err := c.active.open()
+	v := c.leave()
+	switch {
+	case v != nil && v.err != nil:
+		return v.err
+	case v != nil:
+		c.active.close()
+		c.active, err = v.exchange, nil
 	}
-	c.response = e.response
-	return err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.response = c.active.response
+	if c.inspection == nil {
+		c.timer.Reset(c.quiet()) // another one holds now
+	}
+	return c.truth(err)
 }
 
 // Read returns bytes of the answer. It returns whole lines of a stream, so
 // that the stream can be continued on another connection.
 func (c *conversation) Read(p []byte) (int, error) {
-	for len(c.ready) == 0 {
+	if c.a.job.Progress == nil {
+		n, _, err := c.receive(p)
+		return n, err
+	}
+	for c.next == c.whole {
 		if c.err != nil {
 			return 0, c.err
 		}
-		e, err := c.next()
-		if err == nil {
-			err = e.err
-		}
-		c.err = err
-		if c.a.job.Progress == nil {
-			c.ready = append(c.ready[:0], e.data...)
-			continue
-		}
-		c.tail = append(c.tail, e.data...)
-		end := bytes.LastIndexByte(c.tail, '\n') + 1
-		if err != nil {
-			end = len(c.tail)
-		}
-		c.ready = append(c.ready[:0], c.tail[:end]...)
-		c.tail = append(c.tail[:0], c.tail[end:]...)
+		c.fill()
 	}
-	n := copy(p, c.ready)
-	c.ready = c.ready[n:]
+	n := copy(p, c.lines[c.next:c.whole])
+	c.next += n
 	return n, nil
 }
 
-// Close does nothing; finish ends the conversation.
-func (c *conversation) Close() error { return nil }
-
-// finish ends the exchanges. A run that may go on behind a dead connection is
-// cancelled, since its target can't see that nobody waits for it.
-func (c *conversation) finish(err error) {
-	c.dropSpare()
-	if err == nil {
-		go c.active.drain()
-		return
+// fill reads more of a stream after its lines have been read.
+func (c *conversation) fill() {
+	begun := copy(c.lines, c.lines[c.whole:])
+	c.lines, c.next, c.whole = c.lines[:begun], 0, 0
+	if begun == cap(c.lines) {
+		c.lines = append(make([]byte, 0, max(lineSize, 2*begun)), c.lines...)
 	}
-	c.active.cancel()
-	if eris.Is(err, errLost) || eris.Is(err, errStuck) {
-		c.d.cfg.Logger.Warn("Connection went silent.", zap.String("request", c.a.job.Request), zap.String("target", c.a.target.Name), zap.String("cause", err.Error()))
-		if c.resumable {
-			go c.cancelRun()
-		}
+	n, moved, err := c.receive(c.lines[begun:cap(c.lines)])
+	if moved {
+		// The line that was begun comes again, as a whole.
+		copy(c.lines[:cap(c.lines)], c.lines[begun:begun+n])
+		begun = 0
+	}
+	c.lines, c.err = c.lines[:begun+n], err
+	c.whole = bytes.LastIndexByte(c.lines, '\n') + 1
+	if errors.Is(err, io.EOF) || len(c.lines) > maxLine {
+		c.whole = len(c.lines)
 	}
 }
 
-func (c *conversation) cancelRun() {
-	ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
-	defer cancel()
-	body, _ := json.Marshal(struct {
-		Request string `json:"request"`
-	}{c.a.id()})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.pool.address+"/v1/cancel", bytes.NewReader(body))
-	if err != nil {
-		return
+// receive reads from the connection and reports whether the answer went on
+// over another one.
+func (c *conversation) receive(p []byte) (n int, moved bool, err error) {
+	c.enter()
+	n, err = c.active.read(p)
+	v := c.leave()
+	if v == nil {
+		return n, false, c.truth(err)
 	}
-	if response, err := c.d.single.RoundTrip(request); err == nil {
-		_ = response.Body.Close()
+	if v.err != nil {
+		return 0, false, v.err
 	}
+	c.active.close()
+	c.active = v.exchange
+	n, err = c.active.read(p)
+	return n, true, c.truth(err)
 }
 
-// next returns the next event of the answer.
-func (c *conversation) next() (event, error) {
-	if len(c.stash) > 0 {
-		e := c.stash[0]
-		c.stash = c.stash[1:]
-		return e, nil
+// truth returns the cause of the error of a read.
+func (c *conversation) truth(err error) error {
+	if err != nil && !errors.Is(err, io.EOF) && c.ctx.Err() != nil {
+		return c.ctx.Err()
 	}
-	timer := time.NewTimer(c.quiet())
-	defer timer.Stop()
-	for {
-		var spare chan event
-		if c.spare != nil {
-			spare = c.spare.events
-		}
-		select {
-		case e := <-c.active.events:
-			c.progress()
-			return e, nil
-		case e := <-spare:
-			if found, err := c.compare(e); found != nil || err != nil {
-				return *orEmpty(found), err
-			}
-		case alive := <-c.probe:
-			if err := c.judge(alive); err != nil {
-				return event{}, err
-			}
-		case <-c.renewed:
-			c.renewed = nil
-			c.check()
-		case <-timer.C:
-			if time.Since(c.last) > c.patience() {
-				return event{}, errStuck
-			}
-			c.check()
-			timer.Reset(c.d.cfg.Quiet)
-		case <-c.ctx.Done():
-			return event{}, c.ctx.Err()
-		}
+	return err
+}
+
+// enter notes that a read begins.
+func (c *conversation) enter() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = time.Now()
+	if c.a.job.Progress != nil {
+		c.taken = c.a.job.Progress()
 	}
 }
 
-// progress notes that the connection delivers.
-func (c *conversation) progress() {
-	c.last, c.silent = time.Now(), 0
-	c.dropSpare()
+// leave notes that a read has returned. If a verdict came before, what was read
+// must not be used.
+func (c *conversation) leave() *verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = time.Time{}
+	c.endInspection()
+	v := c.verdict
+	c.verdict = nil
+	return v
 }
 
-// check asks the target on new connections whether it is alive and, if it can
-// tell, for the stream of this attempt.
-func (c *conversation) check() {
-	if !c.probing {
-		c.probing = true
-		go func() { c.probe <- c.pool.isAlive() }()
-	}
-	c.checks++
-	if c.spare != nil && c.reply == nil && c.checks%spareAge == 0 {
-		c.dropSpare()
+// endInspection ends an inspection without a verdict. The caller holds the
+// lock.
+func (c *conversation) endInspection() {
+	if i := c.inspection; i != nil && !i.ended {
+		i.ended = true
+		close(i.over)
 	}
-	if c.spare != nil || !c.resumable {
+}
+
+// tick starts an inspection if the present read takes too long.
+func (c *conversation) tick() { c.inspect(false) }
+
+// suspect starts an inspection because another connection to the same address
+// has proved dead.
+func (c *conversation) suspect() { c.inspect(true) }
+
+func (c *conversation) inspect(atOnce bool) {
+	c.mu.Lock()
+	if c.ended || c.inspection != nil {
+		c.mu.Unlock()
 		return
 	}
-	from := 0
-	if c.a.job.Progress != nil {
-		from = c.a.job.Progress()
+	wait := c.quiet()
+	if !c.waiting.IsZero() {
+		wait -= time.Since(c.waiting)
 	}
-	where := "http://" + c.pool.address + "/v1/streams/" + c.a.id() + "?from=" + strconv.Itoa(from)
-	request, err := http.NewRequestWithContext(c.ctx, http.MethodGet, where, http.NoBody)
-	if err == nil {
-		c.spare = begin(c.d.single, request)
+	if wait > 0 && (!atOnce || c.waiting.IsZero()) {
+		c.timer.Reset(wait)
+		c.mu.Unlock()
+		return
 	}
+	c.timer.Stop()
+	i := &inspection{c: c, over: make(chan struct{}), since: c.waiting, taken: c.taken, first: c.response == nil, probe: make(chan bool, 1)}
+	c.inspection = i
+	c.mu.Unlock()
+	c.conclude(i, i.run())
 }
 
-// judge takes the answer to the question whether the target is alive.
-func (c *conversation) judge(alive bool) error {
-	c.probing = false
-	if alive {
-		c.silent = 0
-		return nil
-	}
-	if c.silent++; c.silent < maxSilent {
-		return nil
+// conclude passes a verdict to the reader, unless the connection delivered
+// meanwhile.
+func (c *conversation) conclude(i *inspection, v *verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inspection = nil
+	if !c.ended {
+		c.timer.Reset(c.quiet())
 	}
-	c.renew()
-	return errDead
-}
-
-// compare takes an event of the spare connection. It returns the event that
-// goes on with the answer, if it is decided.
-func (c *conversation) compare(e event) (*event, error) {
 	switch {
-	case e.response != nil:
-		c.compareHead(e.response)
-		return nil, nil
-	case c.reply != nil && c.reply.StatusCode == http.StatusNotFound:
-		return c.unknown(e)
-	case e.err != nil && (!errors.Is(e.err, io.EOF) || c.reply == nil):
-		c.dropSpare() // this connection broke; the next check opens another
-		return nil, nil
-	case c.a.job.Progress == nil && e.err == nil:
-		return nil, nil // the run goes on; its answer comes as a whole
-	}
-	if found := c.grace(); found != nil {
-		return found, nil
-	}
-	c.renew()
-	if c.a.job.Progress == nil || e.err != nil {
-		return nil, errLost
+	case v == nil:
+		return
+	case i.ended:
+		if v.exchange != nil {
+			v.exchange.close()
+		}
+		return
+	case v.exchange != nil:
+		c.d.cfg.Logger.Info("Stream goes on over a new connection.", zap.String("request", c.a.job.Request), zap.String("target", c.a.target.Name))
 	}
-	c.d.cfg.Logger.Info("Stream goes on over a new connection.", zap.String("request", c.a.job.Request), zap.String("target", c.a.target.Name))
+	c.verdict = v
 	c.active.cancel()
-	c.active, c.spare, c.tail = c.spare, nil, nil
-	c.last = time.Now()
-	if c.response == nil {
-		c.stash = append(c.stash, event{data: bytes.Clone(e.data)})
-		e = event{response: c.reply}
+	if c.forget() && !eris.Is(v.err, errStuck) {
+		c.pool.renew(c.renewed)
 	}
-	c.reply = nil
-	return &e, nil
 }
 
-// compareHead takes the status of the spare connection.
-func (c *conversation) compareHead(r *http.Response) {
-	id := r.Header.Get(RequestHeader)
-	switch {
-	case r.StatusCode == http.StatusNotFound, r.StatusCode == http.StatusOK && (id == "" || id == c.a.id()):
-		c.reply = r
-	default:
-		c.resumable = false
-		c.dropSpare()
-	}
-}
+// Close does nothing; finish ends the conversation.
+func (c *conversation) Close() error { return nil }
 
-// unknown takes the body of an answer with status 404. It means that the
-// target doesn't know the attempt only if it says so: a target that can't
-// resume streams answers 404 as well.
-func (c *conversation) unknown(e event) (*event, error) {
-	if !bytes.Contains(e.data, []byte(unknownCode)) {
-		c.resumable = false
-		c.dropSpare()
-		return nil, nil
-	}
-	if found := c.grace(); found != nil {
-		return found, nil
+// finish ends the exchanges. A run that may go on behind a dead connection is
+// cancelled, since its target can't see that nobody waits for it.
+func (c *conversation) finish(err error) {
+	c.mu.Lock()
+	c.ended = true
+	c.endInspection()
+	c.timer.Stop()
+	c.mu.Unlock()
+	c.forget()
+	if err == nil {
+		c.active.drain()
+		return
 	}
-	c.renew()
-	return nil, errLost
-}
-
-// grace gives the first connection the chance to deliver what the second one
-// has just delivered: then the target was slow and the connection is good.
-func (c *conversation) grace() *event {
-	timer := time.NewTimer(c.d.cfg.Quiet / 5)
-	defer timer.Stop()
-	select {
-	case e := <-c.active.events:
-		c.progress()
-		return &e
-	case <-timer.C:
-		return nil
-	case <-c.ctx.Done():
-		return nil
+	c.active.close()
+	if eris.Is(err, errLost) || eris.Is(err, errStuck) {
+		c.d.cfg.Logger.Warn("Connection went silent.", zap.String("request", c.a.job.Request), zap.String("target", c.a.target.Name), zap.String("cause", err.Error()))
+		if c.resumable {
+			go c.cancelRun()
+		}
 	}
 }
 
-// renew gives up all connections to the target.
-func (c *conversation) renew() {
-	if c.renewed != nil {
-		c.pool.renew(c.renewed)
-		c.renewed = nil
+func (c *conversation) cancelRun() {
+	ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
+	defer cancel()
+	body, _ := json.Marshal(struct {
+		Request string `json:"request"`
+	}{c.a.id()})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.pool.address+"/v1/cancel", bytes.NewReader(body))
+	if err != nil {
+		return
 	}
-}
-
-func (c *conversation) dropSpare() {
-	if c.spare != nil {
-		c.spare.cancel()
-		c.spare, c.reply = nil, nil
+	if response, err := c.d.single.RoundTrip(request); err == nil {
+		_ = response.Body.Close()
 	}
 }
 
+// quiet returns the time of a read after which the connection is checked.
 func (c *conversation) quiet() time.Duration {
 	switch {
 	case c.a.job.Progress == nil:
@@ -351,17 +306,3 @@
 		return quietStream * c.d.cfg.Quiet
 	}
 }
-
-func (c *conversation) patience() time.Duration {
-	if c.response == nil || c.a.job.Progress == nil {
-		return patienceFirst * c.d.cfg.Quiet
-	}
-	return patienceStream * c.d.cfg.Quiet
-}
-
-func orEmpty(e *event) *event {
-	if e == nil {
-		return &event{}
-	}
-	return e
-}
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -2,93 +2,85 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 )
 
-const (
-	// chunkSize is the size of a read buffer.
-	chunkSize = 4096
-	// drainTime bounds the wait for the end of an answer whose content is
-	// whole, so that its connection can be used again.
-	drainTime = time.Second
-)
+// drainTime bounds the wait for the end of an answer whose content is whole,
+// so that its connection can be used again.
+const drainTime = time.Second
 
-// exchange is one HTTP request whose answer is read by its own goroutine, so
-// that several connections can be watched at a time.
+// exchange is one HTTP request and its answer. Its context ends with the one of
+// its parent until the answer is drained.
 type exchange struct {
-	events chan event
-	cancel context.CancelFunc
-	start  time.Time
-}
-
-// event is a part of an answer: the response first, then its data, then the
-// error or io.EOF. The data is valid until the next event is received.
-type event struct {
-	response *http.Response
-	data     []byte
-	err      error
+	transport http.RoundTripper
+	request   *http.Request
+	cancel    context.CancelFunc
+	detach    func() bool // from the parent
+	response  *http.Response
+	body      io.ReadCloser // of the response, whose field the consumer replaces
+	ahead     []byte        // already read from the body
+	ended     bool          // the body has been read to its end
 }
 
-// begin sends a request.
-func begin(transport http.RoundTripper, request *http.Request) *exchange {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(request.Context()))
-	x := &exchange{events: make(chan event), cancel: cancel, start: time.Now()}
-	go x.run(ctx, transport, request.WithContext(ctx))
-	return x
+// newExchange returns an exchange for the request that build returns.
+func newExchange(parent context.Context, transport http.RoundTripper, build func(context.Context) (*http.Request, error)) (*exchange, error) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	request, err := build(ctx)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &exchange{transport: transport, request: request, cancel: cancel, detach: context.AfterFunc(parent, cancel)}, nil
 }
 
-func (x *exchange) run(ctx context.Context, transport http.RoundTripper, request *http.Request) {
-	defer x.cancel()
-	response, err := transport.RoundTrip(request)
+// open sends the request and waits for the status and the headers.
+func (x *exchange) open() error {
+	response, err := x.transport.RoundTrip(x.request)
 	if err != nil {
-		x.send(ctx, event{err: err})
-		return
+		return err
 	}
-	body := response.Body // the receiver replaces the field
-	defer body.Close()
-	if !x.send(ctx, event{response: response}) {
-		return
+	if err := x.request.Context().Err(); err != nil {
+		_ = response.Body.Close() // the exchange has been given up meanwhile
+		return err
 	}
-	// The receiver uses one buffer while the next event is read into the other.
-	var buffers [2][chunkSize]byte
-	for i := 0; ; i = 1 - i {
-		n, err := body.Read(buffers[i][:])
-		if n > 0 && !x.send(ctx, event{data: buffers[i][:n]}) {
-			return
-		}
-		if err != nil {
-			x.send(ctx, event{err: err})
-			return
-		}
-		if n == 0 {
-			i = 1 - i
-		}
+	x.response, x.body = response, response.Body
+	return nil
+}
+
+// read reads the body.
+func (x *exchange) read(p []byte) (int, error) {
+	if len(x.ahead) > 0 {
+		n := copy(p, x.ahead)
+		x.ahead = x.ahead[n:]
+		return n, nil
 	}
+	n, err := x.body.Read(p)
+	x.ended = err == io.EOF
+	return n, err
 }
 
-func (x *exchange) send(ctx context.Context, e event) bool {
-	select {
-	case x.events <- e:
-		return true
-	case <-ctx.Done():
-		return false
+// close gives up the exchange and its connection.
+func (x *exchange) close() {
+	x.detach()
+	x.cancel()
+	if x.body != nil {
+		_ = x.body.Close()
 	}
 }
 
 // drain reads the rest of an answer, so that its connection is kept.
 func (x *exchange) drain() {
-	defer x.cancel()
-	timer := time.NewTimer(drainTime)
-	defer timer.Stop()
-	for {
-		select {
-		case e := <-x.events:
-			if e.err != nil {
-				return
-			}
-		case <-timer.C:
-			return
-		}
+	if x.ended {
+		x.close()
+		return
 	}
+	x.detach()
+	go func() {
+		defer x.close()
+		timer := time.AfterFunc(drainTime, x.cancel)
+		defer timer.Stop()
+		_, _ = io.Copy(io.Discard, x.body)
+	}()
 }
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -24,8 +24,9 @@
 
 	mu        sync.Mutex
 	transport *http.Transport
-	// renewed is closed when the connections have been renewed.
-	renewed chan struct{}
+	// renewed ends when the connections have been renewed.
+	renewed context.Context
+	replace context.CancelFunc // ends renewed
 	used    time.Time
 
 	probe sync.Mutex
@@ -50,24 +51,25 @@
 				delete(d.pools, other)
 			}
 		}
-		p = &pool{d: d, address: address, transport: newTransport(d.cfg, false), renewed: make(chan struct{})}
+		p = &pool{d: d, address: address, transport: newTransport(d.cfg, false)}
+		p.renewed, p.replace = context.WithCancel(context.Background())
 		d.pools[address] = p
 	}
 	p.used = now
 	return p
 }
 
-// take returns the present connections and the channel that tells of their
+// take returns the present connections and the context that ends with their
 // renewal.
-func (p *pool) take() (http.RoundTripper, <-chan struct{}) {
+func (p *pool) take() (http.RoundTripper, context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.transport, p.renewed
 }
 
-// renew gives up all connections after one of those that belong to the channel
+// renew gives up all connections after one of those that belong to the context
 // has proved dead. The requests on the others check theirs at once.
-func (p *pool) renew(of <-chan struct{}) {
+func (p *pool) renew(of context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if of != p.renewed {
@@ -75,8 +77,8 @@
 	}
 	p.transport.CloseIdleConnections()
 	p.transport = newTransport(p.d.cfg, false)
-	close(p.renewed)
-	p.renewed = make(chan struct{})
+	p.replace()
+	p.renewed, p.replace = context.WithCancel(context.Background())
 }
 
 func (p *pool) close() {
