Send events that arrive together in one write

Cause: the relay flushed each event to its caller, a system call each, also if several events had arrived in one read.

Ruled out: a timer that delays the flush, which would add to the time between tokens.

Change: the body of a stream flushes what has been relayed before it waits for more. The buffer of an event is used again and the clock is read once per event.

The new TestStream fails without the flush before a read.

--- a/internal/gateway/event.go
+++ b/internal/gateway/event.go
@@ -3,8 +3,24 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 )
 
+// flusher is the body of a stream. Events that have arrived together are sent
+// together: it flushes the relay before it waits for more.
+type flusher struct {
+	relay *relay
+	body  io.Reader
+}
+
+// Read reads from the body.
+func (f flusher) Read(p []byte) (int, error) {
+	if f.relay.flush(); f.relay.broken != nil {
+		return 0, f.relay.broken
+	}
+	return f.body.Read(p)
+}
+
 // Members of an event that change the state of a stream.
 var eventKeys = [][]byte{[]byte(`"error"`), []byte(`"usage"`), []byte(`"finish_reason"`)}
 
--- a/internal/gateway/event_test.go
+++ b/internal/gateway/event_test.go
@@ -1,6 +1,15 @@
 package gateway
 
-import "testing"
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/papayapond/papayapond/internal/dispatcher"
+	"github.com/papayapond/papayapond/internal/wire"
+)
 
 // An event that is relayed without being decoded must not hide the end or the
 // failure of a stream.
@@ -28,3 +37,44 @@
 		}
 	}
 }
+
+// steps is a body that comes in parts; each part is asked for by a function.
+type steps []func() string
+
+func (s *steps) Read(p []byte) (int, error) {
+	if len(*s) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, (*s)[0]())
+	*s = (*s)[1:]
+	return n, nil
+}
+
+// Events must be sent before the relay waits for more, and an event of an
+// earlier attempt must be refused in a later one.
+func TestStream(t *testing.T) {
+	event := func(attempt string) string {
+		return `data: {"request":"` + attempt + `","choices":[{"delta":{"content":"x"},"finish_reason":null}]}` + "\n\n"
+	}
+	w := httptest.NewRecorder()
+	s := &session{ResponseWriter: w, request: httptest.NewRequest(http.MethodPost, "/", http.NoBody)}
+	r := &relay{gateway: New(Config{}), session: s, completion: &completion{stream: true}}
+	consume := func(attempt string, parts ...func() string) {
+		request := &http.Request{Header: http.Header{dispatcher.RequestHeader: {attempt}}}
+		_, err := r.consume(&wire.Target{}, &http.Response{StatusCode: http.StatusOK, Request: request, Body: io.NopCloser((*steps)(&parts))})
+		if err == nil {
+			t.Error("stream without an end: got no error")
+		}
+	}
+	consume("r.1", func() string { return strings.Repeat(event("r.1"), 3) }, func() string {
+		if got, want := strings.Count(w.Body.String(), "data: "), 3; !w.Flushed || got != want {
+			t.Errorf("before the second read: got %d events, flushed %v; want %d, flushed", got, w.Flushed, want)
+		}
+		return event("r.1")
+	})
+	consume("r.2", func() string { return event("r.1") })
+	consume("r.3", func() string { return event("r.3") + event("r.1") })
+	if got, want := r.output, int64(5); got != want {
+		t.Errorf("events of the own attempts: got %d, want %d", got, want)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,8 +51,14 @@
 	last   []byte // usage event or JSON body that is held back
 	media  string
 	status int
-	gone   bool // the caller has gone away
 	latest time.Time
+	event  []byte // buffer for one event
+
+	pending bool // events have been written and not flushed
+	gone    bool // the caller has gone away
+	// broken is the error of the connection to the caller, if it ends the
+	// request.
+	broken error
 }
 
 // consume reads the answer of one attempt.
@@ -68,7 +74,11 @@
 	if !r.completion.stream {
 		return false, r.consumeJSON(response.Body)
 	}
-	err := r.consumeStream(response.Body)
+	err := r.consumeStream(flusher{r, response.Body})
+	r.flush()
+	if r.broken != nil {
+		err = r.broken
+	}
 	return r.output > 0, err
 }
 
@@ -158,41 +168,51 @@
 // has gone away, the answer is only kept for the retry.
 func (r *relay) relayEvent(data []byte) error {
 	s := r.session
+	now := r.gateway.cfg.Now()
 	if !s.started {
 		s.Header().Set("Content-Type", eventStream)
 		s.Header().Set("Cache-Control", "no-cache")
 		s.WriteHeader(http.StatusOK)
 		s.started = true
-		s.outcome.First = r.gateway.cfg.Now().Sub(s.start)
+		s.outcome.First = now.Sub(s.start)
 	} else {
-		s.outcome.Between = append(s.outcome.Between, r.gateway.cfg.Now().Sub(r.latest))
+		s.outcome.Between = append(s.outcome.Between, now.Sub(r.latest))
 	}
-	r.latest = r.gateway.cfg.Now()
+	r.latest = now
 	r.output++
 	return r.write(data)
 }
 
 func (r *relay) write(data []byte) error {
-	event := make([]byte, 0, len(dataPrefix)+len(data)+2)
-	event = append(append(append(event, dataPrefix...), data...), '\n', '\n')
+	r.event = append(append(append(r.event[:0], dataPrefix...), data...), '\n', '\n')
 	if r.session.key != "" && len(r.whole) <= maxAnswer {
-		r.whole = append(r.whole, event...)
+		r.whole = append(r.whole, r.event...)
 	}
-	if r.gone {
-		return nil
+	if !r.gone {
+		_, err := r.session.Write(r.event)
+		r.pending = err == nil
+		r.lose(err)
 	}
-	_, err := r.session.Write(event)
-	if err == nil {
-		err = http.NewResponseController(r.session.ResponseWriter).Flush()
+	return r.broken
+}
+
+// flush sends the events that have been written.
+func (r *relay) flush() {
+	if r.pending {
+		r.pending = false
+		r.lose(http.NewResponseController(r.session.ResponseWriter).Flush())
 	}
+}
+
+// lose takes an error of the connection to the caller.
+func (r *relay) lose(err error) {
 	if err == nil {
-		return nil
+		return
 	}
 	r.gone = true
-	if r.session.key != "" {
-		return nil
+	if r.session.key == "" {
+		r.broken = eris.Wrapf(fault.Interrupted, "caller has gone away: %v", err)
 	}
-	return eris.Wrapf(fault.Interrupted, "caller has gone away: %v", err)
 }
 
 // finish settles a whole answer and then passes its end to the caller.
