Wait for the targets at the instance without a disk

Cause: TestZoneCutOff sends requests through c2, for which it didn't wait. Ruled out: a failure, none was seen; the sleep of 4 s after the cut hides it. Change: one more wait. Conclusion: all instances that a process test uses are waited for.

--- a/test/fleet/failure_test.go
+++ b/test/fleet/failure_test.go
@@ -67,6 +67,7 @@
 		f.orders("order-"+zone, zone, []int{i})
 		f.routes(i)
 	}
+	f.routes(3)
 	isolated := func(i int) bool { return i >= 2 }
 	f.cut(isolated, true)
 	time.Sleep(4 * time.Second)
