Replace the authority of the instances without a restart

Cause: only the certificate of an instance was read again for each connection, its authorities were read once, so that a new authority needed a restart of all instances. Ruled out: a signal or a watch on the files, since a connection reads three small files at most once a minute per peer. Change: package certifier makes the configuration of each connection from the files, and keeps the last good one while they don't match. Conclusion: keys and authorities are replaced while the fleet runs.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"maps"
 	"net"
 	"os"
@@ -15,6 +14,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/papayapond/papayapond/internal/blocker"
+	"github.com/papayapond/papayapond/internal/certifier"
 	"github.com/papayapond/papayapond/internal/dialer"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/kernel"
@@ -67,10 +67,11 @@
 	logger   *zap.Logger
 	level    *zap.AtomicLevel
 	listen   func(network, address string) (net.Listener, error)
-	tls      *tls.Config
-	mux      *drpcmux.Mux
-	peers    *peers
-	link     *link
+	// certifier is nil without TLS between instances.
+	certifier *certifier.Certifier
+	mux       *drpcmux.Mux
+	peers     *peers
+	link      *link
 	// inFlight returns the number of requests in flight once the gateway has
 	// been built.
 	inFlight atomic.Pointer[func() int]
@@ -85,11 +86,11 @@
 	if err := os.MkdirAll(s.Data, 0o700); err != nil {
 		return nil, eris.Wrapf(fault.Corrupt, "data folder: %v", err)
 	}
-	secure, err := loadTLS(s)
+	secure, err := newCertifier(s, cfg.Logger)
 	if err != nil {
 		return nil, err
 	}
-	b := &builder{settings: s, logger: cfg.Logger, level: cfg.Level, listen: cfg.Listen, tls: secure, mux: drpcmux.New()}
+	b := &builder{settings: s, logger: cfg.Logger, level: cfg.Level, listen: cfg.Listen, certifier: secure, mux: drpcmux.New()}
 	parts := []fx.Option{b.dialer(), b.peerServer(), b.registry(), b.blocker()}
 	if s.Disk {
 		parts = append(parts, b.controller(), b.replicator())
@@ -128,7 +129,11 @@
 		for _, p := range b.settings.Peers {
 			addresses[p.Name] = p.Address
 		}
-		d := dialer.New(dialer.Config{Addresses: addresses, TLS: b.tls})
+		cfg := dialer.Config{Addresses: addresses}
+		if b.certifier != nil {
+			cfg.TLS = b.certifier.Client
+		}
+		d := dialer.New(cfg)
 		b.peers = &peers{dialer: d}
 		return d, fx.Hook{OnStop: func(context.Context) error { return d.Close() }}, nil
 	})
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +13,7 @@
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/papayapond/papayapond/internal/certifier"
 	"github.com/papayapond/papayapond/internal/dialer"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/kernel"
@@ -25,36 +24,15 @@
 // headerTimeout bounds the time in which a caller sends its request header.
 const headerTimeout = 10 * time.Second
 
-// loadTLS returns the configuration for mutual TLS between instances, or nil
-// if no files are set. The certificate is read again for each connection, so
-// that it can be replaced without a restart.
-func loadTLS(s settings.Settings) (*tls.Config, error) {
+// newCertifier returns what makes the configurations for mutual TLS between
+// instances, or nil if no files are set.
+func newCertifier(s settings.Settings, logger *zap.Logger) (*certifier.Certifier, error) {
 	if s.TLS.Certificate == "" {
 		return nil, nil
 	}
-	authority, err := os.ReadFile(s.TLS.Authority)
-	if err != nil {
-		return nil, eris.Wrapf(fault.Malformed, "tls.authority: %v", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return nil, eris.Wrapf(fault.Malformed, "tls.authority: %s holds no certificate", s.TLS.Authority)
-	}
-	load := func() (*tls.Certificate, error) {
-		c, err := tls.LoadX509KeyPair(s.TLS.Certificate, s.TLS.Key)
-		if err != nil {
-			return nil, eris.Wrapf(fault.Malformed, "tls.certificate: %v", err)
-		}
-		return &c, nil
-	}
-	if _, err := load(); err != nil {
-		return nil, err
-	}
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool, RootCAs: pool,
-		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return load() },
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return load() },
-	}, nil
+	return certifier.New(certifier.Config{
+		Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority, Logger: logger.Named("certifier"),
+	})
 }
 
 // peerServer serves drpc to other instances. The services register on the mux
@@ -67,7 +45,11 @@
 				k.Logger("peer").Error("Serving peers failed.", zap.Error(err))
 			}
 		}
-		return b.mux, b.listener(b.settings.Peer, b.tls, serve), nil
+		var secure *tls.Config
+		if b.certifier != nil {
+			secure = b.certifier.Server()
+		}
+		return b.mux, b.listener(b.settings.Peer, secure, serve), nil
 	})
 }
 
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -34,9 +34,9 @@
 type Config struct {
 	// Addresses are the peer addresses by instance name.
 	Addresses map[string]string
-	// TLS is used for connections if it isn't nil. The certificate of a peer
-	// must be valid for the name of its instance.
-	TLS *tls.Config
+	// TLS returns the configuration for a connection to the named instance;
+	// nil for connections without TLS.
+	TLS func(name string) *tls.Config
 	// Dial replaces the TCP dialer if it isn't nil.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -97,9 +97,7 @@
 		return nil, eris.Wrapf(fault.Unavailable, "peer %s: %v", name, err)
 	}
 	if d.cfg.TLS != nil {
-		cfg := d.cfg.TLS.Clone()
-		cfg.ServerName = name
-		secure := tls.Client(conn, cfg)
+		secure := tls.Client(conn, d.cfg.TLS(name))
 		if err := secure.HandshakeContext(ctx); err != nil {
 			_ = conn.Close()
 			return nil, eris.Wrapf(fault.Unauthorized, "peer %s: %v", name, err)
--- a/test/fleet/secure_test.go
+++ b/test/fleet/secure_test.go
@@ -113,13 +113,39 @@
 		{"certificate of another authority", &tls.Config{RootCAs: roots, Certificates: []tls.Certificate{foreign}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			d := dialer.New(dialer.Config{Addresses: map[string]string{"a1": f.ports[2]}, TLS: test.cfg})
-			defer func() { _ = d.Close() }()
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-			defer cancel()
-			if _, err := wire.NewDRPCControlClient(d.Conn("a1")).Read(ctx, &wire.ReadRequest{Stale: true}); err == nil {
+			if err := f.callPeer(test.cfg); err == nil {
 				t.Error("the call succeeded, want a refusal")
 			}
 		})
 	}
+
+	// A new authority must be in force without a restart.
+	fleetAuthority.cert, fleetAuthority.key = fleetAuthority.issue("fleet", nil, nil)
+	for _, name := range f.names {
+		fleetAuthority.issue(name, fleetAuthority.cert, fleetAuthority.key)
+	}
+	renewed, err := tls.LoadX509KeyPair(filepath.Join(fleetAuthority.dir, "b1.crt"), filepath.Join(fleetAuthority.dir, "b1.key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots = x509.NewCertPool()
+	roots.AddCert(fleetAuthority.cert)
+	if err := f.callPeer(&tls.Config{RootCAs: roots, Certificates: []tls.Certificate{renewed}}); err != nil {
+		t.Errorf("call with a certificate of the new authority: %v", err)
+	}
+}
+
+// callPeer calls the first instance as a peer would.
+func (f *fleet) callPeer(cfg *tls.Config) error {
+	var secure func(string) *tls.Config
+	if cfg != nil {
+		cfg.ServerName = f.names[0]
+		secure = func(string) *tls.Config { return cfg }
+	}
+	d := dialer.New(dialer.Config{Addresses: map[string]string{f.names[0]: f.ports[2]}, TLS: secure})
+	defer func() { _ = d.Close() }()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := wire.NewDRPCControlClient(d.Conn(f.names[0])).Read(ctx, &wire.ReadRequest{Stale: true})
+	return err
 }
