--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -237,7 +237,14 @@
 	if j.torn = int64(len(data) - size); j.torn > 0 {
 		j.cfg.Logger.Warn("Torn tail cut off.", zap.String("path", j.cfg.Path),
 			zap.Int64("bytes", j.torn), zap.Uint64("position", j.next))
-		return j.replaceLog(data[:size], frames, j.base, j.next)
+		if j.replaceLog(data[:size], frames, j.base, j.next) == nil {
+			return nil
+		}
+		// A disk that is still full takes no new file, but the old one can be
+		// shortened. Then the process starts, and the next append fails.
+		if err := os.Truncate(j.path(logName), int64(size)); err != nil {
+			return eris.Wrapf(fault.Corrupt, "cut off the torn tail: %v", err)
+		}
 	}
 	file, err := os.OpenFile(j.path(logName), os.O_RDWR|os.O_APPEND, 0o600)
 	if err != nil {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -157,6 +157,34 @@
 	verify(t, j, 0, [][]byte{{1}, {2}, {3}}, nil)
 }
 
+// A journal with a torn tail on a disk that is still full must open, or the
+// process doesn't start, and accept nothing.
+func TestFullDiskAtOpen(t *testing.T) {
+	d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+	j := open(t, d)
+	if _, err := j.Append([][]byte{{1}, {2}}); err != nil {
+		t.Fatal(err)
+	}
+	d.breakWrite = errDisk
+	for range 2 {
+		if _, err := j.Append([][]byte{{3}}); !errors.Is(err, fault.Corrupt) {
+			t.Errorf("append on a full disk: got %v, want %v", err, fault.Corrupt)
+		}
+		_ = j.Close()
+		j = open(t, d)
+		if j.Torn() == 0 {
+			t.Error("got no torn tail")
+		}
+		verify(t, j, 0, [][]byte{{1}, {2}}, nil)
+	}
+	defer j.Close()
+	d.breakWrite = nil
+	if _, err := j.Append([][]byte{{3}}); err != nil {
+		t.Fatal(err)
+	}
+	verify(t, j, 0, [][]byte{{1}, {2}, {3}}, nil)
+}
+
 // Damage to synced records must never be taken for a torn tail, which would
 // drop the acknowledged records behind it.
 func TestDamage(t *testing.T) {
