Measure the control cost of the processes of a running fleet

papayameasure control reads processor time, bytes of read and write calls and resident memory of given processes from the proc file system, at rest and while it changes the configuration at a rate through the operators' addresses, and scales the difference to the planned number of changes. It starts nothing.

Ruled out: the network counters of the process metrics, which are those of all processes of the machine.

--- a/cmd/papayameasure/main.go
+++ b/cmd/papayameasure/main.go
@@ -15,6 +15,7 @@
 type arguments struct {
 	Plan    *planArguments    `arg:"subcommand:plan" help:"print the load of each role at the planned size"`
 	Fleet   *fleetArguments   `arg:"subcommand:fleet" help:"measure the traffic between a holder and the instances of its zone"`
+	Control *controlArguments `arg:"subcommand:control" help:"measure the control cost of the processes of a running fleet"`
 	Budgets *budgetsArguments `arg:"subcommand:budgets" help:"compare ways to divide budgets"`
 }
 
@@ -29,10 +30,12 @@
 		err = args.Plan.run()
 	case args.Fleet != nil:
 		err = args.Fleet.run()
+	case args.Control != nil:
+		err = args.Control.run()
 	case args.Budgets != nil:
 		err = args.Budgets.run()
 	default:
-		parser.Fail("name a mode: plan, fleet or budgets")
+		parser.Fail("name a mode: plan, fleet, control or budgets")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "papayameasure:", err)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -70,6 +70,9 @@
 	return p, nil
 }
 
+// Sizes returns the sizes of the fleet and the limits of a daemon.
+func (p *Planner) Sizes() Sizes { return p.sizes }
+
 // Print writes the slopes and the loads as Markdown tables.
 func (p *Planner) Print(w io.Writer) error {
 	var b bytes.Buffer
