Remove stale learners; test reads of a new leader

Cause: a request to join that arrives after its folder was lost and replaced makes the leader add a learner that never answers; the replacement is given up after 10 election timeouts and the learner stays in the list for good. A learner that Replace gave another place kept the first one in the list, so that a later leader would have removed the voter of that place as well.

Checked: Barrier waits until the first entry of the term is committed and the entries up to the commit index read after that are applied; Read of the controller and the issuer use it. The code held this, a test was missing.

Change: a leader removes a learner that was silent for 10 election timeouts by a committed list, unless the voter that it replaces has been removed already. addLearner moves a learner that is given another place. Replace refuses to take a learner away from a place that is free.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -55,10 +55,13 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	if r.reign != nil {
-		if !r.answers(r.members().Voters) {
+		switch {
+		case !r.answers(r.members().Voters):
 			r.stepDown("no quorum")
-		} else if r.writing && now.Sub(r.began) > 2*r.cfg.Election {
+		case r.writing && now.Sub(r.began) > 2*r.cfg.Election:
 			r.stepDown("slow disk")
+		default:
+			r.sweep()
 		}
 		return r.cfg.Heartbeat
 	}
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -25,8 +25,9 @@
 //
 // The error wraps fault.Isolated on a member that doesn't lead,
 // fault.Unavailable if next has not asked to join or doesn't answer,
-// fault.Missing if old is no voter, fault.Conflict if old is the leader, and
-// fault.Overloaded if another change is in progress.
+// fault.Missing if old is no voter, fault.Conflict if old is the leader or next
+// is taking a place that is free already, and fault.Overloaded if another
+// change is in progress.
 func (r *Replicator) Replace(ctx context.Context, old, next string) error {
 	r.mu.Lock()
 	reign := r.reign
@@ -44,6 +45,8 @@
 		old = list.Voters[i]
 	}
 	self := r.ballot.Member
+	l := learnerOf(list, next)
+	fills := l != nil && l.Replaces != old && !isVoter(list, l.Replaces)
 	r.mu.Unlock()
 	switch {
 	case !joined:
@@ -52,6 +55,8 @@
 		return eris.Wrapf(fault.Missing, "no voter %s", old)
 	case old == self:
 		return eris.Wrapf(fault.Conflict, "member %s leads; transfer first", old)
+	case fills:
+		return eris.Wrapf(fault.Conflict, "member %s is taking the place of %s, which has been removed", next, l.Replaces)
 	}
 	return r.substitute(ctx, reign, old, next)
 }
@@ -96,11 +101,7 @@
 	if busy {
 		return eris.Wrap(fault.Overloaded, "another membership change is in progress")
 	}
-	defer func() {
-		r.mu.Lock()
-		reign.busy = false
-		r.mu.Unlock()
-	}()
+	defer r.finish(reign)
 	if err := r.change(ctx, reign, func(m *wire.Members) { addLearner(m, old, next) }); err != nil {
 		return err
 	}
@@ -181,8 +182,42 @@
 	return n
 }
 
+// sweep drops a learner that has been silent for long, while the voter that it
+// was to replace is still there. Such a learner comes from a request to join
+// that arrives after its folder was lost, or from a replacement that was given
+// up; if it is alive, it asks again. The caller holds mu and this member
+// leads.
+func (r *Replicator) sweep() {
+	reign, list := r.reign, r.members()
+	if reign.busy {
+		return
+	}
+	for _, l := range list.Learners {
+		p := reign.peers[l.Member]
+		if p == nil || !isVoter(list, l.Replaces) || r.cfg.Now().Sub(p.contact) <= absence*r.cfg.Election {
+			continue
+		}
+		reign.busy = true
+		r.group.Go(func() {
+			defer r.finish(reign)
+			if err := r.change(reign.ctx, reign, func(m *wire.Members) { removeLearner(m, l.Member) }); err != nil {
+				r.cfg.Logger.Warn("Removing a silent learner.", zap.String("member", l.Member), zap.Error(err))
+			}
+		})
+		return
+	}
+}
+
+// finish allows the next membership change.
+func (r *Replicator) finish(reign *reign) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reign.busy = false
+}
+
+// addLearner makes next the one learner that replaces old.
 func addLearner(m *wire.Members, old, next string) {
-	if isVoter(m, next) || learnerOf(m, next) != nil {
+	if l := learnerOf(m, next); isVoter(m, next) || l != nil && l.Replaces == old {
 		return
 	}
 	m.Learners = slices.DeleteFunc(m.Learners, func(l *wire.Learner) bool {
@@ -191,6 +226,10 @@
 	m.Learners = append(m.Learners, &wire.Learner{Member: next, Replaces: old})
 }
 
+func removeLearner(m *wire.Members, member string) {
+	m.Learners = slices.DeleteFunc(m.Learners, func(l *wire.Learner) bool { return l.Member == member })
+}
+
 func removeVoter(m *wire.Members, old string) {
 	m.Voters = slices.DeleteFunc(m.Voters, func(v string) bool { return v == old })
 }
@@ -199,6 +238,6 @@
 	if learnerOf(m, member) == nil {
 		return
 	}
-	m.Learners = slices.DeleteFunc(m.Learners, func(l *wire.Learner) bool { return l.Member == member })
+	removeLearner(m, member)
 	m.Voters = append(m.Voters, member)
 }
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -371,6 +372,118 @@
 	}
 }
 
+// The commit index of a new leader may be behind that of the leader before it,
+// so that a read could miss what was acknowledged.
+func TestBarrierNeedsEntryOfTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Replicator{
+			cfg:     Config{Now: time.Now},
+			ballot:  &wire.Ballot{Member: "a", Term: 4},
+			lists:   []membership{{0, &wire.Members{Voters: []string{"a", "b", "c"}}}},
+			changed: make(chan struct{}),
+			// Entry 2 was committed and acknowledged by the leader of term 2.
+			commit: 1, applied: 1,
+		}
+		r.reign = &reign{term: 4, peers: map[string]*peer{"b": {round: 1}}}
+		done := false
+		go func() {
+			if err := r.Barrier(t.Context()); err != nil {
+				t.Error(err)
+			}
+			done = true
+		}()
+		for _, step := range []struct {
+			name                   string
+			first, commit, applied uint64
+			want                   bool
+		}{
+			{"entry of the term not written", 0, 1, 1, false},
+			{"written", 3, 1, 1, false},
+			{"earlier entries committed", 3, 2, 2, false},
+			{"committed", 3, 3, 2, false},
+			{"applied", 3, 3, 3, true},
+		} {
+			r.mu.Lock()
+			r.reign.first, r.commit, r.applied = step.first, step.commit, step.applied
+			r.notify()
+			r.mu.Unlock()
+			if synctest.Wait(); done != step.want {
+				t.Errorf("%s: got an answer %t, want %t", step.name, done, step.want)
+			}
+		}
+	})
+}
+
+// A request to join that arrives late, from a folder that was lost and
+// replaced, must not leave a learner in the list for good, and must not cost
+// its voter the vote.
+func TestStaleLearner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 15, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, m := c.leader()
+		other := m.others()[0]
+		if _, err := m.Vote(t.Context(), &wire.VoteRequest{Candidate: other + "#lost", Disk: "lost", To: name, Join: true}); err != nil {
+			t.Fatal(err)
+		}
+		for _, step := range []struct {
+			wait time.Duration
+			want int
+		}{{defaultElection, 1}, {(absence + 2) * defaultElection, 0}} {
+			time.Sleep(step.wait)
+			c.settle()
+			for _, n := range c.nodes {
+				n.member.mu.Lock()
+				if list := n.member.members(); len(list.Learners) != step.want || len(list.Voters) != 3 || !isVoter(list, other) {
+					t.Errorf("%s: got members %v, want %d learners and the first voters", n.name, list, step.want)
+				}
+				n.member.mu.Unlock()
+			}
+		}
+	})
+}
+
+// A learner that goes on with the place of another voter, or beside another
+// learner for the same place, would change the number of voters.
+func TestAddLearner(t *testing.T) {
+	for _, c := range []struct{ name, learners, old, next, want string }{
+		{"first", "", "b", "d", "d>b"},
+		{"again", "d>b", "b", "d", "d>b"},
+		{"another for the place", "d>b", "b", "e", "e>b"},
+		{"next folder", "d#1>b", "b", "d#2", "d#2>b"},
+		{"other place", "d>b", "c", "d", "d>c"},
+		{"other place, taken from another", "d>b e>c", "c", "d", "d>c"},
+		{"is a voter", "d>b", "b", "c", "d>b"},
+	} {
+		m := &wire.Members{Voters: []string{"a", "b", "c"}}
+		for _, l := range strings.Fields(c.learners) {
+			member, old, _ := strings.Cut(l, ">")
+			m.Learners = append(m.Learners, &wire.Learner{Member: member, Replaces: old})
+		}
+		addLearner(m, c.old, c.next)
+		got := ""
+		for _, l := range m.Learners {
+			got = strings.TrimSpace(got + " " + l.Member + ">" + l.Replaces)
+		}
+		if got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// A learner that left a free place for another one would leave the log with a
+// voter less for good.
+func TestReplaceKeepsFreePlace(t *testing.T) {
+	members := &wire.Members{Voters: []string{"a", "c"}, Learners: []*wire.Learner{{Member: "d", Replaces: "b"}}}
+	r := &Replicator{cfg: Config{Now: time.Now}, ballot: &wire.Ballot{Member: "a"}, lists: []membership{{0, members}}, joiners: map[string]string{"d": "d"}}
+	r.reign = &reign{busy: true}
+	if err := r.Replace(t.Context(), "c", "d"); !errors.Is(err, fault.Conflict) {
+		t.Errorf("got %v, want conflict", err)
+	}
+}
+
 // A leader that was frozen while another one took over must not answer a
 // read from its old state in the moment it resumes.
 func TestBarrierAfterFreeze(t *testing.T) {
