--- a/internal/dissolver/dissolver.go
+++ b/internal/dissolver/dissolver.go
@@ -13,7 +13,7 @@
 // interval is the time between two attempts to close.
 const interval = time.Second
 
-// Phases of a venture in which there is work here.
+// phaseDissolving is the phase of a venture in which there is work here.
 const phaseDissolving = "dissolving"
 
 // Config configures a Dissolver.
@@ -54,18 +54,23 @@
 	if err != nil || state.Phase != phaseDissolving {
 		return
 	}
+	// A zone that can't be reached is asked once, so that its timeout doesn't
+	// hold up the rights of the others.
+	outstanding := map[string]bool{}
 	for _, p := range state.Pools {
 		for zone, assigned := range p.Zones {
-			if assigned == 0 {
+			if assigned == 0 || outstanding[zone] {
 				continue
 			}
 			if _, err := d.cfg.Release(ctx, d.cfg.Holders[zone], &wire.ReleaseRequest{Account: p.Account, Amount: assigned, Closing: true}); err != nil {
 				d.cfg.Logger.Info("Zone is outstanding.", zap.String("zone", zone), zap.Error(err))
-				return
+				outstanding[zone] = true
 			}
 		}
 	}
-	d.close(ctx)
+	if len(outstanding) == 0 {
+		d.close(ctx)
+	}
 }
 
 // close proposes the final statement if every zone holds nothing but billed
--- a/internal/member/check.go
+++ b/internal/member/check.go
@@ -50,7 +50,7 @@
 func (m *Member) probe(ctx context.Context, found *wire.Peer) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	reply, err := m.cfg.Beat(ctx, found.Name, &wire.BeatRequest{Instance: m.cfg.Self.Name, Zone: m.cfg.Self.Zone, Incarnation: m.incarnation.Load(), Version: m.cfg.Version()})
+	reply, err := m.cfg.Beat(ctx, found.Name, m.request())
 	state := Cut
 	if m.cfg.Refused(err) {
 		state = Dead
@@ -63,8 +63,10 @@
 		return
 	}
 	if err == nil {
+		// The peer stays one of this instance until another holder reports it,
+		// else nobody would find it dead later.
 		p.info.State, p.info.Version = Alive, reply.Version
-		p.seen, p.local = m.cfg.Now(), false
+		p.seen = m.cfg.Now()
 		return
 	}
 	p.info.State = state
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -202,11 +202,7 @@
 func (m *Member) beat(ctx context.Context, name string) bool {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	self := m.self()
-	request := &wire.BeatRequest{
-		Instance: self.Name, Zone: self.Zone, Incarnation: self.Incarnation, Version: self.Version,
-		Time: m.cfg.Now().UnixNano(), Draining: m.draining.Load(), Flight: self.Flight, Address: self.Address, Public: self.Public,
-	}
+	request := m.request()
 	if m.cfg.Holder {
 		request.Peers = m.changedPeers(name)
 	}
@@ -221,11 +217,20 @@
 	trip := m.cfg.Now().Sub(start)
 	m.skew.Store(reply.Time - start.Add(trip/2).UnixNano())
 	if reply.Fenced {
-		m.renew(self.Incarnation)
+		m.renew(request.Incarnation)
 	}
 	return true
 }
 
+// request returns a heartbeat without peers.
+func (m *Member) request() *wire.BeatRequest {
+	self := m.self()
+	return &wire.BeatRequest{
+		Instance: self.Name, Zone: self.Zone, Incarnation: self.Incarnation, Version: self.Version,
+		Time: m.cfg.Now().UnixNano(), Draining: self.State == Draining, Flight: self.Flight, Address: self.Address, Public: self.Public,
+	}
+}
+
 // renew takes a new incarnation after the old one has been fenced. Work of the
 // old incarnation can't be billed any more.
 func (m *Member) renew(old uint64) {
--- a/internal/neighbor/neighbor.go
+++ b/internal/neighbor/neighbor.go
@@ -14,8 +14,9 @@
 const (
 	// retryDelay is the pause between two streams.
 	retryDelay = 250 * time.Millisecond
-	// absence is the time without a stream after which the targets of the zone
-	// are removed. A planned restart of its holder takes less.
+	// absence is the time without an update after which the targets of the
+	// zone are removed. A planned restart of its holder takes less, and a
+	// stream that goes silent ends after as long.
 	absence = 3 * time.Second
 )
 
@@ -35,6 +36,9 @@
 // Neighbor follows one holder.
 type Neighbor struct {
 	cfg Config
+	// contact is the time of the last update, zero if the targets of the zone
+	// are not here.
+	contact time.Time
 }
 
 // New returns a neighbor.
@@ -44,15 +48,10 @@
 // targets of its zone are removed here, since their departure could not be
 // told.
 func (n *Neighbor) Run(ctx context.Context) {
-	contact := time.Now()
-	known := false
 	for ctx.Err() == nil {
-		received, _ := n.cfg.Follow(ctx, n.cfg.Holder, &wire.WatchRequest{Instance: n.cfg.Name, Local: true}, n.take)
-		if received {
-			contact, known = time.Now(), true
-		}
-		if known && time.Since(contact) > absence && ctx.Err() == nil {
-			known = false
+		_, _ = n.cfg.Follow(ctx, n.cfg.Holder, &wire.WatchRequest{Instance: n.cfg.Name, Local: true}, n.take) // take doesn't fail
+		if !n.contact.IsZero() && time.Since(n.contact) >= absence && ctx.Err() == nil {
+			n.contact = time.Time{}
 			n.cfg.Logger.Info("Zone is out of reach.", zap.String("zone", n.cfg.Zone))
 			n.cfg.Registry.Replace(n.cfg.Zone, nil)
 		}
@@ -64,6 +63,7 @@
 }
 
 func (n *Neighbor) take(u *wire.Update) error {
+	n.contact = time.Now()
 	if u.Snapshot {
 		n.cfg.Registry.Replace(n.cfg.Zone, u.Targets)
 	}
