Bound the targets that run copies of one content

Cause: the limit of two crashed targets held for attempts that follow each other. Copies that ran at the same time each took a target of their own.

Change: an instance keeps the targets that run each content. A suspect content goes to the target that its digest gives by rendezvous hashing over all zones, so that instances that retry it at the same time choose the same one.

Ruled out: one attempt at a time for a suspect content, which delays copies of innocent streams by seconds and doesn't bound copies sent before the first crash.

TestCopies sends 6 copies to 6 targets. Without the change they take 6 targets, with it 2, and 1 if a crash is known. TestTrialAgrees fails when the choice depends on the state of the instance. Not bounded: copies that reach several instances before the first crash is known.

--- a/internal/blocker/blocker.go
+++ b/internal/blocker/blocker.go
@@ -35,6 +35,7 @@
 	mu      sync.Mutex
 	entries map[string]*wire.Poison
 	fresh   map[string]bool
+	trials  map[string]*trial // of contents that run
 	// changes numbers the changes; order holds the number of the last change
 	// of each entry, and changed is closed at the next one.
 	changes uint64
@@ -47,15 +48,14 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Blocker{cfg: cfg, entries: map[string]*wire.Poison{}, fresh: map[string]bool{}, order: map[string]uint64{}, changed: make(chan struct{})}
+	return &Blocker{cfg: cfg, entries: map[string]*wire.Poison{}, fresh: map[string]bool{}, trials: map[string]*trial{}, order: map[string]uint64{}, changed: make(chan struct{})}
 }
 
 // IsBlocked tells whether the content has reached the limit.
 func (b *Blocker) IsBlocked(digest []byte) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.entries[string(digest)]
-	return p != nil && p.Until > b.cfg.Now().UnixNano() && len(p.Targets) >= Limit
+	return b.crashed(digest) >= Limit
 }
 
 // Blame records that a target crashed while it ran the content. Target names
--- a/internal/daemon/part_route.go
+++ b/internal/daemon/part_route.go
@@ -59,8 +59,8 @@
 		d := dispatcher.New(dispatcher.Config{
 			Begin: budget.Begin, Retry: budget.Retry,
 			Succeed: health.Succeed, Fail: health.Fail,
-			Pick:    r.Pick,
-			Blocked: blocked.IsBlocked,
+			Pick: r.Pick, Trial: r.Trial,
+			Blocked: blocked.IsBlocked, Confine: blocked.Confine, Enter: blocked.Enter,
 			Blame: func(digest []byte, target string) {
 				blocked.Blame(digest, target)
 				// The holder must know before the caller can retry elsewhere.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -39,6 +39,14 @@
 type Config struct {
 	// Pick chooses a target for a prompt; done ends its use.
 	Pick func(model, service string, prompt []byte, allowed func(target string) bool) (target *wire.Target, done func(), err error)
+	// Confine returns the only targets that a content may be sent to now, or
+	// nil, whether it is suspect, and a channel that is closed when this may have
+	// changed. Enter records an attempt; it is not ok if the target is ruled out
+	// by now. Trial chooses the target of a suspect content. Nil means that any
+	// content may run on any number of targets.
+	Confine func(digest []byte) (only []string, suspect bool, changed <-chan struct{})
+	Enter   func(digest []byte, target string) (leave func(), ok bool)
+	Trial   func(model, service string, digest []byte, allowed func(target string) bool) (target *wire.Target, done func(), err error)
 	// Blocked tells whether a content must not be sent any more.
 	Blocked func(digest []byte) bool
 	// Blame records that a target crashed while running a content, Clear that
@@ -140,17 +148,14 @@
 	sent := false
 	var last error
 	for n := 1; n <= maxAttempts; n++ {
-		if d.cfg.Blocked(job.Digest) {
-			if sent {
+		target, done, err := d.pick(ctx, &job, func(name string) bool { return !failed[name] && job.Allowed(name) })
+		if err != nil {
+			if sent && fault.Of(err) == fault.Poison {
 				// The caller may retry through another instance, which has to
 				// know the blocked content by then.
 				sleep(ctx, spreadTime)
 			}
-			return "", refuse(fault.Poison, sent, last)
-		}
-		target, done, err := d.cfg.Pick(job.Model, job.Service, job.Prompt, func(name string) bool { return !failed[name] && job.Allowed(name) })
-		if err != nil {
-			return "", refuse(fault.Unavailable, sent, last)
+			return "", refuse(fault.Of(err), sent, last)
 		}
 		failed[target.Name] = true
 		a := attempt{job: job, target: target, number: n}
--- /dev/null
+++ b/internal/dispatcher/trial_test.go
@@ -0,0 +1,84 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/blocker"
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/router"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// Copies of a request that crashes its targets, sent at the same time, must
+// crash no more than two, and one if a crash is known. Copies of an innocent
+// one must all be answered.
+func TestCopies(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		known   bool
+		crashes bool
+		targets int32
+	}{{"first", false, true, 2}, {"suspect", true, true, 1}, {"innocent", false, false, 2}, {"cleared", true, false, 6}} {
+		t.Run(test.name, func(t *testing.T) {
+			var targets []*wire.Target
+			var hit atomic.Int32
+			for i := range 6 {
+				var once sync.Once
+				server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					once.Do(func() { hit.Add(1) })
+					time.Sleep(20 * time.Millisecond)
+					if test.crashes {
+						panic(http.ErrAbortHandler) // closes the connection as the end of the process does
+					}
+				}))
+				defer server.Close()
+				targets = append(targets, &wire.Target{Name: fmt.Sprint("e", i), Zone: "a", Incarnation: 1, Address: strings.TrimPrefix(server.URL, "http://")})
+			}
+			b := blocker.New(blocker.Config{})
+			r, err := router.New(router.Config{Zone: "a", Policy: router.Round, Ready: func(string, string, string) []*wire.Target { return targets }})
+			if err != nil {
+				t.Fatal(err)
+			}
+			d := New(Config{
+				Pick: r.Pick, Trial: r.Trial, Confine: b.Confine, Enter: b.Enter,
+				Blocked: b.IsBlocked, Blame: b.Blame, Clear: b.Clear, Logger: zap.NewNop(),
+			})
+			defer d.Close()
+			if test.known {
+				b.Blame([]byte("content"), "gone/1")
+			}
+			var wg sync.WaitGroup
+			results := make([]error, 6)
+			for i := range results {
+				wg.Go(func() {
+					job := Job{Request: fmt.Sprint("r", i), Model: "m", Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: []byte("x"), Digest: []byte("content"), Repeatable: true, Allowed: func(string) bool { return true }}
+					_, results[i] = d.Do(context.WithoutCancel(t.Context()), job, func(_ *wire.Target, r *http.Response) (bool, error) {
+						_, err := io.Copy(io.Discard, r.Body)
+						return false, err
+					})
+				})
+			}
+			wg.Wait()
+			if got := hit.Load(); got > test.targets {
+				t.Errorf("got %d targets, want at most %d", got, test.targets)
+			}
+			for i, err := range results {
+				if kind := fault.Of(err); test.crashes && kind != fault.Poison && kind != fault.Crashed || !test.crashes && err != nil {
+					t.Errorf("copy %d: got %v", i, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"cmp"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -129,6 +131,27 @@
 	return t, done, nil
 }
 
+// Trial chooses a target for a content that may crash it: of those of all zones
+// the one that the digest gives (rendezvous hashing), so that all instances
+// that send the content at the same time send it to the same target. Otherwise
+// it is as Pick.
+func (r *Router) Trial(model, service string, digest []byte, allowed func(target string) bool) (t *wire.Target, done func(), err error) {
+	q := &question{now: r.cfg.Now()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	candidates := r.candidates(q, r.cfg.Ready("", model, service), func(t *wire.Target) bool { return allowed(t.Name) })
+	if len(candidates) == 0 {
+		return nil, nil, eris.Wrapf(fault.Unavailable, "no target for %s%s", model, service)
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(digest)
+	best := slices.MaxFunc(candidates, func(a, b candidate) int {
+		return cmp.Compare(rank(h.Sum64(), a.target.Name), rank(h.Sum64(), b.target.Name))
+	})
+	t, done = r.take(q, []candidate{best})
+	return t, done, nil
+}
+
 // candidates returns what is known of the targets that accept accepts.
 func (r *Router) candidates(q *question, targets []*wire.Target, accept func(*wire.Target) bool) []candidate {
 	candidates := make([]candidate, 0, len(targets))
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -289,3 +289,29 @@
 		})
 	}
 }
+
+// Instances that send a content that may crash its target at the same time
+// must send it to the same target, in whatever state they are.
+func TestTrialAgrees(t *testing.T) {
+	p := newPond(12)
+	p.targets[7].Zone = "b"
+	one, two := p.router(t, Cost, 1), p.router(t, Round, 2)
+	pick(t, one, "other")
+	chosen := map[string]bool{}
+	for i := range 50 {
+		digest, failed := []byte(fmt.Sprint("content ", i)), ""
+		for range 2 {
+			allowed := func(target string) bool { return target != failed }
+			a, _, err := one.Trial("m", "", digest, allowed)
+			b, done, again := two.Trial("m", "", digest, allowed)
+			if err != nil || again != nil || a.Name != b.Name || a.Name == failed {
+				t.Fatalf("got %v and %v (%v, %v), want the same target but %q", a, b, err, again, failed)
+			}
+			done()
+			failed, chosen[a.Name] = a.Name, true
+		}
+	}
+	if len(chosen) != len(p.targets) {
+		t.Errorf("got %d targets for 50 contents, want all", len(chosen))
+	}
+}
