--- a/internal/neighbor/neighbor_test.go
+++ b/internal/neighbor/neighbor_test.go
@@ -62,7 +62,7 @@
 				group.Go(func() { n.Run(ctx) })
 				time.Sleep(c.after)
 				synctest.Wait()
-				if got, other := r.Find("t-b") != nil, r.Find("t-c") != nil; got != c.want || !other {
+				if got, other := len(r.Ready("b", "m", "")) > 0, len(r.Ready("c", "m", "")) > 0; got != c.want || !other {
 					t.Errorf("target: got %t, that of another zone %t, want %t and true", got, other, c.want)
 				}
 			})
