Free the rights of a lost disk without the holder's proof

Cause: a holder that billed its own callers in solo mode lost these bills with its disk, and since its memory went too, the stranded rights waited for the dissolution.

Ruled out: to bill without a witness and mark it. A mark on the holder is lost with its disk, and one elsewhere needs the instance that can't be reached.

Change: in solo mode the holder sends the bills of its own callers, and bills that a look-up finds, to another entry instance of the zone before the caller hears of them (Copy with a packed record; package witness). Without a witness the settle fails; a zone with no other instance bills alone as before, and there the holder's proof stays necessary. Elsewhere it isn't.

Faults found on the way, which could have freed tokens that were spent: - The reserver didn't keep a solo bill whose first reply was lost, since its second settle is a duplicate. - Keep answered before another holder had a copy, and the instance forgot the bills. It fails now until there is one. - The copy's time of contact was set by any call, also by one that only asks for its position after a long cut. Now a call has to say that the copy is whole; the copier does so each second under load too. - A second lost disk replaced the contact of an unfinished proof by a later one. - After its hand-over, an instance accepted bills of the old epoch. The instances that have handed over are stored, so that a restart of the holder doesn't lose the proof.

Failed first: fleet.TestStrandedRightsBecomeFree showed 1 bill instead of 4 before the change. Without the witness TestRandom loses an acknowledged bill and TestWitness fails; it also fails without the check in the look-up, without the wait in Keep, with the proof of the holder demanded or not demanded everywhere, and without the stored hand-overs. TestRandom had asserted only the bills with a copy; it asserts all that callers heard of now, loses replies of settles, and loses disks that hold the only copy.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,6 +99,9 @@
 		parts = append(parts, b.holder(), b.publisher(), b.neighbors(), b.dissolver(), b.issuer())
 	}
 	parts = append(parts, b.fleet(), b.ejector(), b.retrier(), b.admitter(), b.reporter(), b.reserver(), b.resubmitter(), b.router(), b.dispatcher(), b.gateway(), b.operator())
+	if !s.Disk {
+		parts = append(parts, b.witness())
+	}
 	app := kernel.New(cfg.Logger, s.DrainTime(), parts...)
 	if err := app.Err(); err != nil {
 		return nil, eris.Wrap(err, "build")
--- a/internal/daemon/part_books.go
+++ b/internal/daemon/part_books.go
@@ -14,6 +14,7 @@
 	"github.com/papayapond/papayapond/internal/resubmitter"
 	"github.com/papayapond/papayapond/internal/subscriber"
 	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/internal/witness"
 )
 
 func (b *builder) holder() fx.Option {
@@ -26,6 +27,10 @@
 			Name: b.settings.Name, Zone: b.settings.Zone, Path: b.settings.Data,
 			Others:    b.others(),
 			Instances: b.instances,
+			Witnesses: b.witnesses(),
+			Witness: func(ctx context.Context, name string, q *wire.CopyRequest) (*wire.CopyReply, error) {
+				return b.peers.books(name).Copy(ctx, q)
+			},
 			Reserve: func() float64 {
 				if v := s.Current(); v != nil {
 					return v.Venture().Reserve
@@ -66,6 +71,29 @@
 	return names
 }
 
+// witnesses returns the names of the other instances of the zone.
+func (b *builder) witnesses() []string {
+	var names []string
+	for _, p := range b.settings.Peers {
+		if p.Zone == b.settings.Zone && p.Name != b.settings.Name {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// witness keeps bills for the holder of the zone.
+func (b *builder) witness() fx.Option {
+	return kernel.Part("witness", func(k *kernel.Kernel) (any, fx.Hook, error) {
+		r, err := kernel.Find[*reserver.Reserver](k, nameReserver)
+		if err != nil {
+			return nil, fx.Hook{}, err
+		}
+		w := witness.New(witness.Config{Zone: b.settings.Zone, Holder: b.settings.Holder(b.settings.Zone), Keep: r.Witness})
+		return w, fx.Hook{}, wire.DRPCRegisterBooks(b.mux, w)
+	})
+}
+
 func (b *builder) resubmitter() fx.Option {
 	return kernel.Part("resubmitter", func(k *kernel.Kernel) (any, fx.Hook, error) {
 		var err error
--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -82,8 +82,8 @@
 }
 
 // Settle bills requests. It answers after another holder has a durable copy of
-// the records, or in solo mode. A request without bills asks for the copied
-// position.
+// the records, or in solo mode; then the bills of this instance itself are kept
+// by a witness. A request without bills asks for the copied position.
 func (h *Holder) Settle(ctx context.Context, request *wire.SettleRequest) (*wire.SettleReply, error) {
 	l, err := h.open()
 	if err != nil {
@@ -100,6 +100,11 @@
 			h.cfg.Logger.Warn("Solo mode begins, no copy within 200 ms.", zap.Uint64("position", reply.Position))
 		}
 	}
+	if request.Holding.GetInstance() == h.cfg.Name {
+		if err := h.secure(ctx, l, reply.Position, heard(request.Bills, reply.Outcomes)); err != nil {
+			return &wire.SettleReply{Fault: wireFault(err)}, nil
+		}
+	}
 	copied, solo := h.progress.state(reply.Position)
 	reply.Solo = solo
 	if request.Epoch == l.Epoch() {
@@ -108,6 +113,17 @@
 	return reply, nil
 }
 
+// heard returns the bills that a caller hears of.
+func heard(bills []*wire.Bill, outcomes []wire.Outcome) []*wire.Bill {
+	var list []*wire.Bill
+	for i, b := range bills {
+		if outcomes[i] == wire.Outcome_OUTCOME_BILLED || outcomes[i] == wire.Outcome_OUTCOME_DUPLICATE {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
 // trace writes a debug line for each bill.
 func (h *Holder) trace(request *wire.SettleRequest, outcomes []wire.Outcome) {
 	if !h.cfg.Logger.Core().Enabled(zap.DebugLevel) {
@@ -119,13 +135,21 @@
 	}
 }
 
-// Find tells what is known about an identity.
-func (h *Holder) Find(_ context.Context, request *wire.FindRequest) (*wire.FindReply, error) {
+// Find tells what is known about an identity. A bill of this zone is told only
+// when the loss of the disk can't lose it, since the caller gets its answer.
+func (h *Holder) Find(ctx context.Context, request *wire.FindRequest) (*wire.FindReply, error) {
 	l, err := h.open()
 	if err != nil {
 		return &wire.FindReply{Fault: wireFault(err)}, nil
 	}
 	bill, conflict := l.Find(request.Account, request.Request, request.Digest)
+	if bill != nil && bill.Zone == h.cfg.Zone {
+		position := h.journal.Next()
+		h.progress.wait(ctx, position)
+		if err := h.secure(ctx, l, position, []*wire.Bill{bill}); err != nil {
+			return &wire.FindReply{Fault: wireFault(err)}, nil
+		}
+	}
 	h.cfg.Logger.Debug("Identity looked up.", zap.String("request", request.Request), zap.String("account", request.Account), zap.Bool("known", bill != nil || conflict))
 	return &wire.FindReply{Known: bill != nil || conflict, Bill: bill, Conflict: conflict}, nil
 }
--- a/internal/holder/copy.go
+++ b/internal/holder/copy.go
@@ -18,7 +18,7 @@
 	// size.
 	copyRecords = 1024
 	// contactInterval separates calls without records, which tell the other
-	// holder that the zone is alive.
+	// holder that its copy is whole.
 	contactInterval = time.Second
 	// scanInterval bounds the delay of records that are written without a
 	// notice to the copying goroutines, such as fences.
@@ -39,6 +39,7 @@
 	next      uint64 // next position to send
 	compacted uint64 // position of the snapshot that the copy has
 	counts    bool
+	whole     time.Time // last call that said that the copy is whole
 }
 
 // copyTo copies the journal to one other holder until ctx ends.
@@ -70,7 +71,7 @@
 			return err
 		}
 		succeeded()
-		if c.next < c.journal.Next() || !c.counts {
+		if c.next < c.journal.Next() || !c.counts || c.cfg.Now().Sub(c.whole) >= contactInterval {
 			continue
 		}
 		if err := c.idle(ctx, woken); err != nil {
@@ -98,6 +99,9 @@
 		c.compacted = request.Position
 	}
 	empty := len(request.Records) == 0 && len(request.Snapshot) == 0
+	if empty && c.next == request.Position {
+		c.whole = c.cfg.Now()
+	}
 	c.counts = c.counts || empty && c.next == request.Position && c.next >= c.target
 	if c.counts && c.progress.advance(c.next) {
 		c.cfg.Logger.Info("Solo mode ends.", zap.String("holder", c.other), zap.Uint64("position", c.next))
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -40,6 +40,10 @@
 	// zone. Stranded rights become free when all of them have handed over
 	// their records; without the function they stay stranded.
 	Instances func() []string
+	// Witnesses are the other entry instances of the zone, and Witness sends
+	// one of them bills that are on the disk of this holder only.
+	Witnesses []string
+	Witness   func(ctx context.Context, instance string, request *wire.CopyRequest) (*wire.CopyReply, error)
 	// Compact is the journal size in bytes that starts a compaction; 0 for the
 	// default of the ledger.
 	Compact int64
@@ -70,6 +74,7 @@
 	progress     *progress
 	grants       *grants
 	proofs       *proofs
+	witnesses    witnesses
 
 	releasing chan struct{} // held while releases are confirmed
 
--- a/internal/holder/progress.go
+++ b/internal/holder/progress.go
@@ -45,8 +45,9 @@
 	return ended
 }
 
-// wait returns when a copy is durable before the position, or in solo mode,
-// which it enters after 200 ms. It tells whether it entered solo mode.
+// wait returns when a copy is durable before the position, when ctx ends, or in
+// solo mode, which it enters after 200 ms. It tells whether it entered solo
+// mode.
 func (p *progress) wait(ctx context.Context, position uint64) (entered bool) {
 	timer := time.NewTimer(soloAfter)
 	defer timer.Stop()
@@ -54,7 +55,7 @@
 	defer p.mu.Unlock()
 	p.waited = max(p.waited, position)
 	p.notify()
-	for p.copied < position && !p.solo {
+	for p.copied < position && !p.solo && ctx.Err() == nil {
 		changed := p.changed
 		p.mu.Unlock()
 		select {
@@ -62,7 +63,6 @@
 		case <-timer.C:
 			entered = true
 		case <-ctx.Done():
-			entered = true
 		}
 		p.mu.Lock()
 		if entered {
--- a/internal/holder/proof.go
+++ b/internal/holder/proof.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ledger"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -18,30 +22,37 @@
 )
 
 // proofs collects the entry instances that have handed over all records that
-// a lost journal may have held. It is kept in memory: after a restart of the
-// holder the stranded rights wait for the dissolution.
+// a lost journal may have held.
 type proofs struct {
 	mu      sync.Mutex
-	contact int64 // time up to which a copy covered the lost epoch; 0 if unknown
+	contact int64 // time at which a copy was whole last; 0 if unknown
 	handed  map[string]bool
 }
 
-// since starts a collection for the epoch that a copy covered up to the time.
-func (p *proofs) since(contact int64) {
+// since starts a collection for the epoch that a copy covered up to the time,
+// with the instances that have handed over before a restart.
+func (p *proofs) since(contact int64, handed []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.contact, p.handed = contact, map[string]bool{}
+	for _, name := range handed {
+		p.handed[name] = true
+	}
 }
 
 // add records that an instance that started at the given time has handed over
-// its records. An instance that started after the last contact proves
-// nothing, since an earlier incarnation may have kept records.
-func (p *proofs) add(instance string, started uint64) {
+// its records, and tells whether that is new. An instance that started after
+// the copy was whole for the last time proves nothing, since an earlier
+// incarnation may have kept records. The call that tells that the copy is whole
+// may have been on its way for a while.
+func (p *proofs) add(instance string, started uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if started > 0 && int64(started)+clockSkew.Nanoseconds() <= p.contact {
-		p.handed[instance] = true
+	if p.handed[instance] || started == 0 || int64(started)+(clockSkew+callTimeout).Nanoseconds() > p.contact {
+		return false
 	}
+	p.handed[instance] = true
+	return true
 }
 
 // complete tells whether all of the instances have handed over their records.
@@ -59,26 +70,48 @@
 // Keep books the records that an entry instance kept. The last request of an
 // instance carries the start of its incarnation and so tells that there are no
 // more; when all instances have sent theirs, the stranded rights become free.
-func (h *Holder) Keep(_ context.Context, request *wire.KeepRequest) (*wire.KeepReply, error) {
+// It fails while no other holder has a copy of the bills, since the instance
+// forgets them afterwards.
+func (h *Holder) Keep(ctx context.Context, request *wire.KeepRequest) (*wire.KeepReply, error) {
 	l, err := h.open()
 	if err == nil && len(request.Bills) > 0 {
-		err = l.Keep(request.Epoch, request.Bills)
+		err = h.keep(ctx, l, request)
+	}
+	if err == nil && request.Epoch < l.Epoch() {
+		err = h.handed(l, request)
 	}
-	if err != nil {
-		return &wire.KeepReply{Fault: wireFault(err)}, nil
+	return &wire.KeepReply{Fault: wireFault(err)}, nil
+}
+
+func (h *Holder) keep(ctx context.Context, l *ledger.Ledger, request *wire.KeepRequest) error {
+	if err := l.Keep(request.Epoch, request.Bills); err != nil {
+		return err
 	}
-	h.progress.kick()
-	if request.Epoch < l.Epoch() {
-		h.proofs.add(request.Holding.GetInstance(), request.Since)
-		h.free(l)
+	position := h.journal.Next()
+	h.progress.wait(ctx, position)
+	if _, solo := h.progress.state(position); solo && len(h.cfg.Others) > 0 {
+		return eris.Wrap(fault.Unavailable, "kept bills have no copy yet")
+	}
+	return nil
+}
+
+// handed notes an instance that has handed over its records. The note is
+// stored, because the instance doesn't repeat it after a restart of the holder.
+func (h *Holder) handed(l *ledger.Ledger, request *wire.KeepRequest) error {
+	name := request.Holding.GetInstance()
+	if h.proofs.add(name, request.Since) {
+		if err := h.amend(func(o *opening) { o.Handed = append(slices.Clone(o.Handed), name) }); err != nil {
+			return err
+		}
 	}
-	return &wire.KeepReply{}, nil
+	h.free(l)
+	return nil
 }
 
 // free frees the stranded rights of all accounts once the proof is complete.
 // Accounts that are not aligned with the log wait.
 func (h *Holder) free(l *ledger.Ledger) {
-	if h.cfg.Instances == nil || !h.proofs.complete(h.cfg.Instances()) {
+	if h.cfg.Instances == nil || !h.proofs.complete(h.provers()) {
 		return
 	}
 	h.freeStranded(l)
--- a/internal/holder/random_test.go
+++ b/internal/holder/random_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/papayapond/papayapond/internal/ledger"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -20,19 +21,21 @@
 	*cluster
 	t       *rapid.T
 	entries map[string]*instance
+	own     map[string]*instance // the holders as entry instances
 
-	mu      sync.Mutex
-	lost    bool             // a disk since the copies were whole
-	billed  map[string]int64 // requests that were acknowledged, by identity
-	durable map[string]bool  // those that were on two disks then
+	mu     sync.Mutex
+	lost   bool             // a disk since the copies were whole
+	losses map[string]int   // of disks, by zone
+	billed map[string]int64 // requests whose callers heard of success, by identity
 }
 
 // instance is the model of an entry instance. It bills only what it has drawn.
 type instance struct {
+	zone    string
 	holding *wire.Holding
 	epoch   uint64
 	free    int64
-	kept    []*wire.SettleRequest // settled in solo mode
+	kept    []*wire.SettleRequest // settled in solo mode, by the holder too
 }
 
 // The sum of assigned and unassigned tokens must be constant, no budget may be
@@ -46,6 +49,7 @@
 			switch rapid.IntRange(0, 11).Draw(t, "action") {
 			case 0:
 				r.net.isolate(zone, true)
+				r.net.set(zone+"-entry-"+zone, rapid.Bool().Draw(t, "witness"))
 			case 6, 7:
 				// The log can be reached and the copies can't.
 				r.net.isolate(zone, true)
@@ -57,7 +61,16 @@
 				r.start(zone)
 				r.ready(zone)
 			case 3:
-				r.loseDisks(zone)
+				lost := []string{zone}
+				if second := rapid.SampledFrom(zones).Draw(t, "second"); second != zone {
+					lost = append(lost, second)
+				}
+				r.loseDisks(lost)
+			case 8:
+				// The disk holds the only copy of the latest bills.
+				r.net.isolate(zone, true)
+				r.spend()
+				r.loseDisks([]string{zone})
 			case 4:
 				r.fence(zone)
 			case 5:
@@ -74,22 +87,42 @@
 func newRandom(t *rapid.T) *random {
 	// A small bound makes the journals compact several times in a run.
 	compact := rapid.SampledFrom([]int64{0, 2 << 10}).Draw(t, "compact")
-	r := &random{
-		cluster: newCluster(t, map[string]int64{"acme": randomBudget}, func(cfg *Config) { cfg.Compact = compact }), t: t,
-		entries: map[string]*instance{}, billed: map[string]int64{}, durable: map[string]bool{},
-	}
+	r := &random{t: t, entries: map[string]*instance{}, own: map[string]*instance{}, billed: map[string]int64{}, losses: map[string]int{}}
 	for _, zone := range zones {
-		r.entries[zone] = &instance{holding: &wire.Holding{Instance: "entry-" + zone, Incarnation: 1}}
+		r.entries[zone] = &instance{zone: zone, holding: &wire.Holding{Instance: "entry-" + zone, Incarnation: 1}}
+		r.own[zone] = &instance{zone: zone, holding: &wire.Holding{Instance: zone, Incarnation: 1}}
 	}
+	r.cluster = newCluster(t, map[string]int64{"acme": randomBudget}, func(cfg *Config) {
+		cfg.Compact = compact
+		r.witness(cfg)
+	})
 	r.seeded()
 	source := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
 	r.net.disturb(func(string) trouble { return trouble(max(source.Intn(20)-16, 0)) })
 	return r
 }
 
+// witness has the entry instance of the zone keep bills for the holder.
+func (r *random) witness(cfg *Config) {
+	e := r.entries[cfg.Zone]
+	name := e.holding.Instance
+	cfg.Instances = func() []string { return []string{cfg.Name, name} }
+	cfg.Witnesses = []string{name}
+	cfg.Witness = func(_ context.Context, name string, request *wire.CopyRequest) (*wire.CopyReply, error) {
+		return call(r.net, cfg.Zone+"-"+name, request, func(q *wire.CopyRequest) (*wire.CopyReply, error) {
+			bills, err := ledger.Extract(cfg.Zone, nil, q.Records)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			e.kept = append(e.kept, &wire.SettleRequest{Epoch: q.Epoch, Bills: bills})
+			return &wire.CopyReply{}, err
+		})
+	}
+}
+
 func (r *random) heal() {
 	for _, zone := range zones {
 		r.net.isolate(zone, false)
+		r.net.set(zone+"-entry-"+zone, false)
 	}
 }
 
@@ -104,21 +137,23 @@
 	var group sync.WaitGroup
 	for _, zone := range zones {
 		group.Go(func() {
-			r.draw(zone, needs[zone])
-			for _, key := range requests[zone] {
-				r.settle(zone, fmt.Sprint(key), int64(key)*10)
+			for _, e := range []*instance{r.entries[zone], r.own[zone]} {
+				r.draw(e, needs[zone]/2)
+				for _, key := range requests[zone] {
+					r.settle(e, fmt.Sprint(key), int64(key)*10)
+				}
 			}
 		})
 	}
 	group.Wait()
 }
 
-func (r *random) draw(zone string, need int64) {
+func (r *random) draw(e *instance, need int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	e := r.entries[zone]
+	zone := e.zone
 	request := &wire.DrawRequest{Holding: e.holding, Account: "acme", Need: need, Want: 2 * need}
-	reply, err := call(r.net, "entry-"+zone, request, func(q *wire.DrawRequest) (*wire.DrawReply, error) { return r.holder(zone).Draw(ctx, q) })
+	reply, err := forward(r.cluster, "entry", func(h *Holder) serve[wire.DrawRequest, wire.DrawReply] { return h.Draw })(ctx, zone, request)
 	if err != nil || reply.Epoch == 0 {
 		return
 	}
@@ -132,28 +167,37 @@
 	e.free = reply.Unspent
 }
 
-func (r *random) settle(zone, request string, amount int64) {
-	e := r.entries[zone]
+// settle bills a request and tells its caller of success if there is a reply
+// to one of two calls.
+func (r *random) settle(e *instance, request string, amount int64) {
 	if amount > e.free {
 		return
 	}
+	e.free -= amount
 	bills := &wire.SettleRequest{Holding: e.holding, Epoch: e.epoch, Bills: []*wire.Bill{{Account: "acme", Request: request, Amount: amount, Reserved: amount}}}
-	reply, err := r.holder(zone).Settle(context.Background(), bills)
-	if err != nil || reply.Fault != nil {
-		r.t.Errorf("settle in %s: %v, %v", zone, err, reply.GetFault())
+	settle := forward(r.cluster, "entry", func(h *Holder) serve[wire.SettleRequest, wire.SettleReply] { return h.Settle })
+	var reply *wire.SettleReply
+	for range 2 {
+		var err error
+		reply, err = settle(context.Background(), e.zone, bills)
+		if err == nil && reply.Fault == nil {
+			break
+		}
+		if err == nil && e != r.own[e.zone] {
+			r.t.Errorf("settle in %s: %v", e.zone, reply.Fault)
+		}
+	}
+	if reply == nil || reply.Fault != nil {
 		return
 	}
-	if reply.Outcomes[0] != wire.Outcome_OUTCOME_BILLED {
+	if o := reply.Outcomes[0]; o != wire.Outcome_OUTCOME_BILLED && o != wire.Outcome_OUTCOME_DUPLICATE {
 		return
 	}
-	e.free -= amount
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.billed[request] = amount
-	if reply.Solo {
+	if reply.Solo && e != r.own[e.zone] {
 		e.kept = append(e.kept, bills)
-	} else {
-		r.durable[request] = true
 	}
 }
 
@@ -184,34 +228,40 @@
 // loseDisks replaces the disk of a zone at any moment, or, with whole copies,
 // another one right after the repair as well. The entry instances hand over
 // what they kept, and the zone frees its stranded rights.
-func (r *random) loseDisks(first string) {
-	lost := []string{first}
-	if second := rapid.SampledFrom(zones).Draw(r.t, "second"); second != first {
-		lost = append(lost, second)
-	}
+func (r *random) loseDisks(lost []string) {
 	if r.lost || len(lost) > 1 {
 		r.heal()
 		r.replicated()
 	}
 	r.lost = true
-	r.stop(first)
+	r.stop(lost[0])
 	r.heal()
 	for _, zone := range lost {
+		r.losses[zone]++
 		r.lose(zone)
-		h := r.ready(zone)
-		e := r.entries[zone]
-		for _, kept := range append(e.kept, &wire.SettleRequest{Holding: e.holding, Epoch: h.Ledger().Epoch() - 1}) {
-			request := &wire.KeepRequest{Holding: e.holding, Zone: zone, Epoch: kept.Epoch, Bills: kept.Bills}
-			if len(kept.Bills) == 0 {
-				request.Since = 1
-			}
-			if kept.Epoch == h.Ledger().Epoch() {
-				continue
-			}
-			if reply, err := h.Keep(context.Background(), request); err != nil || reply.Fault != nil {
-				r.t.Errorf("keep in %s: %v, %v", zone, err, reply.GetFault())
-			}
+		r.handOver(r.ready(zone), r.entries[zone])
+	}
+}
+
+func (r *random) handOver(h *Holder, e *instance) {
+	r.own[e.zone].epoch = 0 // its process has ended
+	epoch := h.Ledger().Epoch()
+	r.mu.Lock()
+	all := e.kept
+	e.kept = nil
+	r.mu.Unlock()
+	for _, kept := range append(all, &wire.SettleRequest{Epoch: epoch - 1}) {
+		request := &wire.KeepRequest{Holding: e.holding, Zone: e.zone, Epoch: kept.Epoch, Bills: kept.Bills}
+		if len(kept.Bills) == 0 {
+			request.Since = 1
 		}
+		if kept.Epoch == epoch {
+			continue
+		}
+		waitFor(r.t, "keep in "+e.zone, func() bool {
+			reply, err := h.Keep(context.Background(), request)
+			return err == nil && reply.Fault == nil
+		})
 	}
 }
 
@@ -273,13 +323,19 @@
 	r.verify()
 	r.net.delayed.Wait()
 	for _, zone := range zones {
-		r.draw(zone, 0)
-		if got, want := r.entries[zone].free, tally(r.holder(zone).Ledger(), "acme").Allowances; got != want {
-			r.t.Errorf("known to the entry instance of %s: got %d tokens, want %d", zone, got, want)
+		r.draw(r.entries[zone], 0)
+		r.draw(r.own[zone], 0)
+		h := r.holder(zone)
+		books := tally(h.Ledger(), "acme")
+		if got, want := r.entries[zone].free+r.own[zone].free, books.Allowances; got != want {
+			r.t.Errorf("known to the entry instances of %s: got %d tokens, want %d", zone, got, want)
+		}
+		if r.losses[zone] == 1 && h.proofs.contact > 0 && books.Stranded > 0 {
+			r.t.Errorf("stranded in %s after the proof: got %d tokens, want 0", zone, books.Stranded)
 		}
 	}
 	waitFor(r.t, "each bill once", func() bool { return r.doubled() == "" })
-	for request := range r.durable {
+	for request := range r.billed {
 		waitFor(r.t, "acknowledged request "+request+" in the books", func() bool {
 			bill, _ := r.holder("a").Ledger().Find("acme", request, nil)
 			return bill != nil
--- a/internal/holder/replica.go
+++ b/internal/holder/replica.go
@@ -31,7 +31,7 @@
 	mu       sync.Mutex
 	state    state
 	journals [2]*journal.Journal
-	contact  int64  // time of the last call of the zone
+	contact  int64  // time of the last call that said that the copy is whole
 	merged   uint64 // position before which the bills were merged
 }
 
@@ -79,7 +79,6 @@
 	if err != nil {
 		return 0, err
 	}
-	r.contact = now
 	if err := snapshotInto(j, request); err != nil {
 		return 0, err
 	}
@@ -88,6 +87,7 @@
 		return next, nil
 	}
 	if len(request.Records) == 0 && len(request.Snapshot) == 0 && request.Position == next {
+		r.contact = now
 		return next, r.promote(request.Epoch)
 	}
 	if skip := next - request.Position; skip < uint64(len(request.Records)) {
--- a/internal/holder/restore.go
+++ b/internal/holder/restore.go
@@ -37,7 +37,8 @@
 // the books can be opened without the log only if the journal is whole.
 type opening struct {
 	Epoch    uint64
-	Contact  int64            // time up to which a copy covered the epoch before
+	Contact  int64            // time at which the copy of the epoch before was whole last
+	Handed   []string         // instances that have handed over their records since
 	Assigned map[string]int64 // tokens per account that the log had assigned, until the ledger is aligned
 }
 
@@ -145,12 +146,17 @@
 	if known > 0 {
 		for _, t := range l.Tally("") {
 			o.Assigned[t.Account] = 0
+			if t.Stranded > 0 {
+				// The proof of an earlier epoch isn't complete. Its contact, which
+				// is lost too, was an earlier one.
+				o.Contact = 0
+			}
 		}
 		for _, pool := range result.Pools {
 			o.Assigned[pool.Account] = pool.Zones[h.cfg.Zone]
 		}
 	}
-	if err := h.storeOpening(o); err != nil {
+	if err := h.amend(func(present *opening) { *present = o }); err != nil {
 		return err
 	}
 	if err := l.Begin(result.Epoch); err != nil {
@@ -165,7 +171,7 @@
 
 // resume takes up what is left to do after the begin of an epoch.
 func (h *Holder) resume(l *ledger.Ledger, o opening) {
-	h.proofs.since(o.Contact)
+	h.proofs.since(o.Contact, o.Handed)
 	h.mu.Lock()
 	h.opening = o
 	h.mu.Unlock()
@@ -202,13 +208,9 @@
 	if len(left) == len(o.Assigned) {
 		return
 	}
-	o.Assigned = left
-	if err := h.storeOpening(o); err != nil {
+	if err := h.amend(func(o *opening) { o.Assigned = left }); err != nil {
 		h.cfg.Logger.Error("Epoch can't be stored.", zap.Error(err))
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.opening = o
 }
 
 // aligned tells whether the log may grant rights for the account.
@@ -219,8 +221,13 @@
 	return !left
 }
 
-func (h *Holder) storeOpening(o opening) error {
-	data, err := json.Marshal(o)
+// amend changes the opening and stores it. After a failed write the change
+// holds in memory only.
+func (h *Holder) amend(change func(*opening)) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change(&h.opening)
+	data, err := json.Marshal(h.opening)
 	if err == nil {
 		err = replaceFile(h.openingPath(), data)
 	}
--- a/internal/ledger/extract.go
+++ b/internal/ledger/extract.go
@@ -30,6 +30,16 @@
 	return bills, nil
 }
 
+// Pack returns a record from which Extract returns the bills, without answers
+// that are too large to be kept.
+func Pack(bills []*wire.Bill) ([]byte, error) {
+	batch := &wire.SettleRequest{}
+	for _, b := range bills {
+		batch.Bills = append(batch.Bills, trim(b))
+	}
+	return encode(recordSettle, 0, batch)
+}
+
 // own returns the bills of a record that its zone has billed.
 func own(zone string, k kind, m proto.Message) []*wire.Bill {
 	batch, ok := m.(*wire.SettleRequest)
--- a/internal/reserver/settle.go
+++ b/internal/reserver/settle.go
@@ -185,6 +185,9 @@
 	if err == nil && len(reply.Outcomes) != len(batch) {
 		err = eris.Wrapf(fault.Internal, "%d outcomes for %d bills", len(reply.Outcomes), len(batch))
 	}
+	if err == nil {
+		err = s.keep(l.source, request, reply)
+	}
 	if err != nil {
 		for _, x := range batch {
 			x.sent = true
@@ -192,7 +195,6 @@
 		return err
 	}
 	r.trust(s.holder)
-	s.keep(l.source, request, reply)
 	for i, x := range batch {
 		r.conclude(x, reply.Outcomes[i])
 	}
--- a/internal/reserver/settle_test.go
+++ b/internal/reserver/settle_test.go
@@ -148,13 +148,14 @@
 func TestKept(t *testing.T) {
 	b := newBooks(1000)
 	b.solo = true
+	b.losses = 1 // the first bill is a duplicate when its settle is repeated
 	bed := newTestbed(t, []string{"a"}, map[string]*books{"a": b})
 	for i := range 3 {
 		mustSettle(t, bed, mustReserve(t, bed, 10), bill(strconv.Itoa(i), 10))
 	}
 	count := func() int {
 		n := 0
-		requests, _ := bed.Kept("a")
+		requests, _ := bed.Kept("a", 2)
 		for _, request := range requests {
 			n += len(request.Bills)
 		}
@@ -166,6 +167,12 @@
 	b.set(func(b *books) { b.copied = 2 })
 	bed.poll()
 	waitFor(t, func() bool { return count() == 1 })
+	if requests, _ := bed.Kept("a", 1); len(requests) != 0 {
+		t.Errorf("kept before epoch 1: got %v, want none", requests)
+	}
+	if err := bed.Witness("a", 1, 4, []*wire.Bill{bill("w", 1)}); fault.Of(err) != fault.Fenced {
+		t.Errorf("witness after the hand-over: got %v, want %v", err, fault.Fenced)
+	}
 	bed.Forget("a", 1)
 	if got, want := count(), 0; got != want {
 		t.Errorf("kept: got %d, want %d", got, want)
--- a/internal/resubmitter/resubmitter.go
+++ b/internal/resubmitter/resubmitter.go
@@ -24,9 +24,9 @@
 	Holders map[string]string
 	// Epochs returns the epochs of the ledgers by zone.
 	Epochs func(ctx context.Context) (map[string]uint64, error)
-	// Kept returns the bills kept for a holder and the number of bills that
-	// were dropped; Forget drops those of an epoch.
-	Kept   func(holder string) ([]*wire.KeepRequest, uint64)
+	// Kept returns the bills kept for a holder before an epoch and the number
+	// of bills that were dropped; Forget drops those of an epoch.
+	Kept   func(holder string, epoch uint64) ([]*wire.KeepRequest, uint64)
 	Forget func(holder string, epoch uint64)
 	// Keep calls a holder.
 	Keep   func(ctx context.Context, holder string, request *wire.KeepRequest) error
@@ -73,11 +73,8 @@
 // handOver sends the bills of earlier epochs and then the statement that
 // there are no more. The statement is left out if bills were dropped.
 func (r *Resubmitter) handOver(ctx context.Context, holder, zone string, epoch uint64) error {
-	requests, dropped := r.cfg.Kept(holder)
+	requests, dropped := r.cfg.Kept(holder, epoch)
 	for _, q := range requests {
-		if q.Epoch >= epoch {
-			continue
-		}
 		q.Zone = zone
 		if err := r.cfg.Keep(ctx, holder, q); err != nil {
 			return err
--- a/internal/resubmitter/resubmitter_test.go
+++ b/internal/resubmitter/resubmitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 
 	"go.uber.org/zap"
@@ -23,8 +24,10 @@
 		Started: 7,
 		Holders: map[string]string{"a": "a1", "b": "b1"},
 		Epochs:  func(context.Context) (map[string]uint64, error) { return epochs, nil },
-		Kept:    func(string) ([]*wire.KeepRequest, uint64) { return kept, 0 },
-		Forget:  func(string, uint64) { kept = kept[1:] },
+		Kept: func(_ string, epoch uint64) ([]*wire.KeepRequest, uint64) {
+			return slices.DeleteFunc(slices.Clone(kept), func(q *wire.KeepRequest) bool { return q.Epoch >= epoch }), 0
+		},
+		Forget: func(string, uint64) { kept = kept[1:] },
 		Keep: func(_ context.Context, holder string, q *wire.KeepRequest) error {
 			if failing {
 				return errors.New("not reachable")
--- /dev/null
+++ b/internal/witness/witness.go
@@ -0,0 +1,51 @@
+package witness
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/ledger"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// Config configures a Witness.
+type Config struct {
+	// Zone is the zone of this instance, Holder the instance that holds its
+	// books.
+	Zone   string
+	Holder string
+	// Keep keeps bills of the holder up to a journal position of an epoch.
+	Keep func(holder string, epoch, position uint64, bills []*wire.Bill) error
+}
+
+// Witness serves the call Copy of wire.DRPCBooksServer on an instance that
+// isn't a holder. It keeps the bills of the records in memory.
+type Witness struct {
+	wire.DRPCBooksUnimplementedServer
+	cfg Config
+}
+
+// New returns a witness.
+func New(cfg Config) *Witness { return &Witness{cfg: cfg} }
+
+// Copy keeps the bills of journal records of the zone.
+func (w *Witness) Copy(_ context.Context, request *wire.CopyRequest) (*wire.CopyReply, error) {
+	end := request.Position + uint64(len(request.Records))
+	if err := w.keep(request, end); err != nil {
+		return &wire.CopyReply{Fault: &wire.Fault{Code: fault.Of(err).Code(), Text: err.Error()}}, nil
+	}
+	return &wire.CopyReply{Position: end}, nil
+}
+
+func (w *Witness) keep(request *wire.CopyRequest, end uint64) error {
+	if request.Zone != w.cfg.Zone || len(request.Snapshot) > 0 {
+		return eris.Wrapf(fault.Malformed, "bills of zone %q", request.Zone)
+	}
+	bills, err := ledger.Extract(request.Zone, nil, request.Records)
+	if err != nil {
+		return err
+	}
+	return w.cfg.Keep(w.cfg.Holder, request.Epoch, end, bills)
+}
--- a/test/fleet/money_test.go
+++ b/test/fleet/money_test.go
@@ -82,6 +82,57 @@
 	})
 }
 
+// After the loss of a disk whose latest bills had no copy, those bills must be
+// on the statement, and the account must be able to spend its whole budget
+// without a dissolution.
+func TestStrandedRightsBecomeFree(t *testing.T) {
+	f := start(t, []int{2, 1, 1}, 2_000, true)
+	f.engine("engine-a", "a", []int{0, 1})
+	f.routes(0)
+	f.routes(1)
+	chat := func() error {
+		if a := f.chat(0, "hello", 40, false, ""); a.status != http.StatusOK {
+			return fmt.Errorf("got %d %s", a.status, a.body)
+		}
+		return nil
+	}
+	// The copies of the journal are whole some time after the start.
+	time.Sleep(2 * time.Second)
+	f.eventually("serve", chat)
+	f.cut(func(i int) bool { return i < 2 }, true)
+	for range 3 {
+		f.eventually("serve in the cut zone", chat)
+	}
+	f.kill("a1")
+	f.cut(func(i int) bool { return i < 2 }, false)
+	if err := os.RemoveAll(filepath.Join(f.dir, "data", "a1")); err != nil {
+		t.Fatal(err)
+	}
+	f.serve(0)
+	restarted := time.Now()
+	f.bills(1, 4)
+	f.eventually("free the stranded rights", func() error {
+		s, err := f.statement(1)
+		if err == nil && (s.Stranded > 0 || len(s.Missing) > 0) {
+			err = fmt.Errorf("%+v", s)
+		}
+		return err
+	})
+	t.Logf("free %v after the restart", time.Since(restarted).Round(time.Second))
+	f.routes(0)
+	f.eventually("spend the whole budget", func() error {
+		refused := chat()
+		s, err := f.statement(1)
+		if err == nil && s.Billed < s.Prepaid-100 {
+			err = fmt.Errorf("billed %d of %d, last request: %w", s.Billed, s.Prepaid, refused)
+		}
+		if err == nil && s.Billed > s.Prepaid {
+			t.Fatalf("billed %d of %d", s.Billed, s.Prepaid)
+		}
+		return err
+	})
+}
+
 // While the holder of a zone is down, the other instances of the zone must go
 // on serving, and what they bill meanwhile must be on the statement.
 func TestHolderDies(t *testing.T) {
