Keep accounts stopped over restarts

Books and statements show a stop in the log; stops in a zone's ledger they don't.

Failed first: without the record, TestStopIsDurable finds no stopped account after a restart.

Conclusion: a stop holds until someone mends the books; no command does so yet.

--- a/internal/daemon/part_report.go
+++ b/internal/daemon/part_report.go
@@ -71,6 +71,12 @@
 		}
 		return 0
 	}
+	cfg.Stopped = func() []string {
+		if l := h.Ledger(); l != nil {
+			return l.Stopped()
+		}
+		return nil
+	}
 	cfg.Tally = func(account string) *wire.Tally {
 		if l := h.Ledger(); l != nil {
 			for _, t := range l.Tally(account) {
--- a/internal/ledger/books.go
+++ b/internal/ledger/books.go
@@ -119,15 +119,28 @@
 	return l.stop(a, change, cause)
 }
 
-// stop refuses a change and all later ones of the account.
+// stop refuses a change and all later ones of the account. Its record is stored
+// after those of the call, which may have made earlier changes of the account.
 func (l *Ledger) stop(a *account, change books, cause kind) error {
-	a.broken = true
+	if l.mark(a) {
+		l.stops = append(l.stops, a.name)
+	}
 	l.violations.Add(1)
 	l.cfg.Logger.Error("Invariant violated, account stopped.", zap.String("account", a.name),
 		zap.Stringer("record", cause), zap.Any("books", fields(a.books)), zap.Any("change", fields(change)))
 	return eris.Wrapf(fault.Broken, "account %s", a.name)
 }
 
+// mark marks an account as stopped and tells whether it wasn't yet.
+func (l *Ledger) mark(a *account) bool {
+	if a.broken {
+		return false
+	}
+	a.broken = true
+	l.stopped = append(l.stopped, a.name)
+	return true
+}
+
 func fields(b books) map[string]int64 {
 	return map[string]int64{
 		"granted": b.granted, "free": b.free, "allowances": b.allowances, "billed": b.billed,
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -56,7 +57,9 @@
 	submitted uint64
 	last      int64 // latest time of a record
 	failed    error
-	encoded   int // bytes of the last encoded state
+	stopped   []string // accounts
+	stops     []string // accounts of them whose record isn't stored
+	encoded   int      // bytes of the last encoded state
 
 	identities []*entry // oldest first
 	answers    []*entry // entries that may hold an answer, oldest first
@@ -96,6 +99,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(l.now(), len(l.identities))
+	// What has stopped an account during the replay does so at the next one.
+	l.stops = nil
 	// The replayed entries belong to the first submission, which is durable.
 	l.submitted = 1
 	l.durable.Store(1)
@@ -113,6 +118,14 @@
 // invariant since the start.
 func (l *Ledger) Violations() uint64 { return l.violations.Load() }
 
+// Stopped returns the names of the accounts that a violated invariant has
+// stopped, sorted.
+func (l *Ledger) Stopped() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Sorted(slices.Values(l.stopped))
+}
+
 // Tally returns the books of an account, or of all accounts in the order of
 // their names. An unknown account has no tally.
 func (l *Ledger) Tally(name string) []*wire.Tally {
@@ -173,16 +186,29 @@
 		err = l.apply(k, now, m)
 	}
 	if err != nil {
-		l.mu.Unlock()
+		// An account that was stopped stays so from the answer on.
+		if _, failed := l.store(); failed != nil {
+			return failed
+		}
 		return err
 	}
 	_, err = l.store(record)
 	return err
 }
 
-// store submits applied records, unlocks the ledger and waits until they and
-// all records before them are durable.
+// store submits applied records and those of stopped accounts, unlocks the
+// ledger and waits until they and all records before them are durable.
 func (l *Ledger) store(records ...[]byte) (position uint64, err error) {
+	for _, name := range l.stops {
+		record, err := encode(recordStop, l.now(), &wire.Grant{Account: name})
+		if err != nil {
+			l.failed = err
+			l.mu.Unlock()
+			return 0, err
+		}
+		records = append(records, record)
+	}
+	l.stops = nil
 	l.submitted++
 	submitted := l.submitted
 	wait := l.cfg.Journal.Submit(records)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -184,6 +184,43 @@
 	}
 }
 
+// A restart must not let an account spend again from books that were found
+// wrong, and must not change what other accounts have.
+func TestStopIsDurable(t *testing.T) {
+	for _, cause := range []string{"return", "settle"} {
+		t.Run(cause, func(t *testing.T) {
+			d := newDisk(t)
+			l := start(t, d, 1000)
+			if err := l.Grant("b", 1, 100); err != nil {
+				t.Fatal(err)
+			}
+			h := holding("entry", 1)
+			draw(t, l, h, 100)
+			if cause == "return" {
+				l.accounts["a"].free++ // as a fault in memory would
+				_ = l.Return(h, "a", 1, 1, 1)
+			} else {
+				l.accounts["a"].billed--
+				settle(t, l, h, bill("x", 1), refused)
+			}
+			d.crash(t)
+			l = d.open(t, "z", time.Now)
+			if got, want := l.Stopped(), []string{"a"}; !slices.Equal(got, want) {
+				t.Fatalf("stopped: got %v, want %v", got, want)
+			}
+			if _, _, err := l.Draw(h, "a", 1, 1); !errors.Is(err, fault.Broken) {
+				t.Errorf("draw: got %v, want %v", err, fault.Broken)
+			}
+			if got := l.Tally("a")[0]; got.Free != 900 || got.Allowances != 100 {
+				t.Errorf("books: got %v, want 900 free and 100 in allowances", got)
+			}
+			if _, _, err := l.Draw(h, "b", 1, 1); err != nil {
+				t.Errorf("other account: got %v, want no error", err)
+			}
+		})
+	}
+}
+
 // After a failed sync nothing may be acknowledged, and nothing that was not
 // durable may be shown as billed to a retry.
 func TestFailedSync(t *testing.T) {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -30,14 +30,14 @@
 	recordKeep                    // wire.SettleRequest, accepted bills
 	recordFree                    // wire.Grant, account only
 
-	// Kinds that occur in snapshots only.
+	// Kinds that occur in snapshots only, but for recordStop.
 	stateTally      // wire.Tally
 	stateGrant      // wire.Grant, a sequence of the window
 	stateHeld       // wire.ReturnRequest, an allowance
 	stateReturn     // wire.ReturnRequest, a sequence of the window
 	stateReleased   // wire.Released
 	stateBill       // wire.SettleRequest, one bill
-	stateBroken     // wire.Grant, account only
+	recordStop      // wire.Grant, account only
 	stateRecovering // wire.Grant, sequence is 1 if aligned, need is 1 if recovering
 )
 
@@ -46,7 +46,7 @@
 
 var kindNames = [...]string{
 	"none", "grant", "release", "confirm", "draw", "return", "settle", "fence", "foreign", "cancel", "begin", "align",
-	"keep", "free", "state tally", "state grant", "state held", "state return", "state released", "state bill", "state broken", "state recovering",
+	"keep", "free", "state tally", "state grant", "state held", "state return", "state released", "state bill", "stop", "state recovering",
 }
 
 func (k kind) String() string {
@@ -85,7 +85,7 @@
 // message returns an empty message of the kind, or nil.
 func (k kind) message() proto.Message {
 	switch k {
-	case recordGrant, recordAlign, recordFree, stateGrant, stateBroken, stateRecovering:
+	case recordGrant, recordAlign, recordFree, stateGrant, recordStop, stateRecovering:
 		return &wire.Grant{}
 	case recordRelease, recordConfirm, stateReleased:
 		return &wire.Released{}
@@ -144,8 +144,8 @@
 		return l.post(a, books{free: a.stranded, stranded: -a.stranded}, k)
 	case stateGrant:
 		a.grants.add(m.Sequence)
-	case stateBroken:
-		a.broken = true
+	case recordStop:
+		l.mark(a)
 	case stateRecovering:
 		a.recovering, a.aligned = m.Need == 1, m.Sequence == 1
 	}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -83,7 +83,7 @@
 	}
 	for _, a := range l.accounts {
 		if a.broken {
-			put(stateBroken, 0, &wire.Grant{Account: a.name})
+			put(recordStop, 0, &wire.Grant{Account: a.name})
 		}
 		if a.recovering || a.aligned {
 			put(stateRecovering, 0, &wire.Grant{Account: a.name, Sequence: uint64(bit(a.aligned)), Need: bit(a.recovering)})
--- a/internal/operator/books.go
+++ b/internal/operator/books.go
@@ -28,6 +28,9 @@
 	Stranded   int64  `json:"stranded"`
 	Refundable int64  `json:"refundable"`
 	Requests   uint64 `json:"requests"`
+	// Stopped tells that a violated invariant has stopped the account in the
+	// log. Stops in the ledger of a zone are shown by the metrics.
+	Stopped bool `json:"stopped"`
 }
 
 func (o *Operator) books(c *call) error {
@@ -123,7 +126,7 @@
 }
 
 func newLine(p *wire.Pool, replies map[string]*wire.TallyReply) line {
-	l := line{Account: p.Account, Prepaid: p.Prepaid, Topups: p.Topups, Unassigned: p.Unassigned, Refundable: p.Refunded}
+	l := line{Account: p.Account, Prepaid: p.Prepaid, Topups: p.Topups, Unassigned: p.Unassigned, Refundable: p.Refunded, Stopped: p.Stopped}
 	for _, assigned := range p.Zones {
 		l.Assigned += assigned
 	}
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -34,6 +34,8 @@
 	Log func() (leads bool, term, index uint64)
 	// Violations returns the number of broken invariants since the start.
 	Violations func() uint64
+	// Stopped returns the accounts that a violated invariant has stopped here.
+	Stopped func() []string
 	// Tally returns the books of the zone for an account, Pool the state of
 	// its budget; both return nil if they don't know it.
 	Tally func(account string) *wire.Tally
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -24,6 +24,7 @@
 		Targets:    func() map[string]int { return map[string]int{"ready": 3} },
 		Log:        func() (bool, uint64, uint64) { return true, 4, 90 },
 		Violations: func() uint64 { return 1 },
+		Stopped:    func() []string { return []string{"acme"} },
 		Tally:      func(string) *wire.Tally { return &wire.Tally{Billed: 25} },
 		Pool:       func(string) *wire.Pool { return &wire.Pool{Prepaid: 1000} },
 		Pinned:     func() []string { return []string{"mill"} },
--- a/internal/reporter/state.go
+++ b/internal/reporter/state.go
@@ -16,6 +16,7 @@
 	termDesc    = describe("papayapond_log_term", "Term of the replicated log.")
 	indexDesc   = describe("papayapond_log_commit_index", "Index of the last committed log entry.")
 	brokenDesc  = describe("papayapond_broken_invariants_total", "Changes of the books that would have broken an invariant.")
+	stoppedDesc = describe("papayapond_account_stopped", "1 for each client account that a violated invariant has stopped in the zone.", "account")
 	booksDesc   = describe("papayapond_zone_tokens", "Tokens in the books of the zone by client account and state.", "account", "state")
 	poolDesc    = describe("papayapond_budget_tokens", "Tokens of a budget by client account and state, as the log has them.", "account", "state")
 )
@@ -35,7 +36,7 @@
 
 // Describe sends the descriptions.
 func (c *stateCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{flightDesc, waitingDesc, admitDesc, ejectedDesc, retriesDesc, versionDesc, staleDesc, targetsDesc, leaderDesc, termDesc, indexDesc, brokenDesc, booksDesc, poolDesc} {
+	for _, d := range []*prometheus.Desc{flightDesc, waitingDesc, admitDesc, ejectedDesc, retriesDesc, versionDesc, staleDesc, targetsDesc, leaderDesc, termDesc, indexDesc, brokenDesc, stoppedDesc, booksDesc, poolDesc} {
 		out <- d
 	}
 }
@@ -80,6 +81,12 @@
 	if c.cfg.Violations != nil {
 		out <- prometheus.MustNewConstMetric(brokenDesc, prometheus.CounterValue, float64(c.cfg.Violations()))
 	}
+	if c.cfg.Stopped != nil {
+		names := c.cfg.Stopped()
+		for _, name := range names[:min(len(names), MaxAccounts)] {
+			gauge(stoppedDesc, 1, name)
+		}
+	}
 	c.tokens(gauge)
 }
 
