--- a/internal/holder/merge.go
+++ b/internal/holder/merge.go
@@ -116,7 +116,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.merged == r.front().Next() {
-		return max(r.latest, r.whole)
+		return max(r.latest, r.contact)
 	}
 	return r.latest
 }
--- a/internal/holder/replica.go
+++ b/internal/holder/replica.go
@@ -31,10 +31,9 @@
 	mu       sync.Mutex
 	state    state
 	journals [2]*journal.Journal
-	contact  int64  // time of the last call of the zone
+	contact  int64  // time of the last call that said that the copy is whole
 	merged   uint64 // position before which the bills were merged
 	latest   int64  // time of the latest merged record
-	whole    int64  // time of the last call that found the copy in front whole
 
 	// stalled is set while merging fails, so that a ledger that accepts nothing
 	// more doesn't log it 20 times a second on a disk that may be full. Only
@@ -86,7 +85,6 @@
 	if err != nil {
 		return 0, err
 	}
-	r.contact = now
 	if err := snapshotInto(j, request); err != nil {
 		return 0, err
 	}
@@ -97,7 +95,7 @@
 	if len(request.Records) == 0 && len(request.Snapshot) == 0 && request.Position == next {
 		err := r.promote(request.Epoch)
 		if err == nil {
-			r.whole = now
+			r.contact = now
 		}
 		return next, err
 	}
