Show accounts that the ledger of a zone has stopped

Cause: the books and statements knew only of stops in the log; a stop in a zone's ledger was in its log and its metrics. Ruled out: a separate call, since the tallies of all zones are asked anyway. Change: the tally tells whether the account is stopped in its zone. Figures: TestStopIsDurable fails without the field's value and passes with it. Conclusion: an operator sees every stop in the books.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -153,6 +153,7 @@
 	return &wire.Tally{
 		Account: a.name, Zone: l.cfg.Zone, Granted: a.granted, Free: a.free, Allowances: a.allowances,
 		Billed: a.billed, Released: a.released, Stranded: a.stranded, Requests: uint64(a.requests),
+		Stopped: a.broken,
 	}
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -253,8 +253,8 @@
 			if _, _, err := l.Draw(h, "a", 1, 1); !errors.Is(err, fault.Broken) {
 				t.Errorf("draw: got %v, want %v", err, fault.Broken)
 			}
-			if got := l.Tally("a")[0]; got.Free != 900 || got.Allowances != 100 {
-				t.Errorf("books: got %v, want 900 free and 100 in allowances", got)
+			if got := l.Tally("a")[0]; got.Free != 900 || got.Allowances != 100 || !got.Stopped {
+				t.Errorf("books: got %v, want 900 free, 100 in allowances, stopped", got)
 			}
 			if _, _, err := l.Draw(h, "b", 1, 1); err != nil {
 				t.Errorf("other account: got %v, want no error", err)
--- a/internal/operator/books.go
+++ b/internal/operator/books.go
@@ -29,7 +29,7 @@
 	Refundable int64  `json:"refundable"`
 	Requests   uint64 `json:"requests"`
 	// Stopped tells that a violated invariant has stopped the account in the
-	// log. Stops in the ledger of a zone are shown by the metrics.
+	// log or in the ledger of a zone.
 	Stopped bool `json:"stopped"`
 }
 
@@ -138,6 +138,7 @@
 				l.Billed += t.Billed
 				l.Stranded += t.Stranded
 				l.Requests += t.Requests
+				l.Stopped = l.Stopped || t.Stopped
 			}
 		}
 	}
