--- a/internal/dissolver/dissolver_test.go
+++ b/internal/dissolver/dissolver_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"go.uber.org/zap"
@@ -48,43 +49,45 @@
 		{"b doesn't release", phaseDissolving, pools(30, 12), tally(30, 0, 30, 0, 0, 0), tally(12, 0, 12, 0, 0, 0), "b1", all, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var released []string
-			closed := ""
-			d := New(Config{
-				Read: func(context.Context, *wire.ReadRequest) (*wire.ReadReply, error) {
-					return &wire.ReadReply{Phase: c.phase, Pools: c.pools}, nil
-				},
-				Propose: func(_ context.Context, m *wire.Command) (*wire.ProposeReply, error) {
-					for _, b := range m.GetClose().Balances {
-						if closed != "" {
-							closed += ", "
-						}
-						closed += fmt.Sprint(b.Account, " ", b.Prepaid, " ", b.Billed, " ", b.Refundable)
-					}
-					return &wire.ProposeReply{}, nil
-				},
-				Holders: map[string]string{"a": "a1", "b": "b1"},
-				Release: func(_ context.Context, holder string, q *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
-					released = append(released, fmt.Sprint(holder, " ", q.Account, " ", q.Amount))
-					if holder == c.refused || !q.Closing {
-						return nil, errors.New("unreachable")
-					}
-					return &wire.ReleaseReply{}, nil
-				},
-				Tally: func(_ context.Context, holder string, _ *wire.TallyRequest) (*wire.TallyReply, error) {
-					reply := &wire.TallyReply{Tallies: []*wire.Tally{map[string]*wire.Tally{"a1": c.a, "b1": c.b}[holder]}}
-					if reply.Tallies[0] == nil {
-						return nil, errors.New("unreachable")
-					}
-					return reply, nil
-				},
-				Logger: zap.NewNop(),
-			})
-			d.step(t.Context())
-			slices.Sort(released)
+			closed, released := step(t, &wire.ReadReply{Phase: c.phase, Pools: c.pools}, map[string]*wire.Tally{"a1": c.a, "b1": c.b}, c.refused)
 			if closed != c.want || !slices.Equal(released, c.released) {
 				t.Errorf("got %q, released %q, want %q, %q", closed, released, c.want, c.released)
 			}
 		})
 	}
 }
+
+// step makes one step and returns the balances of the statement that it
+// proposes, and what it asks the holders to release. The holder refused
+// releases nothing.
+func step(t *testing.T, state *wire.ReadReply, tallies map[string]*wire.Tally, refused string) (closed string, released []string) {
+	d := New(Config{
+		Read: func(context.Context, *wire.ReadRequest) (*wire.ReadReply, error) { return state, nil },
+		Propose: func(_ context.Context, m *wire.Command) (*wire.ProposeReply, error) {
+			var balances []string
+			for _, b := range m.GetClose().Balances {
+				balances = append(balances, fmt.Sprint(b.Account, " ", b.Prepaid, " ", b.Billed, " ", b.Refundable))
+			}
+			closed = strings.Join(balances, ", ")
+			return &wire.ProposeReply{}, nil
+		},
+		Holders: map[string]string{"a": "a1", "b": "b1"},
+		Release: func(_ context.Context, holder string, q *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+			released = append(released, fmt.Sprint(holder, " ", q.Account, " ", q.Amount))
+			if holder == refused || !q.Closing {
+				return nil, errors.New("unreachable")
+			}
+			return &wire.ReleaseReply{}, nil
+		},
+		Tally: func(_ context.Context, holder string, _ *wire.TallyRequest) (*wire.TallyReply, error) {
+			if tallies[holder] == nil {
+				return nil, errors.New("unreachable")
+			}
+			return &wire.TallyReply{Tallies: []*wire.Tally{tallies[holder]}}, nil
+		},
+		Logger: zap.NewNop(),
+	})
+	d.step(t.Context())
+	slices.Sort(released)
+	return closed, released
+}
--- /dev/null
+++ b/internal/replicator/members_test.go
@@ -0,0 +1,158 @@
+package replicator
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// An instance is replaced by another one while both run; the log goes on
+// with the new one after the old one is gone.
+func TestReplace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 11, "a", "b", "c", "d")
+		c.names = []string{"a", "b", "c"}
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, m := c.leader()
+		if err := m.Replace(t.Context(), "a", "d"); !errors.Is(err, fault.Unavailable) {
+			t.Errorf("replace by a member that has not asked: got %v, want unavailable", err)
+		}
+		c.start("d")
+		defer c.crash("d")
+		time.Sleep(3 * defaultElection)
+		if err := m.Replace(t.Context(), name, "d"); !errors.Is(err, fault.Conflict) {
+			t.Errorf("replace the leader: got %v, want conflict", err)
+		}
+		others := c.nodes[name].member.others()
+		if err := m.Replace(t.Context(), others[0], "d"); err != nil {
+			t.Fatal(err)
+		}
+		c.crash(others[0])
+		c.names = []string{name, others[1], "d"}
+		c.settle()
+		c.crash(others[1])
+		c.propose("k=v")
+		c.start(others[1])
+		c.settle()
+	})
+}
+
+// A request to join that arrives late, from a folder that was lost and
+// replaced, must not leave a learner in the list for good, and must not cost
+// its voter the vote.
+func TestStaleLearner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 15, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		name, m := c.leader()
+		other := m.others()[0]
+		if _, err := m.Vote(t.Context(), &wire.VoteRequest{Candidate: other + "#lost", Disk: "lost", To: name, Join: true}); err != nil {
+			t.Fatal(err)
+		}
+		for _, step := range []struct {
+			wait time.Duration
+			want int
+		}{{defaultElection, 1}, {(absence + 2) * defaultElection, 0}} {
+			time.Sleep(step.wait)
+			c.settle()
+			for _, n := range c.nodes {
+				n.member.mu.Lock()
+				if list := n.member.members(); len(list.Learners) != step.want || len(list.Voters) != 3 || !isVoter(list, other) {
+					t.Errorf("%s: got members %v, want %d learners and the first voters", n.name, list, step.want)
+				}
+				n.member.mu.Unlock()
+			}
+		}
+	})
+}
+
+// A learner that goes on with the place of another voter, or beside another
+// learner for the same place, would change the number of voters.
+func TestAddLearner(t *testing.T) {
+	for _, c := range []struct{ name, learners, old, next, want string }{
+		{"first", "", "b", "d", "d>b"},
+		{"again", "d>b", "b", "d", "d>b"},
+		{"another for the place", "d>b", "b", "e", "e>b"},
+		{"next folder", "d#1>b", "b", "d#2", "d#2>b"},
+		{"other place", "d>b", "c", "d", "d>c"},
+		{"other place, taken from another", "d>b e>c", "c", "d", "d>c"},
+		{"is a voter", "d>b", "b", "c", "d>b"},
+	} {
+		m := &wire.Members{Voters: []string{"a", "b", "c"}}
+		for _, l := range strings.Fields(c.learners) {
+			member, old, _ := strings.Cut(l, ">")
+			m.Learners = append(m.Learners, &wire.Learner{Member: member, Replaces: old})
+		}
+		addLearner(m, c.old, c.next)
+		got := ""
+		for _, l := range m.Learners {
+			got = strings.TrimSpace(got + " " + l.Member + ">" + l.Replaces)
+		}
+		if got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// A learner that left a free place for another one would leave the log with a
+// voter less for good.
+func TestReplaceKeepsFreePlace(t *testing.T) {
+	members := &wire.Members{Voters: []string{"a", "c"}, Learners: []*wire.Learner{{Member: "d", Replaces: "b"}}}
+	r := &Replicator{cfg: Config{Now: time.Now}, ballot: &wire.Ballot{Member: "a"}, lists: []membership{{0, members}}, joiners: map[string]string{"d": "d"}}
+	r.reign = &reign{busy: true}
+	if err := r.Replace(t.Context(), "c", "d"); !errors.Is(err, fault.Conflict) {
+		t.Errorf("got %v, want conflict", err)
+	}
+}
+
+// A member that voted, lost its disk and voted again could elect two leaders
+// in a term; it must rejoin under another identity, also the second time.
+func TestLostDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		members := map[string]bool{}
+		name := ""
+		for round := range 4 {
+			for i := range 120 {
+				c.propose(fmt.Sprint(round, " ", i))
+			}
+			if round != 1 { // in round 1, the replaced member again
+				name, _ = c.leader()
+			}
+			before := c.installs.Load()
+			c.lose(name)
+			c.propose("while away")
+			c.start(name)
+			c.settle()
+			if c.installs.Load() == before {
+				t.Errorf("round %d: the learner caught up without a snapshot", round)
+			}
+			for !c.nodes[name].isVoter() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if member := c.nodes[name].member.vote().Member; member == name || members[member] {
+				t.Errorf("round %d: member identity %s is used again", round, member)
+			} else {
+				members[member] = true
+			}
+		}
+	})
+}
+
+func (n *node) isVoter() bool {
+	n.member.mu.Lock()
+	defer n.member.mu.Unlock()
+	return isVoter(n.member.members(), n.member.ballot.Member)
+}
