Begin the changes of a restarted holder with its stored configuration

A publisher began without a history, so that a holder that restarted with a stored configuration sent itself the whole one as soon as there had been a change. It now begins with the stored one and sends the changes since. Of equal versions it keeps that of the controller, whose next version shares its accounts and is quick to compare.

TestChangesSinceRestart failed first: 23 sections of the whole configuration instead of the changes of version 1.

--- a/internal/daemon/part_fleet.go
+++ b/internal/daemon/part_fleet.go
@@ -145,13 +145,14 @@
 		blocked := find[*blocker.Blocker](k, nameBlocker, &err)
 		c := find[*controller.Controller](k, nameController, &err)
 		m := find[*member.Member](k, nameMember, &err)
+		s := find[*subscriber.Subscriber](k, nameSubscriber, &err)
 		if err != nil {
 			return nil, fx.Hook{}, err
 		}
 		p := publisher.New(publisher.Config{
 			Zone: b.settings.Zone, Registry: targets, Blocker: blocked,
 			Read:          func(ctx context.Context, q *wire.ReadRequest) (*wire.ReadReply, error) { return unwrap(c.Read(ctx, q)) },
-			Configuration: c.Configuration, Changed: c.Changed,
+			Configuration: c.Configuration, Stored: s.Current(), Changed: c.Changed,
 			Peers:  m.Peers,
 			Quorum: func() bool { return b.link.log.Leader() != "" },
 			Logger: k.Logger(namePublisher),
--- a/internal/publisher/history.go
+++ b/internal/publisher/history.go
@@ -32,12 +32,14 @@
 	size     int
 }
 
-// add takes a configuration that may be nil or known.
+// add takes a configuration that may be nil or known. Of equal ones it keeps
+// the last, since the next version shares its accounts with that of the
+// controller, which makes them quick to compare.
 func (h *history) add(c *configuration.Configuration) {
-	if c == nil || h.current != nil && h.current.Version() >= c.Version() {
+	if c == nil || h.current != nil && h.current.Version() > c.Version() {
 		return
 	}
-	if h.current != nil {
+	if h.current != nil && h.current.Version() < c.Version() {
 		s := step{from: h.current.Version(), sections: c.Changes(h.current)}
 		for _, section := range s.sections {
 			s.size += sectionBytes + len(section.Text)
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -39,6 +39,9 @@
 	// controller, or nil. Reading its document instead would print and parse
 	// it, which takes more than 100 ms with thousands of accounts.
 	Configuration func() *configuration.Configuration
+	// Stored is the configuration that this instance had in force when it was
+	// started, or nil. Watchers that hold it get the changes since.
+	Stored *configuration.Configuration
 	// Changed returns a channel that is closed at the next change of the
 	// configuration or the phase.
 	Changed func() <-chan struct{}
@@ -63,7 +66,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Publisher{cfg: cfg}
+	p := &Publisher{cfg: cfg}
+	p.history.add(cfg.Stored)
+	return p
 }
 
 // Announce takes the state of a target that an entry instance passes on.
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -147,6 +147,21 @@
 	}
 }
 
+// A holder that restarts must not send itself, and others that hold what it
+// had stored, the whole configuration.
+func TestChangesSinceRestart(t *testing.T) {
+	current := parsed(t, 3, 20)
+	for _, c := range []struct{ stored, held, replaces uint64 }{{1, 1, 1}, {1, 2, 0}, {3, 1, 0}, {4, 1, 0}, {4, 4, 0}} {
+		p := published(t, &current)
+		cfg := p.cfg
+		cfg.Stored = parsed(t, c.stored, 20)
+		u, err := New(cfg).update(t.Context(), &watcher{version: c.held})
+		if err != nil || u.Replaces != c.replaces || (len(u.Sections) == 0) != (c.held == 4) {
+			t.Errorf("stored %d, held %d: got %v, %d sections on version %d, want version %d", c.stored, c.held, err, len(u.Sections), u.Replaces, c.replaces)
+		}
+	}
+}
+
 // A large change would make one large message and stay in memory.
 func TestKeptChangesAreBounded(t *testing.T) {
 	h := &history{}
