Keep a target that its own zone's holder has

Cause: TestLeavingTarget failed once in a run of all tests ("no target or ledger is ready" on b1). An entry instance that started before the holder of its zone had followed that of zone b for 5 s, and the engine's announcements went there. After it had changed to its own holder, b1 took the engine for gone 3 s after the last direct announcement, although the holder of the engine's zone had it; it heard of it again only when the engine's load changed. Change: the registry notes that the holder of a target's zone has it. Such a target doesn't expire with its direct announcements; it stays until that holder says that it is gone, or until the zone is out of reach. Seen failing: TestListed without the rule.

--- a/internal/neighbor/neighbor.go
+++ b/internal/neighbor/neighbor.go
@@ -68,7 +68,7 @@
 		n.cfg.Registry.Replace(n.cfg.Zone, u.Targets)
 	}
 	for _, t := range u.Targets {
-		n.cfg.Registry.Pass(t)
+		n.cfg.Registry.List(t)
 	}
 	n.cfg.Blocker.Merge(u.Poisons)
 	return nil
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -42,6 +42,10 @@
 	target *wire.Target
 	// expires is zero for targets that a holder passed on.
 	expires time.Time
+	// listed is set while the holder of the target's zone has it. Then it stays
+	// when it no longer announces itself here, such as after an entry instance
+	// has changed to another holder.
+	listed bool
 	// sequence is the number of the last change.
 	sequence uint64
 }
@@ -58,12 +62,17 @@
 // whether the announcement is current: one of an older incarnation, or of an
 // incarnation that has already said that it is leaving, changes nothing.
 func (r *Registry) Announce(t *wire.Target) bool {
-	return r.put(t, r.cfg.Now().Add(TTL))
+	return r.put(t, r.cfg.Now().Add(TTL), false)
 }
 
 // Pass takes the state of a target from a holder.
 func (r *Registry) Pass(t *wire.Target) bool {
-	return r.put(t, time.Time{})
+	return r.put(t, time.Time{}, false)
+}
+
+// List takes the state of a target from the holder of its zone.
+func (r *Registry) List(t *wire.Target) bool {
+	return r.put(t, time.Time{}, true)
 }
 
 // Replace takes the full list of a zone, or of all zones if zone is empty,
@@ -73,11 +82,14 @@
 	listed := map[string]bool{}
 	for _, t := range targets {
 		listed[t.Name] = true
-		r.Pass(t)
+		r.put(t, time.Time{}, zone != "")
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, e := range r.entries {
+		if e.target.Zone == zone && !listed[name] {
+			e.listed = false
+		}
 		if (zone == "" || e.target.Zone == zone) && e.target.State != Gone && !listed[name] && e.expires.IsZero() {
 			r.remove(name, e)
 		}
@@ -166,12 +178,12 @@
 	return changed, r.sequence, r.changed
 }
 
-func (r *Registry) put(t *wire.Target, expires time.Time) bool {
+func (r *Registry) put(t *wire.Target, expires time.Time, listed bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[t.Name]
 	if e == nil {
-		e = &entry{target: t, expires: expires}
+		e = &entry{target: t, expires: expires, listed: listed && t.State != Gone}
 		r.entries[t.Name] = e
 		r.touch(e)
 		return true
@@ -185,6 +197,7 @@
 	}
 	changed := !isSame(old, t)
 	e.target = t
+	e.listed = (e.listed || listed) && t.State != Gone
 	if !expires.IsZero() || t.State == Gone || old.State == Gone {
 		e.expires = expires
 	}
@@ -200,7 +213,7 @@
 	now := r.cfg.Now()
 	for name, e := range r.entries {
 		switch {
-		case e.expires.IsZero() || now.Before(e.expires):
+		case !e.isExpired(now):
 		case e.target.State != Gone:
 			r.remove(name, e)
 		case now.After(e.expires.Add(10 * TTL)):
@@ -216,7 +229,7 @@
 		return
 	}
 	gone.State = Gone
-	e.target = gone
+	e.target, e.listed = gone, false
 	e.expires = r.cfg.Now()
 	r.touch(e)
 }
@@ -229,7 +242,7 @@
 }
 
 func (e *entry) isExpired(now time.Time) bool {
-	return !e.expires.IsZero() && !now.Before(e.expires)
+	return !e.listed && !e.expires.IsZero() && !now.Before(e.expires)
 }
 
 // isSame tells whether two announcements differ only in their time.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -87,3 +87,26 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// A target that announced itself here for a while, through an entry instance
+// that has changed to another holder since, must stay as long as the holder of
+// its zone has it, and no longer.
+func TestListed(t *testing.T) {
+	for name, end := range map[string]func(r *Registry){
+		"gone":     func(r *Registry) { r.List(target("e", "a", Gone, 1)) },
+		"replaced": func(r *Registry) { r.Replace("a", nil) },
+	} {
+		now := time.Unix(0, 0)
+		r := New(Config{Now: func() time.Time { return now }})
+		r.List(target("e", "a", Ready, 1))
+		r.Announce(target("e", "a", Ready, 1))
+		now = now.Add(2 * TTL)
+		if changed, _, _ := r.Since("", 0); names(changed) != "e:ready " {
+			t.Errorf("%s: listed: got %q, want it ready", name, names(changed))
+		}
+		end(r)
+		if got := names(r.Present()); got != "" {
+			t.Errorf("%s: got %q, want none", name, got)
+		}
+	}
+}
