Refuse early what engines can't start in time; admit service calls

Cause: at the start of an overload each instance went up to 1.5 times its share at once, on reports that still showed free slots, and later on the free slots that uneven targets show when they are full on the whole. The engines' queues held the admitted streams for up to 0.6 s, and a fixed wait of 300 ms left too little of the 0.42 s for them. Calls to plain services passed no admission.

Change: the wait of an interactive request is what the engines leave of the service level, by the times to the first token that the gateway reports. What goes beyond the share grows by a tenth of it per second, from free slots beyond a fifth, and is withdrawn when two chats have waited 200 ms for a first token. Means start with their first values at equal weights. Each service has a queue of its own, by the slots of its targets or 64 for each, and is admitted before the claim of a call that may not be repeated.

TestServices, TestDeadline and TestRamp fail without the parts that they guard, TestRefusedAdmission without the admission of service calls (nil claim). The signature of Admit changed, and with it the calls of the tests.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -12,21 +12,17 @@
 )
 
 const (
-	// defaultSlots is assumed for a target that announces none.
-	defaultSlots = 16
 	// defaultQueue bounds the waiting requests of one account, model and class.
 	defaultQueue = 64
-	// borrowed is the number of requests per instance and free slot that may
-	// go beyond the instance's share. The balancer in front of the instances
-	// gives them unequal parts of the traffic.
-	borrowed = 2
-	// mostBorrowed bounds the limit, relative to the share. Reports come late,
-	// so that at the start of a burst all slots look free.
-	mostBorrowed = 1.5
-	// limitAge bounds the age of a computed limit.
-	limitAge = 50 * time.Millisecond
-	// smoothing is the weight of the newest holding time in the mean.
-	smoothing = 0.05
+	// objective is the service level of the time to the first token.
+	objective = 420 * time.Millisecond
+	// leastWait and mostWait bound the longest wait of interactive requests,
+	// plainWait is that of answers that come as a whole, and serviceWait that
+	// of calls to plain services.
+	leastWait   = 60 * time.Millisecond
+	mostWait    = 300 * time.Millisecond
+	plainWait   = 2 * time.Second
+	serviceWait = time.Second
 	// maxRetry bounds the advice for Retry-After.
 	maxRetry = 30 * time.Second
 )
@@ -48,29 +44,19 @@
 	Now  func() time.Time
 }
 
-// Admitter admits model requests. It is safe for concurrent use.
+// Admitter admits requests to models and plain services. It is safe for
+// concurrent use.
 type Admitter struct {
 	cfg Config
 
-	mu     sync.Mutex
-	total  int // in flight, all models
-	whole  limit
-	models map[string]*line
+	mu    sync.Mutex
+	total int // in flight, all models
+	whole limit
+	lines map[key]*line
 }
 
-// limit is the bound on the requests in flight, computed from announcements.
-type limit struct {
-	value int
-	until time.Time
-}
-
-// line is the state of one model.
-type line struct {
-	limit  limit
-	flight int
-	hold   time.Duration // mean time for which a request is in flight
-	queue  queue
-}
+// key names a line: either is empty.
+type key struct{ model, service string }
 
 // New returns an admitter without requests.
 func New(cfg Config) *Admitter {
@@ -80,33 +66,33 @@
 	if cfg.Queue == 0 {
 		cfg.Queue = defaultQueue
 	}
-	return &Admitter{cfg: cfg, models: map[string]*line{}}
+	return &Admitter{cfg: cfg, lines: map[key]*line{}}
 }
 
-// Admit waits until the request may be sent. The caller must call release once
-// the request has ended. The error wraps fault.Overloaded if the queue is full
-// or the wait would be too long, and fault.Expired if ctx ends first; the
-// request must then not be sent. An error with fault.Overloaded has a method
-// RetryAfter that returns the expected wait.
-func (a *Admitter) Admit(ctx context.Context, model, account string, weight int64, class string) (release func(), err error) {
-	w, err := a.enter(model, account, max(weight, 1), class)
+// Admit waits until a request to a model or a service may be sent. The caller
+// must call release once the request has ended, and started before that when
+// the first token of a stream has come. The error wraps fault.Overloaded if the
+// queue is full or the wait would be too long, and fault.Expired if ctx ends
+// first; the request must then not be sent. An error with fault.Overloaded has
+// a method RetryAfter that returns the expected wait.
+func (a *Admitter) Admit(ctx context.Context, model, service, account string, weight int64, class string) (started, release func(), err error) {
+	w, longest, err := a.enter(key{model, service}, account, max(weight, 1), class)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	timer := time.NewTimer(a.longest(class))
+	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	select {
 	case <-w.granted:
-		return a.releaser(model), nil
 	case <-timer.C:
-		err = a.leave(model, w, fault.Overloaded)
+		err = a.leave(w, fault.Overloaded)
 	case <-ctx.Done():
-		err = a.leave(model, w, fault.Expired)
+		err = a.leave(w, fault.Expired)
 	}
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return a.releaser(model), nil
+	return func() { a.start(w.place) }, a.releaser(w.place), nil
 }
 
 // Waiting returns the number of waiting requests, Flight of those in flight.
@@ -114,7 +100,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := 0
-	for _, l := range a.models {
+	for _, l := range a.lines {
 		n += l.queue.size
 	}
 	return n
@@ -124,62 +110,80 @@
 func (a *Admitter) Flight() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.total
+	n := 0
+	for _, l := range a.lines {
+		n += l.flight
+	}
+	return n
 }
 
-// enter queues a request, or refuses it if it would wait too long.
-func (a *Admitter) enter(model, account string, weight int64, class string) (*waiter, error) {
+// enter queues a request and returns its longest wait, or refuses it if it
+// would wait longer.
+func (a *Admitter) enter(k key, account string, weight int64, class string) (*waiter, time.Duration, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l := a.models[model]
+	l := a.lines[k]
 	if l == nil {
-		l = &line{queue: newQueue()}
-		a.models[model] = l
+		l = newLine(k.model, k.service)
+		a.lines[k] = l
 	}
-	w := &waiter{account: account, weight: float64(weight), rank: rank(class), granted: make(chan struct{})}
+	w := &waiter{account: account, weight: float64(weight), rank: rank(class), granted: make(chan struct{}), place: &place{line: l, class: class}}
+	longest := a.longest(l, class)
 	// The queue is not empty only while all places are taken.
-	if bound := min(a.bound(&l.limit, model), a.bound(&a.whole, "")); bound > 0 && (l.queue.size > 0 || !a.hasRoom(model, l)) {
-		wait := time.Duration(float64(l.hold) * (l.queue.ahead(w) + 1) / float64(bound))
-		if l.queue.length(w) >= a.cfg.Queue || wait > a.longest(class) {
-			return nil, overload(wait)
+	if !a.hasRoom(l) || l.queue.size > 0 {
+		wait := time.Duration(float64(l.hold.value) * (l.queue.ahead(w) + 1) / float64(max(l.allowed(), 1)))
+		if l.queue.length(w) >= a.cfg.Queue || wait > longest {
+			return nil, 0, overload(wait)
 		}
 	}
 	l.queue.put(w)
 	a.pump()
-	return w, nil
+	return w, longest, nil
 }
 
 // leave gives up waiting. It returns nil if the request was admitted
 // meanwhile.
-func (a *Admitter) leave(model string, w *waiter, kind fault.Kind) error {
+func (a *Admitter) leave(w *waiter, kind fault.Kind) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l := a.models[model]
+	l := w.place.line
+	if kind == fault.Overloaded {
+		a.pump() // the limit may have grown without an event
+	}
 	if !l.queue.remove(w) {
 		return nil
 	}
 	if kind == fault.Overloaded {
-		return overload(l.hold)
+		return overload(l.hold.value)
 	}
 	return eris.Wrap(kind, "admission")
 }
 
+// start records that the answer to a request has begun.
+func (a *Admitter) start(p *place) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := p.line.begun[p]; ok {
+		p.line.started(p, a.cfg.Now())
+	}
+}
+
 // releaser returns the function that ends a request once.
-func (a *Admitter) releaser(model string) func() {
-	start := a.cfg.Now()
+func (a *Admitter) releaser(p *place) func() {
 	var once sync.Once
 	return func() {
 		once.Do(func() {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			l := a.models[model]
+			l, now := p.line, a.cfg.Now()
+			if _, ok := l.begun[p]; ok {
+				l.started(p, now)
+			}
 			l.flight--
-			a.total--
-			held := a.cfg.Now().Sub(start)
-			if l.hold == 0 {
-				l.hold = held
+			if l.service == "" {
+				a.total--
 			}
-			l.hold += time.Duration(smoothing * float64(held-l.hold))
+			l.hold.add(now.Sub(p.start))
 			a.pump()
 		})
 	}
@@ -187,80 +191,52 @@
 
 // pump admits waiting requests while there is room. The caller holds the lock.
 func (a *Admitter) pump() {
-	for model, l := range a.models {
-		for l.queue.size > 0 && a.hasRoom(model, l) {
-			l.flight++
-			a.total++
-			close(l.queue.take().granted)
-		}
-	}
-}
-
-// hasRoom tells whether one more request may be in flight. A model without a
-// ready target has room, since the dispatcher refuses its requests at once.
-func (a *Admitter) hasRoom(model string, l *line) bool {
-	bound := a.bound(&l.limit, model)
-	return bound == 0 || (l.flight < bound && a.total < max(a.bound(&a.whole, ""), 1))
-}
-
-// bound returns the limit of a model, or of all models if model is empty: the
-// share of this instance in the slots of its zone and in the free slots of the
-// others. The platform's balancer gives zones a part of the traffic that need
-// not match their targets. It is 0 if no target is ready.
-func (a *Admitter) bound(l *limit, model string) int {
 	now := a.cfg.Now()
-	if now.Before(l.until) {
-		return l.value
-	}
-	l.value, l.until = 0, now.Add(limitAge)
-	var local, remote capacity
-	for _, t := range a.cfg.Ready("", model, "") {
-		switch {
-		case len(t.Models) == 0:
-		case t.Zone == a.cfg.Zone:
-			local.add(t)
-		default:
-			remote.add(t)
+	for _, l := range a.lines {
+		l.step(now)
+		for l.queue.size > 0 && a.hasRoom(l) {
+			w := l.queue.take()
+			l.flight++
+			if l.service == "" {
+				a.total++
+			}
+			w.place.start = now
+			l.begun[w.place] = struct{}{}
+			close(w.granted)
 		}
 	}
-	all := max(a.cfg.Instances(""), 1)
-	if local.slots == 0 {
-		l.value = remote.share(all)
-		return l.value
-	}
-	l.value = local.share(max(a.cfg.Instances(a.cfg.Zone), 1)) + remote.free/all
-	return l.value
 }
 
-// capacity is the sum over some targets.
-type capacity struct{ slots, free int }
-
-func (c *capacity) add(t *wire.Target) {
-	slots := int(t.Slots)
-	if slots == 0 {
-		slots = defaultSlots
+// hasRoom tells whether one more request may be in flight. A model or service
+// without a ready target has room, since the dispatcher refuses its requests
+// at once.
+func (a *Admitter) hasRoom(l *line) bool {
+	switch {
+	case a.bound(&l.limit, l.model, l.service) == 0:
+		return true
+	case l.flight >= l.allowed():
+		return false
 	}
-	c.slots += slots
-	c.free += max(0, slots-int(t.Running+t.Waiting))
+	return l.service != "" || a.total < max(a.bound(&a.whole, "", ""), 1)
 }
 
-// share returns the limit of one of n instances.
-func (c *capacity) share(n int) int {
-	total := min(c.slots+borrowed*c.free, int(mostBorrowed*float64(c.slots)))
-	return (total + n - 1) / n
-}
-
-// longest returns the longest wait of a class.
-func (a *Admitter) longest(class string) time.Duration {
+// longest returns the longest wait of a class. Of the time to the first token,
+// interactive requests leave what the engines have lately needed for theirs.
+func (a *Admitter) longest(l *line, class string) time.Duration {
 	if d, ok := a.cfg.Wait[class]; ok {
 		return d
 	}
-	switch class {
-	case "json", "sheet":
-		return 2 * time.Second
+	switch {
+	case l.service != "":
+		return serviceWait
+	case class == "json" || class == "sheet":
+		return plainWait
+	}
+	wait := mostWait
+	if m := l.starts[class]; m != nil {
+		wait = min(wait, objective-m.high())
 	}
-	// The rest of the 420 ms to the first token is left for the prefill.
-	return 300 * time.Millisecond
+	return max(wait, leastWait)
 }
 
 // overloaded is a refusal with the time after which a retry makes sense.
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -26,20 +26,20 @@
 	a := fixed(4, 20*time.Millisecond)
 	var releases []func()
 	for range 2 {
-		release, err := a.Admit(t.Context(), "m", "a", 1, "chat")
+		_, release, err := a.Admit(t.Context(), "m", "", "a", 1, "chat")
 		if err != nil {
 			t.Fatal(err)
 		}
 		releases = append(releases, release)
 	}
-	_, err := a.Admit(t.Context(), "m", "a", 1, "chat")
+	_, _, err := a.Admit(t.Context(), "m", "", "a", 1, "chat")
 	var retry interface{ RetryAfter() time.Duration }
 	if fault.Of(err) != fault.Overloaded || !errors.As(err, &retry) || retry.RetryAfter() < time.Second {
 		t.Errorf("third request: got %v, want overloaded with a pause", err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if _, err := a.Admit(ctx, "m", "a", 1, "chat"); fault.Of(err) != fault.Expired {
+	if _, _, err := a.Admit(ctx, "m", "", "a", 1, "chat"); fault.Of(err) != fault.Expired {
 		t.Errorf("caller has gone: got %v, want expired", err)
 	}
 	releases[0]()
@@ -47,7 +47,7 @@
 	if got, want := a.Flight(), 1; got != want {
 		t.Errorf("in flight after a double release: got %d, want %d", got, want)
 	}
-	if _, err := a.Admit(t.Context(), "m", "a", 1, "chat"); err != nil {
+	if _, _, err := a.Admit(t.Context(), "m", "", "a", 1, "chat"); err != nil {
 		t.Errorf("after a release: got %v, want admission", err)
 	}
 }
@@ -71,7 +71,7 @@
 		},
 	})
 	var l limit
-	if got, want := a.bound(&l, "m"), 4+3; got != want {
+	if got, want := a.bound(&l, "m", ""), 4+3; got != want {
 		t.Errorf("limit: got %d, want a half of 8 slots and a quarter of 12 free ones", got)
 	}
 }
@@ -84,7 +84,7 @@
 		return []*wire.Target{{Name: "e", Models: []string{"m"}, Slots: 16}}
 	}
 	var l limit
-	if got, want := a.bound(&l, "m"), 12; got != want {
+	if got, want := a.bound(&l, "m", ""), 12; got != want {
 		t.Errorf("limit: got %d, want 1.5 times the share of 8", got)
 	}
 }
@@ -93,12 +93,12 @@
 // instead of after the deadline.
 func TestEarlyRefusal(t *testing.T) {
 	a := fixed(2, 10*time.Second)
-	if _, err := a.Admit(t.Context(), "m", "a", 1, "chat"); err != nil {
+	if _, _, err := a.Admit(t.Context(), "m", "", "a", 1, "chat"); err != nil {
 		t.Fatal(err)
 	}
-	a.models["m"].hold = time.Minute
+	a.lines[key{"m", ""}].hold.add(time.Minute)
 	start := time.Now()
-	_, err := a.Admit(t.Context(), "m", "a", 1, "chat")
+	_, _, err := a.Admit(t.Context(), "m", "", "a", 1, "chat")
 	if took := time.Since(start); fault.Of(err) != fault.Overloaded || took > time.Second {
 		t.Errorf("got %v after %v, want overloaded at once", err, took)
 	}
@@ -112,12 +112,98 @@
 		Instances: func(string) int { return 1 },
 	})
 	for range 3 {
-		if _, err := a.Admit(t.Context(), "m", "a", 1, "chat"); err != nil {
+		if _, _, err := a.Admit(t.Context(), "m", "", "a", 1, "chat"); err != nil {
 			t.Errorf("got %v, want admission", err)
 		}
 	}
 }
 
+// Calls to a service must be bounded by what its targets take, and neither
+// they nor model requests may use up the places of the other.
+func TestServices(t *testing.T) {
+	a := fixed(2, 20*time.Millisecond)
+	a.cfg.Ready = func(_, model, service string) []*wire.Target {
+		if service != "" {
+			return []*wire.Target{{Name: "o1", Services: []string{service}, Slots: 4, Running: 4}, {Name: "o2", Services: []string{service}, Slots: 2, Running: 2}}
+		}
+		return []*wire.Target{{Name: "e", Models: []string{"m"}, Slots: 2, Running: 2}}
+	}
+	a.cfg.Wait["service"] = 20 * time.Millisecond
+	for _, test := range []struct {
+		model, service string
+		want           int
+	}{{"m", "", 1}, {"", "orders", 3}, {"", "stock", 3}} {
+		admitted := 0
+		for range 5 {
+			if _, _, err := a.Admit(t.Context(), test.model, test.service, "a", 1, "service"); err == nil {
+				admitted++
+			} else if fault.Of(err) != fault.Overloaded {
+				t.Errorf("got %v, want overloaded", err)
+			}
+		}
+		if admitted != test.want {
+			t.Errorf("%s%s: got %d admissions, want a half of the slots, %d", test.model, test.service, admitted, test.want)
+		}
+	}
+}
+
+// A request that waits for so long that the engine's part of the time to the
+// first token breaks the service level must be refused instead.
+func TestDeadline(t *testing.T) {
+	for _, test := range []struct {
+		class string
+		took  time.Duration
+		want  time.Duration
+	}{
+		{"chat", 0, mostWait}, {"chat", 50 * time.Millisecond, mostWait}, {"chat", 320 * time.Millisecond, 100 * time.Millisecond},
+		{"quote", time.Second, leastWait}, {"sheet", time.Second, plainWait},
+	} {
+		now := time.Unix(0, 0)
+		a := fixed(8, 0)
+		a.cfg.Wait, a.cfg.Now = nil, func() time.Time { return now }
+		started, release, err := a.Admit(t.Context(), "m", "", "a", 1, test.class)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now = now.Add(test.took)
+		started()
+		now = now.Add(time.Minute)
+		release()
+		if got := a.longest(a.lines[key{"m", ""}], test.class); got != test.want {
+			t.Errorf("%s that took %v: got a wait of %v, want %v", test.class, test.took, got, test.want)
+		}
+	}
+}
+
+// An instance must not go beyond its share at once, nor at all while chats
+// wait long for their first token: the instances would fill the engines'
+// queues before any report shows it.
+func TestRamp(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := newLine("m", "")
+	l.limit = limit{value: 30, share: 20}
+	l.queue.put(&waiter{account: "a", weight: 1})
+	grow := func(d time.Duration) {
+		for range d / maxStep {
+			now = now.Add(maxStep)
+			l.step(now)
+		}
+	}
+	grow(maxStep)
+	if got, want := l.allowed(), 20; got != want {
+		t.Errorf("at the start: got %d, want the share of %d", got, want)
+	}
+	if grow(time.Minute); l.allowed() != 30 {
+		t.Errorf("after a minute: got %d, want the limit of 30", l.allowed())
+	}
+	for range maxLate {
+		l.begun[&place{class: "chat", start: now.Add(-lateTime)}] = struct{}{}
+	}
+	if grow(maxStep); l.allowed() != 20 {
+		t.Errorf("with late chats: got %d, want the share of 20", l.allowed())
+	}
+}
+
 // take drains n waiters and counts them by key.
 func take(q *queue, n int, key func(*waiter) string) map[string]int {
 	counts := map[string]int{}
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -26,6 +26,7 @@
 	weight  float64
 	rank    int
 	granted chan struct{}
+	place   *place
 }
 
 // queue holds the waiting requests of a model. Ranks share it by their shares,
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -19,6 +19,7 @@
 	"github.com/papayapond/papayapond/pkg/group"
 	"github.com/papayapond/papayapond/pkg/model"
 	"github.com/papayapond/papayapond/pkg/printer"
+	"github.com/papayapond/papayapond/pkg/service"
 	"github.com/papayapond/papayapond/pkg/venture"
 )
 
@@ -29,19 +30,20 @@
 
 func (f full) Unwrap() error { return f.error }
 
-// A request that admission refuses must not reach the dispatcher, must give
-// its reservation back, and must tell the caller when to come again.
+// A request or service call that admission refuses must not reach the
+// dispatcher nor leave a claim, must give its reservation back, and must tell
+// the caller when to come again.
 func TestRefusedAdmission(t *testing.T) {
 	now := time.Now()
 	hash := func(key string) string { return account.Hash([]byte("test salt"), key) }
-	owner := account.New("acme", 1000).WithKeys(hash("acme")).WithModels("m").WithGroups("engine")
+	owner := account.New("acme", 1000).WithKeys(hash("acme")).WithModels("m").WithServices("orders").WithGroups("engine")
 	c, err := configuration.Parse(printer.Text(venture.New("test", now.AddDate(0, 0, -1), now.AddDate(0, 0, 1)).
-		WithOperator("owner", hash("owner")).WithModels(model.New("m", 64, 1024)).
+		WithOperator("owner", hash("owner")).WithModels(model.New("m", 64, 1024)).WithServices(service.New("orders", 3)).
 		WithGroups(group.New("engine", "engine").WithKey(hash("engine"))).WithAccounts(owner)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	var class string
+	var asked string
 	cancelled := 0
 	g := New(Config{
 		Current: func() *configuration.Configuration { return c },
@@ -54,24 +56,36 @@
 				cancelled++
 			}
 		},
-		Admit: func(_ context.Context, _, _ string, _ int64, c string) (func(), error) {
-			class = c
-			return nil, full{eris.Wrap(fault.Overloaded, "test")}
+		Admit: func(_ context.Context, model, service, _ string, _ int64, class string) (_, _ func(), err error) {
+			asked = model + "/" + service + "/" + class
+			return nil, nil, full{eris.Wrap(fault.Overloaded, "test")}
 		},
 		Do: func(context.Context, dispatcher.Job, func(*wire.Target, *http.Response) (bool, error)) (string, error) {
 			t.Error("the request was sent")
 			return "", fault.Internal
 		},
+		Propose: func(context.Context, *wire.Command) (*wire.ProposeReply, error) {
+			t.Error("the call was claimed")
+			return nil, fault.Internal
+		},
+		Find:   func(context.Context, *wire.FindRequest) (*wire.FindReply, error) { return &wire.FindReply{}, nil },
 		Logger: zap.NewNop(),
 	})
-	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(`{"model":"m","messages":[{"role":"user","content":"hi"}]}`))
-	r.Header.Set("X-Class", "Quote")
-	w := httptest.NewRecorder()
-	g.ServeHTTP(w, r)
-	if w.Code != http.StatusTooManyRequests || w.Header().Get("Retry-After") != "7" || !strings.Contains(w.Body.String(), `"run":"no"`) {
-		t.Errorf("got %d, Retry-After %q, %s; want 429 after 7 s, not run", w.Code, w.Header().Get("Retry-After"), w.Body)
-	}
-	if cancelled != 1 || class != "quote" {
-		t.Errorf("got %d cancelled reservations and class %q, want 1 and quote", cancelled, class)
+	for _, test := range []struct{ path, body, want string }{
+		{"/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"hi"}]}`, "m//quote"},
+		{"/v1/services/orders/orders", "{}", "/orders/service"},
+	} {
+		cancelled = 0
+		r := httptest.NewRequest(http.MethodPost, test.path, strings.NewReader(test.body))
+		r.Header.Set("X-Class", "Quote")
+		r.Header.Set("Idempotency-Key", "k")
+		w := httptest.NewRecorder()
+		g.ServeHTTP(w, r)
+		if w.Code != http.StatusTooManyRequests || w.Header().Get("Retry-After") != "7" || !strings.Contains(w.Body.String(), `"run":"no"`) {
+			t.Errorf("%s: got %d, Retry-After %q, %s; want 429 after 7 s, not run", test.path, w.Code, w.Header().Get("Retry-After"), w.Body)
+		}
+		if cancelled != 1 || asked != test.want {
+			t.Errorf("%s: got %d cancelled reservations and admission as %q, want 1 and %q", test.path, cancelled, asked, test.want)
+		}
 	}
 }
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -73,7 +73,7 @@
 		// The answer is kept for the retry even if the caller goes away.
 		ctx = context.WithoutCancel(ctx)
 	}
-	release, err := g.cfg.Admit(ctx, c.model, s.account.Name, s.account.Weight, c.class)
+	started, release, err := g.cfg.Admit(ctx, c.model, "", s.account.Name, s.account.Weight, c.class)
 	if err != nil {
 		return err
 	}
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	relay := &relay{gateway: g, session: s, completion: c, reserved: ticket}
+	relay := &relay{gateway: g, session: s, completion: c, reserved: ticket, begun: started}
 	job := dispatcher.Job{
 		Request: s.identity, Identity: s.identity, Model: c.model, Method: http.MethodPost, Path: "/v1/chat/completions",
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Digest: s.digest, Repeatable: true,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,8 +58,9 @@
 	Read    func(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error)
 	// Do sends a job to targets.
 	Do func(ctx context.Context, job dispatcher.Job, consume func(target *wire.Target, r *http.Response) (bool, error)) (string, error)
-	// Admit waits until the request may be sent, and returns its release.
-	Admit func(ctx context.Context, model, account string, weight int64, class string) (release func(), err error)
+	// Admit waits until a request to a model or a service may be sent. Started
+	// tells that its answer has begun, release that it has ended.
+	Admit func(ctx context.Context, model, service, account string, weight int64, class string) (started, release func(), err error)
 	// Ready returns the targets for a model.
 	Ready func(zone, model, service string) []*wire.Target
 	// Announce passes the state of a target on.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,6 +40,7 @@
 	session    *session
 	completion *completion
 	reserved   uint64
+	begun      func() // tells admission of the first token
 
 	usage  usage
 	target string
@@ -164,6 +165,7 @@
 		s.WriteHeader(http.StatusOK)
 		s.started = true
 		s.outcome.First = r.gateway.cfg.Now().Sub(s.start)
+		r.begun()
 	} else {
 		s.outcome.Between = append(s.outcome.Between, r.gateway.cfg.Now().Sub(r.latest))
 	}
--- a/internal/gateway/secret_test.go
+++ b/internal/gateway/secret_test.go
@@ -70,11 +70,13 @@
 		Settle: func(context.Context, uint64, *wire.Bill) (wire.Outcome, error) {
 			return wire.Outcome_OUTCOME_BILLED, nil
 		},
-		Cancel:   func(uint64) {},
-		Find:     func(context.Context, *wire.FindRequest) (*wire.FindReply, error) { return &wire.FindReply{}, nil },
-		Propose:  func(context.Context, *wire.Command) (*wire.ProposeReply, error) { return nil, eris.New("no quorum") },
-		Do:       send.Do,
-		Admit:    func(context.Context, string, string, int64, string) (func(), error) { return func() {}, nil },
+		Cancel:  func(uint64) {},
+		Find:    func(context.Context, *wire.FindRequest) (*wire.FindReply, error) { return &wire.FindReply{}, nil },
+		Propose: func(context.Context, *wire.Command) (*wire.ProposeReply, error) { return nil, eris.New("no quorum") },
+		Do:      send.Do,
+		Admit: func(context.Context, string, string, string, int64, string) (_, _ func(), err error) {
+			return func() {}, func() {}, nil
+		},
 		Ready:    func(string, string, string) []*wire.Target { return nil },
 		Announce: func(context.Context, *wire.Target) error { return nil },
 		Holding:  func() *wire.Holding { return &wire.Holding{Instance: "a1", Incarnation: 1} },
@@ -132,8 +134,8 @@
 		c.Reserve = func(context.Context, string, int64) (uint64, error) { return 0, eris.Wrap(fault.Exhausted, "holder") }
 	}, nil, "exhausted"},
 	{"queue", chat, sampler.WondimuKey, "", body(sampler.Model, false), func(c *Config) {
-		c.Admit = func(context.Context, string, string, int64, string) (func(), error) {
-			return nil, eris.Wrap(fault.Overloaded, "queue")
+		c.Admit = func(context.Context, string, string, string, int64, string) (_, _ func(), err error) {
+			return nil, nil, eris.Wrap(fault.Overloaded, "queue")
 		}
 	}, nil, "overloaded"},
 	{"target refuses", chat, sampler.WondimuKey, "", body(sampler.Model, false), nil, reply(400, "can't read: "+prompt), "malformed"},
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -51,6 +51,13 @@
 	}
 	g.trace(s, "Tokens reserved.", zap.Int64("tokens", c.service.Price))
 	ctx := s.request.Context()
+	// Admission comes before the claim: a refused call leaves none behind.
+	_, release, err := g.cfg.Admit(ctx, "", c.service.Name, s.account.Name, s.account.Weight, "service")
+	if err != nil {
+		g.cfg.Cancel(ticket)
+		return err
+	}
+	defer release()
 	if !c.repeatable {
 		// A claimed call runs to its end, so that its outcome is recorded.
 		ctx = context.WithoutCancel(ctx)
--- a/internal/racer/entry.go
+++ b/internal/racer/entry.go
@@ -44,7 +44,9 @@
 	}
 	admit := admitter.New(admitter.Config{Zone: zone, Ready: e.registry.Ready, Instances: func(string) int { return cfg.Entries }}).Admit
 	if cfg.Unbounded {
-		admit = func(context.Context, string, string, int64, string) (func(), error) { return func() {}, nil }
+		admit = func(context.Context, string, string, string, int64, string) (started, release func(), err error) {
+			return func() {}, func() {}, nil
+		}
 	}
 	e.dispatcher = dispatcher.New(dispatcher.Config{
 		Pick: choice.Pick, Begin: budget.Begin, Retry: budget.Retry, Succeed: health.Succeed, Fail: health.Fail,
