--- a/internal/gateway/event_test.go
+++ b/internal/gateway/event_test.go
@@ -91,7 +91,7 @@
 	}
 	w := httptest.NewRecorder()
 	s := &session{ResponseWriter: w, request: httptest.NewRequest(http.MethodPost, "/", http.NoBody)}
-	r := &relay{gateway: New(Config{}), session: s, completion: &completion{stream: true}}
+	r := &relay{gateway: New(Config{}), session: s, completion: &completion{stream: true}, begun: func() {}}
 	consume := func(attempt string, parts ...func() string) {
 		request := &http.Request{Header: http.Header{dispatcher.RequestHeader: {attempt}}}
 		_, err := r.consume(&wire.Target{}, &http.Response{StatusCode: http.StatusOK, Request: request, Body: io.NopCloser((*steps)(&parts))})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,6 +40,7 @@
 	session    *session
 	completion *completion
 	reserved   uint64
+	begun      func() // tells admission of the first token
 
 	usage  usage
 	target string
@@ -194,6 +195,7 @@
 		s.WriteHeader(http.StatusOK)
 		s.started = true
 		s.outcome.First = now.Sub(s.start)
+		r.begun()
 	} else {
 		s.outcome.Between = append(s.outcome.Between, now.Sub(r.latest))
 	}
