Keep the reserve in draws and refuse at once while cut off

Cause: an instance of another zone drew the reserve of a zone directly, so that the setting kept nothing. In a cut zone without rights each request waited for the log (1 s) and for each holder beyond the cut (1.5 s each).

Ruled out: to keep the reserve to 2% of the budget as before.

Change: a draw by an instance of another zone leaves the reserve. It drops to 0, also for releases, while all zones are connected and no more is unspent than may lie in the reserves; the answer holds for 1 s. A holder refuses at once when no other holder has answered for 2 s, or when its last command to the log has no outcome, which the background task resends; it doesn't call silent holders for releases and tallies. An instance gives holders 0.5 s once another one has refused for lack of rights, and passes over those that failed in the last 3 s. It calls these each second in the background.

TestReserveSkipsSilentHolder waits 0.5 s per request without the check, and never comes back without the call in the background.

--- a/internal/daemon/part_books.go
+++ b/internal/daemon/part_books.go
@@ -27,7 +27,7 @@
 			Name: b.settings.Name, Zone: b.settings.Zone, Path: b.settings.Data,
 			Others:    b.others(),
 			Instances: b.instances,
-			Witnesses: b.witnesses(),
+			Neighbors: b.zoneMates(),
 			Witness: func(ctx context.Context, name string, q *wire.CopyRequest) (*wire.CopyReply, error) {
 				return b.peers.books(name).Copy(ctx, q)
 			},
@@ -71,8 +71,8 @@
 	return names
 }
 
-// witnesses returns the names of the other instances of the zone.
-func (b *builder) witnesses() []string {
+// zoneMates returns the names of the other instances of the zone.
+func (b *builder) zoneMates() []string {
 	var names []string
 	for _, p := range b.settings.Peers {
 		if p.Zone == b.settings.Zone && p.Name != b.settings.Name {
--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -61,8 +61,9 @@
 	ctx, cancel := context.WithTimeout(ctx, grantWait)
 	defer cancel()
 	for {
-		amount, held, err = l.Draw(request.Holding, request.Account, need, request.Want)
-		if err == nil || fault.Of(err) != fault.Exhausted || !h.ask(ctx, l, request.Account, need, 0) {
+		reserve := h.reserved(ctx, l, request, need)
+		amount, held, err = l.Draw(request.Holding, request.Account, need, request.Want, reserve)
+		if err == nil || fault.Of(err) != fault.Exhausted || !h.ask(ctx, l, request.Account, need+reserve, 0) {
 			return amount, held, err
 		}
 	}
--- a/internal/holder/copy.go
+++ b/internal/holder/copy.go
@@ -151,5 +151,6 @@
 	if err != nil {
 		return nil, err
 	}
+	c.contacts.hear(c.other)
 	return reply, faultError(reply.Fault)
 }
--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,9 +28,6 @@
 	grantRounds = 8
 	// refillPause separates requests for rights that nobody waits for.
 	refillPause = time.Second
-	// blockedPause is how long the log isn't asked after it couldn't be
-	// reached, so that requests are refused at once meanwhile.
-	blockedPause = 500 * time.Millisecond
 	// refusedPause is how long a need that was refused isn't asked for again,
 	// so that callers that repeat refused requests don't load the log.
 	refusedPause = 50 * time.Millisecond
@@ -44,7 +42,9 @@
 	turn    chan struct{} // held while a command is sent
 	pending *wire.Grant   // command with an unknown outcome, protected by turn
 	next    uint64        // next sequence, protected by turn
-	blocked time.Time     // the log isn't asked before, protected by turn
+	// blocked is set while the log can't be reached. Only the task that resolves
+	// the pending command asks it then, and nobody waits for that.
+	blocked atomic.Bool
 
 	mu       sync.Mutex
 	accounts map[string]*rights
@@ -62,6 +62,8 @@
 	refills time.Time       // no refill before
 	refused int64           // need that was refused last
 	until   time.Time       // such a need is refused until then
+	spent   bool            // the budget is nearly spent
+	judged  time.Time       // spent is known until then
 }
 
 func newGrants() *grants {
@@ -175,6 +177,9 @@
 	var sum int64
 	var group sync.WaitGroup
 	for _, other := range h.cfg.Others {
+		if h.contacts.isSilent(other) {
+			continue
+		}
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
 			defer cancel()
@@ -196,6 +201,9 @@
 // sent.
 func (h *Holder) request(ctx context.Context, l *ledger.Ledger, account string, need, want int64) (int64, error) {
 	g := h.grants
+	if g.blocked.Load() || h.contacts.isAlone() {
+		return 0, eris.Wrap(fault.Isolated, "the log can't be reached")
+	}
 	done, err := h.turn(ctx, l)
 	if err != nil {
 		return 0, err
@@ -227,12 +235,10 @@
 		return nil, eris.Wrap(fault.Isolated, "another command is in progress")
 	}
 	done = func() { <-g.turn }
-	if h.cfg.Now().Before(g.blocked) {
-		err = eris.Wrap(fault.Isolated, "the log couldn't be reached lately")
-	} else if g.pending != nil {
-		_, err = h.resolve(ctx, l)
+	if g.pending == nil {
+		return done, nil
 	}
-	if err != nil {
+	if _, err = h.resolve(ctx, l); err != nil {
 		done()
 		return nil, err
 	}
@@ -255,9 +261,11 @@
 	for {
 		data, err := h.propose(ctx, &wire.Command{Change: &wire.Command_Grant{Grant: proto.CloneOf(g.pending)}})
 		if err == nil {
+			g.blocked.Store(false)
 			return h.book(l, data)
 		}
 		if fault.Of(err) != fault.Uncertain {
+			g.blocked.Store(false)
 			// The sequence isn't used again, since a delayed copy of the
 			// command may still arrive.
 			g.pending = nil
@@ -265,7 +273,7 @@
 			return 0, err
 		}
 		if ctx.Err() != nil {
-			g.blocked = h.cfg.Now().Add(blockedPause)
+			g.blocked.Store(true)
 			return 0, err
 		}
 		sleep(ctx, retryPause)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -40,9 +40,10 @@
 	// zone. Stranded rights become free when all of them have handed over
 	// their records; without the function they stay stranded.
 	Instances func() []string
-	// Witnesses are the other entry instances of the zone, and Witness sends
-	// one of them bills that are on the disk of this holder only.
-	Witnesses []string
+	// Neighbors are the other entry instances of the zone; draws of all other
+	// instances leave the reserve. Witness sends one of them bills that are on
+	// the disk of this holder only.
+	Neighbors []string
 	Witness   func(ctx context.Context, instance string, request *wire.CopyRequest) (*wire.CopyReply, error)
 	// Compact is the journal size in bytes that starts a compaction; 0 for the
 	// default of the ledger.
@@ -76,6 +77,7 @@
 	proofs       *proofs
 	witnesses    witnesses
 
+	contacts  *contacts
 	releasing chan struct{} // held while releases are confirmed
 
 	mu       sync.Mutex
@@ -96,6 +98,7 @@
 		progress:  newProgress(),
 		grants:    newGrants(),
 		proofs:    &proofs{},
+		contacts:  newContacts(cfg),
 		releasing: make(chan struct{}, 1),
 		replicas:  map[string]*replica{},
 	}, nil
--- a/internal/holder/provision.go
+++ b/internal/holder/provision.go
@@ -118,9 +118,12 @@
 	return sum
 }
 
-// tallyOf returns the books of an account in another zone, or nil if its
-// holder doesn't answer.
+// tallyOf returns the books of an account in another zone, which may be empty,
+// or nil if its holder doesn't answer.
 func (h *Holder) tallyOf(ctx context.Context, other, name string) *wire.Tally {
+	if h.contacts.isSilent(other) {
+		return nil
+	}
 	call, cancel := context.WithTimeout(ctx, callTimeout/4)
 	defer cancel()
 	reply, err := h.cfg.Tally(call, other, &wire.TallyRequest{Account: name})
@@ -132,5 +135,5 @@
 			return t
 		}
 	}
-	return nil
+	return &wire.Tally{Account: name}
 }
--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -15,6 +17,13 @@
 // a divisor: 2%.
 const tailShare = 50
 
+// firstShare is the part of a budget that the zones are granted first, as a
+// divisor; their reserves are a part of that.
+const firstShare = 2
+
+// judgeTime is how long it is remembered whether a budget is nearly spent.
+const judgeTime = time.Second
+
 // Release gives free rights back to the log: half of them less the reserve, or
 // all when the venture closes; rights that become free later follow then. The
 // records are durable in the ledger before the log learns of them.
@@ -71,27 +80,62 @@
 	if asked > 0 {
 		amount = min(amount, asked)
 	}
+	keep := h.reserve(t)
+	if t.Free-amount >= keep || h.nearlySpent(ctx, t.Account) {
+		return amount
+	}
+	return t.Free - keep
+}
+
+// reserve returns the part of the last grant that is kept for the zone.
+func (h *Holder) reserve(t *wire.Tally) int64 {
 	h.grants.mu.Lock()
+	defer h.grants.mu.Unlock()
 	a := h.grants.account(t.Account)
 	if a.last == 0 {
 		// After a restart, the free rights stand for the last grant.
 		a.last = t.Free
 	}
-	last := a.last
-	h.grants.mu.Unlock()
-	keep := int64(h.cfg.Reserve() * float64(last))
-	if t.Free-amount >= keep {
-		return amount
-	}
-	if h.nearlySpent(ctx, t.Account) {
-		return amount
-	}
-	return t.Free - keep
+	return int64(h.cfg.Reserve() * float64(a.last))
+}
+
+// reserved returns the free rights that a draw has to leave: none for an
+// instance of this zone, and the reserve for others.
+func (h *Holder) reserved(ctx context.Context, l *ledger.Ledger, request *wire.DrawRequest, need int64) int64 {
+	name := request.Holding.GetInstance()
+	if name == h.cfg.Name || slices.Contains(h.cfg.Neighbors, name) {
+		return 0
+	}
+	t := tally(l, request.Account)
+	keep := h.reserve(t)
+	if t.Free < need || t.Free-keep >= need || !h.nearlySpent(ctx, request.Account) {
+		return keep
+	}
+	return 0
 }
 
-// nearlySpent tells whether less than 2% of the budget is unspent and all
-// zones are connected.
+// nearlySpent tells whether all zones are connected and the unspent part of the
+// budget is below 2%, or so small that it may lie in the reserves, which would
+// then cause refusals with tokens left. The last answer holds for a while,
+// since it takes a call to each zone.
 func (h *Holder) nearlySpent(ctx context.Context, account string) bool {
+	g := h.grants
+	now := h.cfg.Now()
+	g.mu.Lock()
+	a := g.account(account)
+	known, spent := now.Before(a.judged), a.spent
+	g.mu.Unlock()
+	if known {
+		return spent
+	}
+	spent = h.judge(ctx, account)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.spent, a.judged = spent, h.cfg.Now().Add(judgeTime)
+	return spent
+}
+
+func (h *Holder) judge(ctx context.Context, account string) bool {
 	pool := h.pool(ctx, account)
 	if pool == nil {
 		return false
@@ -103,17 +147,13 @@
 	budget := pool.Prepaid + pool.Topups
 	unspent := budget - tally(l, account).Billed
 	for _, other := range h.cfg.Others {
-		call, cancel := context.WithTimeout(ctx, callTimeout/4)
-		reply, err := h.cfg.Tally(call, other, &wire.TallyRequest{Account: account})
-		cancel()
-		if err != nil || reply.Fault != nil {
+		t := h.tallyOf(ctx, other, account)
+		if t == nil {
 			return false
 		}
-		for _, t := range reply.Tallies {
-			unspent -= t.Billed
-		}
+		unspent -= t.Billed
 	}
-	return unspent < budget/tailShare
+	return unspent < budget/tailShare || unspent <= int64(h.cfg.Reserve()*float64(budget)/firstShare)
 }
 
 // pool returns the pool of an account in the local replica of the log, or nil
--- a/internal/holder/witness.go
+++ b/internal/holder/witness.go
@@ -29,7 +29,7 @@
 // instance it never fails: there the rights that a lost disk strands wait for
 // the dissolution.
 func (h *Holder) secure(ctx context.Context, l *ledger.Ledger, position uint64, bills []*wire.Bill) error {
-	if _, solo := h.progress.state(position); !solo || len(bills) == 0 || len(h.cfg.Witnesses) == 0 {
+	if _, solo := h.progress.state(position); !solo || len(bills) == 0 || len(h.cfg.Neighbors) == 0 {
 		return nil
 	}
 	record, err := ledger.Pack(bills)
@@ -38,9 +38,9 @@
 	}
 	request := &wire.CopyRequest{Zone: h.cfg.Zone, Epoch: l.Epoch(), Position: position - 1, Records: [][]byte{record}}
 	err = eris.Wrap(fault.Unavailable, "no witness")
-	for range h.cfg.Witnesses {
+	for range h.cfg.Neighbors {
 		first := h.witnesses.next.Load()
-		name := h.cfg.Witnesses[int(first)%len(h.cfg.Witnesses)]
+		name := h.cfg.Neighbors[int(first)%len(h.cfg.Neighbors)]
 		if err = h.callWitness(ctx, name, request); err == nil || ctx.Err() != nil {
 			break
 		}
@@ -66,7 +66,7 @@
 // are witnesses, the holder has nothing that the others lack.
 func (h *Holder) provers() []string {
 	names := h.cfg.Instances()
-	if len(h.cfg.Witnesses) == 0 {
+	if len(h.cfg.Neighbors) == 0 {
 		return names
 	}
 	var others []string
--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -12,15 +12,15 @@
 const drawShare = 8
 
 // Draw issues an allowance and returns its amount, which is at least need.
-// It is want if that is at most one eighth of the free rights. The error
-// wraps fault.Exhausted if less than need is free, and fault.Fenced if the
-// incarnation is fenced.
+// It is want if that is at most one eighth of the free rights beyond the
+// reserve. The error wraps fault.Exhausted if less than need is free beyond the
+// reserve, and fault.Fenced if the incarnation is fenced.
 //
 // Held is all that the incarnation may bill to the account after the draw,
 // also with fault.Exhausted. An instance that missed the reply of an earlier
 // draw learns from it what it holds.
-func (l *Ledger) Draw(h *wire.Holding, account string, need, want int64) (amount, held int64, err error) {
-	if err := check(account, need, want); err != nil {
+func (l *Ledger) Draw(h *wire.Holding, account string, need, want, reserve int64) (amount, held int64, err error) {
+	if err := check(account, need, want, reserve); err != nil {
 		return 0, 0, err
 	}
 	if h.GetInstance() == "" || !valid(h.GetInstance()) {
@@ -41,15 +41,16 @@
 		held = al.amount
 	}
 	need = max(need, 1)
-	if a.free < need {
-		refused := eris.Wrapf(fault.Exhausted, "account %s: %d tokens free, %d needed", account, a.free, need)
+	free := a.free - reserve
+	if free < need {
+		refused := eris.Wrapf(fault.Exhausted, "account %s: %d tokens free, %d reserved, %d needed", account, a.free, reserve, need)
 		// What the caller is told that it holds must be durable.
 		if _, err := l.store(); err != nil {
 			return 0, 0, err
 		}
 		return 0, held, refused
 	}
-	amount = max(need, min(want, a.free/drawShare))
+	amount = max(need, min(want, free/drawShare))
 	err = l.commit(recordDraw, &wire.ReturnRequest{Holding: h, Account: account, Epoch: l.epoch, Amount: amount})
 	if err != nil {
 		return 0, 0, err
--- a/internal/reserver/draw.go
+++ b/internal/reserver/draw.go
@@ -18,9 +18,13 @@
 	// drawTimeout bounds one draw. A holder without free rights asks the log
 	// for up to one second before it answers.
 	drawTimeout = 1500 * time.Millisecond
+	// farTimeout bounds a draw after another holder has refused for lack of
+	// rights. A holder with free rights answers at once.
+	farTimeout = 500 * time.Millisecond
 	// avoidTime is how long a holder that didn't answer is asked after the
-	// others.
-	avoidTime = time.Second
+	// others, or not at all if one of them has refused. It is called in the
+	// background meanwhile, so that it covers two of these calls.
+	avoidTime = 3 * time.Second
 	// earlyPause separates draws ahead of time, so that an account near its
 	// budget doesn't cause a draw per request.
 	earlyPause = 50 * time.Millisecond
@@ -128,7 +132,7 @@
 			holders = []string{holder}
 		}
 	}
-	if len(holders) == 0 || r.drawFrom(a, holders[0], 1) != nil {
+	if len(holders) == 0 || r.drawFrom(a, holders[0], 1, drawTimeout) != nil {
 		a.early = r.cfg.Now().Add(failedPause)
 	}
 }
@@ -138,12 +142,21 @@
 // much. The mutex of the shard is held, but not during the calls.
 func (r *Reserver) drawOnce(a *account, amount int64) {
 	refused := eris.Wrap(fault.Unavailable, "no holder is known")
+	spent := false
 	for i, holder := range r.order() {
-		err := r.drawFrom(a, holder, amount)
+		timeout := drawTimeout
+		if spent {
+			if r.avoided(holder) {
+				continue
+			}
+			timeout = farTimeout
+		}
+		err := r.drawFrom(a, holder, amount, timeout)
 		if err == nil {
 			return
 		}
-		if i == 0 || fault.Of(err) == fault.Exhausted {
+		exhausted := fault.Of(err) == fault.Exhausted
+		if spent = spent || exhausted; i == 0 || exhausted {
 			refused = err
 		}
 	}
@@ -168,7 +181,7 @@
 
 // drawFrom draws from one holder. It fails with fault.Exhausted if the drawn
 // tokens don't allow a reservation of the amount.
-func (r *Reserver) drawFrom(a *account, holder string, amount int64) error {
+func (r *Reserver) drawFrom(a *account, holder string, amount int64, timeout time.Duration) error {
 	h := r.cfg.Holding()
 	now := r.cfg.Now()
 	a.drop(h)
@@ -181,7 +194,7 @@
 	epoch, known := a.known(holder, h)
 	known += r.returning(holder, h, a.name)
 	a.shard.mu.Unlock()
-	reply, err := r.callDraw(holder, request)
+	reply, err := r.callDraw(holder, request, timeout)
 	a.shard.mu.Lock()
 	if reply == nil {
 		switch fault.Of(err) {
@@ -247,8 +260,8 @@
 
 // callDraw makes one call. With fault.Exhausted, it returns the reply as well;
 // without a reply the outcome may be unknown.
-func (r *Reserver) callDraw(holder string, request *wire.DrawRequest) (*wire.DrawReply, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
+func (r *Reserver) callDraw(holder string, request *wire.DrawRequest, timeout time.Duration) (*wire.DrawReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	reply, err := r.cfg.Draw(ctx, holder, request)
 	if err != nil {
@@ -292,6 +305,34 @@
 	}
 }
 
+// probe calls the holders that failed lately. One that answers is asked again
+// at once, and for the others no request waits.
+func (r *Reserver) probe() {
+	if r.failed.Load() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for holder := range r.avoid {
+		if !r.probing[holder] {
+			r.probing[holder] = true
+			go r.probeOne(holder)
+		}
+	}
+}
+
+func (r *Reserver) probeOne(holder string) {
+	// A settle without bills has no effect.
+	if _, err := r.callSettle(r.sender(holder), &wire.SettleRequest{Holding: r.cfg.Holding()}); err != nil {
+		r.shun(holder)
+	} else {
+		r.trust(holder)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.probing, holder)
+}
+
 // avoided tells whether a holder failed lately.
 func (r *Reserver) avoided(holder string) bool {
 	now := r.cfg.Now()
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -48,6 +48,7 @@
 	senders map[string]*sender
 	returns map[string]*returner
 	avoid   map[string]time.Time // holders that failed, until when they come last
+	probing map[string]bool      // holders that are being called
 	failed  atomic.Int64         // latest end of an entry of avoid, so that the hot path takes no lock
 }
 
@@ -74,6 +75,7 @@
 		senders: map[string]*sender{},
 		returns: map[string]*returner{},
 		avoid:   map[string]time.Time{},
+		probing: map[string]bool{},
 	}
 	for i := range r.shards {
 		r.shards[i].accounts = map[string]*account{}
@@ -143,6 +145,7 @@
 		case <-tick.C:
 			r.sweep(r.cfg.Now().Add(-idleTime))
 			r.poll()
+			r.probe()
 		}
 	}
 	r.closed.Store(true)
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -181,6 +182,51 @@
 	})
 }
 
+// A request for which no rights are left must not wait for a holder that
+// doesn't answer, but that must be asked again soon after it does.
+func TestReserveSkipsSilentHolder(t *testing.T) {
+	near, far := newBooks(0), newBooks(1000)
+	bed := newTestbed(t, []string{"a", "b"}, map[string]*books{"a": near, "b": far})
+	draw, settle := bed.cfg.Draw, bed.cfg.Settle
+	var silent atomic.Bool
+	silent.Store(true)
+	bed.cfg.Draw = func(ctx context.Context, holder string, q *wire.DrawRequest) (*wire.DrawReply, error) {
+		if holder == "b" && silent.Load() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return draw(ctx, holder, q)
+	}
+	bed.cfg.Settle = func(ctx context.Context, holder string, q *wire.SettleRequest) (*wire.SettleReply, error) {
+		if holder == "b" && silent.Load() {
+			return nil, context.DeadlineExceeded
+		}
+		return settle(ctx, holder, q)
+	}
+	for _, most := range []time.Duration{farTimeout + 300*time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond} {
+		start := time.Now()
+		if _, err := bed.Reserve(context.Background(), "acme", 100); fault.Of(err) != fault.Exhausted {
+			t.Errorf("kind: got %v, want %v", err, fault.Exhausted)
+		}
+		if got := time.Since(start); got > most {
+			t.Errorf("refusal: got after %v, want within %v", got, most)
+		}
+		bed.advance(2 * time.Second) // less than avoidTime
+		bed.probe()
+		waitFor(t, func() bool { return bed.avoided("b") && !bed.isProbing() })
+	}
+	silent.Store(false)
+	bed.probe()
+	waitFor(t, func() bool { return !bed.isProbing() })
+	mustReserve(t, bed, 100)
+}
+
+func (bed *testbed) isProbing() bool {
+	bed.Reserver.mu.Lock()
+	defer bed.Reserver.mu.Unlock()
+	return len(bed.probing) > 0
+}
+
 // Spending from the allowance of a fenced incarnation ends in refused bills.
 func TestReserveNewIncarnation(t *testing.T) {
 	b := newBooks(1000)
