--- a/internal/holder/books.go
+++ b/internal/holder/books.go
@@ -84,9 +84,13 @@
 
 // Settle bills requests. It answers after another holder has a durable copy of
 // the records, or in solo mode; then the bills of this instance itself are kept
-// by a witness. A request without bills asks for the copied position.
+// by a witness. A request without bills asks for the copied position and
+// whether the ledger can bill.
 func (h *Holder) Settle(ctx context.Context, request *wire.SettleRequest) (*wire.SettleReply, error) {
 	l, err := h.open()
+	if err == nil {
+		err = l.Err()
+	}
 	if err != nil {
 		return &wire.SettleReply{Fault: wire.NewFault(err)}, nil
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -111,6 +111,13 @@
 	return l, nil
 }
 
+// Err returns the error after which the ledger accepts nothing, or nil.
+func (l *Ledger) Err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failed
+}
+
 // Epoch returns the epoch of the books. It is 1 until a restore.
 func (l *Ledger) Epoch() uint64 {
 	l.mu.Lock()
--- a/internal/reserver/failover.go
+++ b/internal/reserver/failover.go
@@ -27,6 +27,8 @@
 // journals.
 func (r *Reserver) failover(ctx context.Context, x *settlement) (wire.Outcome, error) {
 	first := x.ticket.allowance.holder
+	// The next reservation must not be from its rights again.
+	r.shun(first)
 	id, err := r.Reserve(ctx, x.bill.Account, x.bill.Amount)
 	if err != nil {
 		return x.wait(ctx)
