Poll again in TestKept

Its single poll does nothing while the sender of the last settle has not yet gone idle, which happens after the caller has its outcome. Change: the wait polls until the position is known; the condition is the same. Conclusion: the test asked once for what the product asks for each second.

--- a/internal/reserver/settle_test.go
+++ b/internal/reserver/settle_test.go
@@ -193,8 +193,10 @@
 		t.Errorf("kept: got %d, want %d", got, want)
 	}
 	b.set(func(b *books) { b.copied = 2 })
-	bed.poll()
-	waitFor(t, func() bool { return count() == 1 })
+	waitFor(t, func() bool {
+		bed.poll() // does nothing while the sender of a settle is still busy
+		return count() == 1
+	})
 	if requests, _ := bed.Kept("a", 1); len(requests) != 0 {
 		t.Errorf("kept before epoch 1: got %v, want none", requests)
 	}
