Fence a peer that two holders report to each other

Cause: TestZoneCutOff failed once in about 8 runs: 30 s after the cut, a1 showed c1 as suspect, not cut. Once c1 was late, a1 and b1 each reported it to the other one; the reports crossed, each arrived about 1 ms later than the own last heartbeat of c1, was taken for the later one, and made c1 a peer of the other. Neither probed or fenced it, so that allowances it held there stayed with it.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -283,7 +283,10 @@
 		return
 	}
 	seen := now.Add(-time.Duration(r.Seen))
-	if p.local && p.info.Incarnation == r.Incarnation && p.seen.After(seen) {
+	// Two holders hear a peer at nearly the same time. Without the margin each
+	// could take the other's report for the later one, and neither would probe
+	// and fence the peer once it is silent.
+	if p.local && p.info.Incarnation == r.Incarnation && !seen.After(p.seen.Add(suspectAfter)) {
 		return
 	}
 	p.info, _ = proto.Clone(r).(*wire.Peer)
