--- a/test/fleet/metrics_test.go
+++ b/test/fleet/metrics_test.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// objectives writes a configuration with objectives and returns its path.
+func (f *fleet) objectives() string {
+	f.t.Helper()
+	path := filepath.Join(f.dir, "objectives.toml")
+	text := printer.Text(f.sampler.Venture().WithObjectives(
+		venture.Objective{Name: "up", Measure: venture.Availability, Share: 0.999},
+		venture.Objective{Name: "first", Measure: venture.FirstToken, Limit: 420, Share: 0.95},
+		venture.Objective{Name: "refusals", Account: "wondimu", Measure: venture.FalseRefusals, Share: 0.9999},
+		venture.Objective{Name: "over", Measure: venture.Overspend, Share: 1}))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
 // burn runs `papayapond burn` with the given objectives and options.
 func (f *fleet) burn(objectives string, options ...string) string {
 	f.t.Helper()
@@ -133,15 +148,7 @@
 	f := start(t, []int{2, 1, 1}, 20_000, false)
 	f.engine("engine-a", "a", []int{0})
 	f.orders("order-a", "a", []int{0})
-	objectives := filepath.Join(f.dir, "objectives.toml")
-	text := printer.Text(f.sampler.Venture().WithObjectives(
-		venture.Objective{Name: "up", Measure: venture.Availability, Share: 0.999},
-		venture.Objective{Name: "first", Measure: venture.FirstToken, Limit: 420, Share: 0.95},
-		venture.Objective{Name: "refusals", Account: "wondimu", Measure: venture.FalseRefusals, Share: 0.9999},
-		venture.Objective{Name: "over", Measure: venture.Overspend, Share: 1}))
-	if err := os.WriteFile(objectives, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	objectives := f.objectives()
 	for i := range f.names {
 		f.routes(i)
 	}
