--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -288,28 +288,28 @@
 	}
 }
 
-func start(t *testing.T, d *disk, tokens int64) *Ledger {
+func start(t testing.TB, d *disk, tokens int64) *Ledger {
 	t.Helper()
 	l := d.open(t, "z", time.Now)
 	grant(t, l, 1, tokens)
 	return l
 }
 
-func grant(t *testing.T, l *Ledger, sequence uint64, tokens int64) {
+func grant(t testing.TB, l *Ledger, sequence uint64, tokens int64) {
 	t.Helper()
 	if err := l.Grant("a", sequence, tokens); err != nil {
 		t.Fatalf("grant: %v", err)
 	}
 }
 
-func draw(t *testing.T, l *Ledger, h *wire.Holding, need int64) {
+func draw(t testing.TB, l *Ledger, h *wire.Holding, need int64) {
 	t.Helper()
 	if got, _, err := l.Draw(h, "a", need, 0, 0); err != nil || got != need {
 		t.Fatalf("draw: got %d, %v, want %d", got, err, need)
 	}
 }
 
-func settle(t *testing.T, l *Ledger, h *wire.Holding, b *wire.Bill, want wire.Outcome) {
+func settle(t testing.TB, l *Ledger, h *wire.Holding, b *wire.Bill, want wire.Outcome) {
 	t.Helper()
 	got, _, err := l.Settle(h, l.Epoch(), []*wire.Bill{b})
 	if err != nil || got[0] != want {
--- /dev/null
+++ b/internal/settings/fuzz_test.go
@@ -0,0 +1,19 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+// Settings that a person mistyped must be refused as malformed, never panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("name = \"a1\"\n[[peers]]\nname = 3\n"))
+	f.Add([]byte("[tls]\nkey = \"\"\n= \n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if _, err := Parse("a1.toml", text); err != nil && fault.Of(err) != fault.Malformed {
+			t.Errorf("got %v, want %v", err, fault.Malformed)
+		}
+	})
+}
--- a/test/fleet/control_test.go
+++ b/test/fleet/control_test.go
@@ -128,9 +128,9 @@
 }
 
 // After hundreds of changes all processes must come back with the last
-// configuration, and never with an older one.
+// configuration, byte for byte, and never with an older one.
 func TestRestartAfterManyChanges(t *testing.T) {
-	const changes = 200
+	const changes = 500
 	f := start(t, []int{1, 1, 1}, 100_000, false)
 	for v := uint64(2); v <= changes; v++ {
 		if err := f.submit(0, f.changed(v, fmt.Sprintf("model-%d", v))); err != nil {
@@ -138,6 +138,14 @@
 		}
 	}
 	f.inForce(changes)
+	document := func(i int) string {
+		text, err := f.client(i).Call(t.Context(), http.MethodGet, "/v1/configuration", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	want := document(0)
 	for _, name := range f.names {
 		f.kill(name)
 	}
@@ -148,6 +156,11 @@
 		f.eventually("be ready", func() error { return f.ready(i) })
 	}
 	f.inForce(changes)
+	for i, name := range f.names {
+		if got := document(i); got != want {
+			t.Errorf("configuration of %s: got\n%s\nwant\n%s", name, got, want)
+		}
+	}
 }
 
 // Callers on all instances that use up a budget must not overspend it, and
