Report a peer that has changed its holder for three seconds

Ruled out: a smaller margin, since two holders' reports of one peer then cross again; and a wrong expectation of the test, since the fence lasts after the partition. Change: a holder reports a new peer of its own with each heartbeat for 3 s. Figures: TestChangedHolder fails without the change and passes with it. Conclusion: a former holder learns of the change within 3 s.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -20,7 +20,11 @@
 	// suspectAfter and deadAfter are times of silence. Three missed heartbeats
 	// are the bound after which a holder frees the allowances of an instance.
 	suspectAfter = 1500 * time.Millisecond
-	deadAfter    = 3 * time.Second
+	// adoptTime is how long each heartbeat reports a new local peer, so that its
+	// former holder gets a report that is later than its own news by more than
+	// suspectAfter and doesn't take the peer for silent.
+	adoptTime = 2 * suspectAfter
+	deadAfter = 3 * time.Second
 	// beatTimeout bounds one heartbeat call.
 	beatTimeout = 700 * time.Millisecond
 	// fullInterval is the time between two full lists of peers from a holder
@@ -89,8 +93,10 @@
 	info   *wire.Peer
 	seen   time.Time
 	fenced uint64
-	// local tells that the peer sends its heartbeats to this instance.
+	// local tells that the peer sends its heartbeats to this instance, since
+	// the time when it began to.
 	local bool
+	since time.Time
 }
 
 // New returns a member with a fresh incarnation.
@@ -152,6 +158,9 @@
 		m.cfg.Logger.Info("Instance joined.", zap.String("peer", r.Instance), zap.String("zone", r.Zone), zap.Uint64("incarnation", r.Incarnation))
 	}
 	p.info = &wire.Peer{Name: r.Instance, Zone: r.Zone, Incarnation: r.Incarnation, State: state, Version: r.Version, Address: r.Address, Public: r.Public, Flight: r.Flight}
+	if !p.local {
+		p.since = now
+	}
 	p.seen, p.local = now, true
 	for _, other := range r.Peers {
 		m.merge(other, now)
@@ -273,7 +282,7 @@
 		if !p.local {
 			continue
 		}
-		if full || p.info.State != Alive || now.Sub(p.seen) > suspectAfter || sent.versions[p.info.Name] != p.info.Version {
+		if full || now.Sub(p.since) < adoptTime || p.info.State != Alive || now.Sub(p.seen) > suspectAfter || sent.versions[p.info.Name] != p.info.Version {
 			sent.versions[p.info.Name] = p.info.Version
 			peers = append(peers, p.report(now))
 		}
--- a/internal/member/report_test.go
+++ b/internal/member/report_test.go
@@ -51,3 +51,34 @@
 		}
 	}
 }
+
+// The former holder of a peer must not take it for silent, and fence it, when a
+// partition begins soon after the change.
+func TestChangedHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var holders []*Member
+	for _, name := range []string{"a1", "b1"} {
+		holders = append(holders, New(Config{
+			Self: &wire.Peer{Name: name, Zone: name}, Holder: true, Now: func() time.Time { return now },
+			Version: func() uint64 { return 1 }, Flight: func() int { return 0 }, Logger: zap.NewNop(),
+		}))
+	}
+	beat := func(m *Member, r *wire.BeatRequest) {
+		if _, err := m.Beat(t.Context(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a, b := holders[0], holders[1]
+	beat(a, &wire.BeatRequest{Instance: "c1", Incarnation: 7})
+	for range 3 {
+		now = now.Add(time.Second)
+		beat(b, &wire.BeatRequest{Instance: "c1", Incarnation: 7})
+		beat(a, &wire.BeatRequest{Instance: "b1", Incarnation: 6, Peers: b.changedPeers("a1")})
+	}
+	now = now.Add(time.Minute)
+	for _, p := range a.silent() {
+		if p.Name == "c1" {
+			t.Error("the former holder takes c1 for silent")
+		}
+	}
+}
