Tell operators what is wrong with a command, not with a request

Ruled out: another kind for wrong commands; the exit status 2 is that of this one. Change: the text of the kind is left out for wrong commands; fault.Text, which the faults of replies use too, does it.

--- a/cmd/papayapond/main.go
+++ b/cmd/papayapond/main.go
@@ -51,7 +51,16 @@
 		os.Exit(fault.Malformed.Exit())
 	}
 	if err := command.run(context.Background()); err != nil && !errors.Is(err, context.Canceled) {
-		fmt.Fprintln(os.Stderr, "papayapond:", err)
+		fmt.Fprintln(os.Stderr, "papayapond:", message(err))
 		os.Exit(fault.Of(err).Exit())
 	}
 }
+
+// message returns the text of an error for an operator. That of fault.Malformed
+// itself speaks of a caller's request.
+func message(err error) string {
+	if text := fault.Text(err); text != "" && errors.Is(err, fault.Malformed) {
+		return text
+	}
+	return err.Error()
+}
--- a/cmd/papayapond/operate_test.go
+++ b/cmd/papayapond/operate_test.go
@@ -9,7 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/papayapond/papayapond/internal/configuration"
+	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/sampler"
 	"github.com/papayapond/papayapond/pkg/printer"
 	"github.com/papayapond/papayapond/pkg/venture"
@@ -48,3 +51,20 @@
 		t.Errorf("got %q, want %q in it", got, want)
 	}
 }
+
+// An operator who mistypes a command sent no request, so the message must not
+// speak of one.
+func TestMessage(t *testing.T) {
+	for _, test := range []struct {
+		err  error
+		want string
+	}{
+		{eris.Wrap(fault.Malformed, "add --confirm"), "add --confirm"},
+		{fault.Malformed, fault.Malformed.Error()},
+		{eris.Wrap(fault.Conflict, "version 2"), "version 2: " + fault.Conflict.Error()},
+	} {
+		if got := message(test.err); got != test.want {
+			t.Errorf("got %q, want %q", got, test.want)
+		}
+	}
+}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -113,6 +114,13 @@
 	return Internal
 }
 
+// Text returns the text of err without that of its kind at the end. It is empty
+// if err is a Kind.
+func Text(err error) string {
+	text := strings.TrimSuffix(err.Error(), Of(err).Error())
+	return strings.TrimSuffix(text, ": ")
+}
+
 // Parse returns the kind with the given code, and Internal if there is none.
 func Parse(code string) Kind {
 	for k, r := range table {
--- a/internal/wire/fault.go
+++ b/internal/wire/fault.go
@@ -15,10 +15,8 @@
 	if err == nil {
 		return nil
 	}
-	kind := fault.Of(err)
-	text := strings.TrimSuffix(err.Error(), kind.Error())
 	// Errors may quote a document, which need not be UTF-8.
-	return &Fault{Code: kind.Code(), Text: strings.ToValidUTF8(strings.TrimSuffix(text, ": "), "?")}
+	return &Fault{Code: fault.Of(err).Code(), Text: strings.ToValidUTF8(fault.Text(err), "?")}
 }
 
 // Err returns the error of a fault, which wraps its kind, or nil.
