Share the set-up of replicator and member tests; mend comments

Ruled out: shorter tests by fewer checks; none was changed. Change: settled and holders hold the set-up.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// Stall is the time in which a caller must take a part of its answer. A
+	// defaultStall is the time in which a caller must take a part of its answer. A
 	// caller that reads slowly makes progress within it.
-	Stall = 30 * time.Second
-	// part is the number of bytes that the caller must take within Stall.
+	defaultStall = 30 * time.Second
+	// part is the number of bytes that the caller must take within that time.
 	part = 16 << 10
 	// silence is the time after which unacknowledged data ends a connection.
 	// Linux would go on for 15 minutes.
@@ -37,7 +37,7 @@
 // New returns a listener.
 func New(cfg Config) *Listener {
 	if cfg.Stall == 0 {
-		cfg.Stall = Stall
+		cfg.Stall = defaultStall
 	}
 	return &Listener{Listener: cfg.Listener, stall: cfg.Stall}
 }
--- a/internal/member/report_test.go
+++ b/internal/member/report_test.go
@@ -13,18 +13,7 @@
 // silent, and a report that it is alive must not count for ever.
 func TestCrossingReports(t *testing.T) {
 	now := time.Unix(1000, 0)
-	holder := func(name string) *Member {
-		return New(Config{
-			Self: &wire.Peer{Name: name, Zone: name}, Holder: true, Now: func() time.Time { return now },
-			Version: func() uint64 { return 1 }, Flight: func() int { return 0 }, Logger: zap.NewNop(),
-		})
-	}
-	a, b := holder("a1"), holder("b1")
-	beat := func(m *Member, r *wire.BeatRequest) {
-		if _, err := m.Beat(t.Context(), r); err != nil {
-			t.Fatal(err)
-		}
-	}
+	a, b, beat := holders(t, &now)
 	for _, m := range []*Member{a, b} {
 		beat(m, &wire.BeatRequest{Instance: "c1", Zone: "c", Incarnation: 7, Peers: []*wire.Peer{{Name: "c2", Zone: "c", State: Alive, Incarnation: 8}}})
 	}
@@ -56,19 +45,7 @@
 // partition begins soon after the change.
 func TestChangedHolder(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var holders []*Member
-	for _, name := range []string{"a1", "b1"} {
-		holders = append(holders, New(Config{
-			Self: &wire.Peer{Name: name, Zone: name}, Holder: true, Now: func() time.Time { return now },
-			Version: func() uint64 { return 1 }, Flight: func() int { return 0 }, Logger: zap.NewNop(),
-		}))
-	}
-	beat := func(m *Member, r *wire.BeatRequest) {
-		if _, err := m.Beat(t.Context(), r); err != nil {
-			t.Fatal(err)
-		}
-	}
-	a, b := holders[0], holders[1]
+	a, b, beat := holders(t, &now)
 	beat(a, &wire.BeatRequest{Instance: "c1", Incarnation: 7})
 	for range 3 {
 		now = now.Add(time.Second)
@@ -82,3 +59,19 @@
 		}
 	}
 }
+
+// holders returns two holders and a function that sends a heartbeat to one.
+func holders(t *testing.T, now *time.Time) (a, b *Member, beat func(*Member, *wire.BeatRequest)) {
+	start := func(name string) *Member {
+		return New(Config{
+			Self: &wire.Peer{Name: name, Zone: name}, Holder: true, Now: func() time.Time { return *now },
+			Version: func() uint64 { return 1 }, Flight: func() int { return 0 }, Logger: zap.NewNop(),
+		})
+	}
+	return start("a1"), start("b1"), func(m *Member, r *wire.BeatRequest) {
+		t.Helper()
+		if _, err := m.Beat(t.Context(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,6 +63,19 @@
 
 var crcTable = crc64.MakeTable(crc64.ECMA)
 
+// settled calls f in a bubble of synctest with a cluster of three members that
+// has a leader.
+func settled(t *testing.T, seed uint64, f func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, seed, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		c.settle()
+		f(t, c)
+	})
+}
+
 func newCluster(t testing.TB, seed uint64, names ...string) *cluster {
 	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, names: names, cut: map[[2]string]bool{}, states: map[*Replicator]*state{}, every: 50, election: defaultElection}
 	for _, name := range names {
--- a/internal/replicator/members_test.go
+++ b/internal/replicator/members_test.go
@@ -49,11 +49,7 @@
 // replaced, must not leave a learner in the list for good, and must not cost
 // its voter the vote.
 func TestStaleLearner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 15, "a", "b", "c")
-		c.startAll()
-		defer c.stopAll()
-		c.settle()
+	settled(t, 15, func(t *testing.T, c *cluster) {
 		name, m := c.leader()
 		other := m.others()[0]
 		if _, err := m.Vote(t.Context(), &wire.VoteRequest{Candidate: other + "#lost", Disk: "lost", To: name, Join: true}); err != nil {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -41,11 +41,7 @@
 
 // A follower that accepted proposals would answer for a log it doesn't lead.
 func TestFollowerNamesLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 2, "a", "b", "c")
-		c.startAll()
-		defer c.stopAll()
-		c.settle()
+	settled(t, 2, func(t *testing.T, c *cluster) {
 		name, _ := c.leader()
 		for other, n := range c.nodes {
 			if other == name {
@@ -65,11 +61,7 @@
 // An isolated leader that keeps leading would answer stale reads and accept
 // proposals that are lost.
 func TestIsolatedLeaderStepsDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, "a", "b", "c")
-		c.startAll()
-		defer c.stopAll()
-		c.settle()
+	settled(t, 3, func(t *testing.T, c *cluster) {
 		name, old := c.leader()
 		c.isolate(name, true)
 		start := time.Now()
@@ -92,11 +84,7 @@
 // A member that can't sync must not vote or acknowledge, since it would
 // forget both.
 func TestFailedSyncStopsMember(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 4, "a", "b", "c")
-		c.startAll()
-		defer c.stopAll()
-		c.settle()
+	settled(t, 4, func(t *testing.T, c *cluster) {
 		name, m := c.leader()
 		c.nodes[name].disk.fail = true
 		m.adopt(m.vote().Term + 1)
@@ -143,11 +131,7 @@
 // A planned stop without a transfer leaves the log without a leader for an
 // election timeout.
 func TestTransfer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 5, "a", "b", "c")
-		c.startAll()
-		defer c.stopAll()
-		c.settle()
+	settled(t, 5, func(t *testing.T, c *cluster) {
 		name, m := c.leader()
 		start := time.Now()
 		if err := m.Transfer(t.Context()); err != nil {
@@ -225,11 +209,7 @@
 // A member that forgets its vote in a restart can elect two leaders in one
 // term.
 func TestVoteSurvivesRestart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 9, "a", "b", "c")
-		c.startAll()
-		defer c.stopAll()
-		c.settle()
+	settled(t, 9, func(t *testing.T, c *cluster) {
 		c.stopAll()
 		for _, candidate := range []string{"b", "c", "b"} {
 			c.start("a")
@@ -341,11 +321,7 @@
 // A leader that was frozen while another one took over must not answer a
 // read from its old state in the moment it resumes.
 func TestBarrierAfterFreeze(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 13, "a", "b", "c")
-		c.startAll()
-		defer c.stopAll()
-		c.settle()
+	settled(t, 13, func(t *testing.T, c *cluster) {
 		name, m := c.leader()
 		c.freeze(name)
 		c.names = slices.DeleteFunc(c.names, func(n string) bool { return n == name })
--- a/internal/reserver/settle.go
+++ b/internal/reserver/settle.go
@@ -63,8 +63,8 @@
 // Settle bills an answered request and ends its reservation. It returns after
 // the reply of the ledger that issued the allowance. While the outcome is
 // unknown, the bill is resent, and after 1 s it is settled with another ledger
-// too; after 5 s without an outcome Settle fails with fault.Unsettled. It also does so when ctx ends before the reply; the bill is
-// then sent all the same.
+// too; after 5 s without an outcome Settle fails with fault.Unsettled. It also
+// does so when ctx ends before the reply; the bill is then sent all the same.
 func (r *Reserver) Settle(ctx context.Context, id uint64, bill *wire.Bill) (wire.Outcome, error) {
 	s := &r.shards[id&(shards-1)]
 	s.mu.Lock()
