Divide limits into a lock and a rest for partitions

Ruled out: the targets and the ruleset, which all instances had within 2 s.

Change: an incarnation spends its lock, 2.7 s of demand, while the core instances answer, and the rest only after 2.2 s of silence by the boot clock. If its successor on the machine starts sooner, the rest is free again. Each call commits the locks.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -12,16 +13,28 @@
 // something to the others.
 const parts = 6
 
+// Patience is the time without an answer after which an incarnation spends
+// beyond its locks, up to its limits. It is longer than the restart of a
+// process that was killed together with all others.
+const Patience = 2200 * time.Millisecond
+
 // holding is what one incarnation was granted.
 type holding struct {
 	sequence uint64
+	tenure   *wire.Tenure
 	limits   map[string]int64
+	locks    map[string]int64
+	used     map[string]int64 // as last reported
 }
 
 // Config configures an Allocator.
 type Config struct {
 	// Total returns the budget of an account, and whether it has one.
 	Total func(account string) (tokens int64, ok bool)
+	// Succeeded is called when an incarnation is followed by another one of
+	// its machine, pause after it was last answered; confined tells that it has
+	// spent no more than its locks. Nil for none.
+	Succeeded func(instance string, pause time.Duration, confined bool)
 }
 
 // Allocator is the state of all budgets. It isn't safe for concurrent use.
@@ -29,12 +42,16 @@
 	cfg   Config
 	held  map[string]*holding
 	spent map[string]int64 // of closed incarnations, by account
+	lost  map[string]int64 // part of spent that may not have been spent
 	given map[string]int64 // sum over spent and held, by account
 }
 
 // New returns an allocator that has granted nothing.
 func New(cfg Config) *Allocator {
-	return &Allocator{cfg: cfg, held: map[string]*holding{}, spent: map[string]int64{}, given: map[string]int64{}}
+	if cfg.Succeeded == nil {
+		cfg.Succeeded = func(string, time.Duration, bool) {}
+	}
+	return &Allocator{cfg: cfg, held: map[string]*holding{}, spent: map[string]int64{}, lost: map[string]int64{}, given: map[string]int64{}}
 }
 
 // Apply applies a request of an incarnation and returns its limits. Equal
@@ -42,13 +59,14 @@
 func (a *Allocator) Apply(q *wire.Allotment) *wire.AllotmentResult {
 	h := a.held[q.Instance]
 	if h == nil {
-		h = &holding{limits: map[string]int64{}}
+		a.succeed(q.Tenure)
+		h = newHolding()
 		a.held[q.Instance] = h
 	}
 	if q.Sequence <= h.sequence {
 		return &wire.AllotmentResult{Stale: true}
 	}
-	h.sequence = q.Sequence
+	h.sequence, h.tenure = q.Sequence, q.Tenure
 	result := &wire.AllotmentResult{}
 	for _, w := range q.Allowances {
 		result.Limits = append(result.Limits, a.grant(h, w))
@@ -71,7 +89,46 @@
 	limit += more
 	a.given[w.Account] += more
 	h.limits[w.Account] = limit
-	return &wire.Limit{Account: w.Account, Limit: limit, Total: total, Free: free - more}
+	h.locks[w.Account] = min(limit, max(w.Lock, 0))
+	h.used[w.Account] = min(limit, max(w.Used, 0))
+	return &wire.Limit{Account: w.Account, Limit: limit, Lock: h.locks[w.Account], Total: total, Free: free - more}
+}
+
+// succeed closes the incarnations that a new one of the same machine follows.
+// One that was answered less than Patience before the new process started has
+// spent no more than its locks.
+func (a *Allocator) succeed(t *wire.Tenure) {
+	if t.GetMachine() == "" {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.held)) {
+		h := a.held[name]
+		if h.tenure.GetMachine() != t.Machine {
+			continue
+		}
+		pause := time.Duration(t.Started - h.tenure.Answered)
+		confined := t.Boot != "" && t.Boot == h.tenure.Boot && h.tenure.Answered > 0 && pause >= 0 && pause < Patience
+		if confined {
+			a.confine(h)
+		}
+		for account, limit := range h.limits {
+			a.lost[account] += limit - h.used[account]
+		}
+		a.cfg.Succeeded(name, pause, confined)
+		a.close(name, h)
+	}
+}
+
+// confine lowers the limits to the locks.
+func (a *Allocator) confine(h *holding) {
+	for account, limit := range h.limits {
+		a.given[account] -= limit - h.locks[account]
+		h.limits[account] = h.locks[account]
+	}
+}
+
+func newHolding() *holding {
+	return &holding{limits: map[string]int64{}, locks: map[string]int64{}, used: map[string]int64{}}
 }
 
 // close counts what the incarnation still holds as spent.
@@ -88,21 +145,14 @@
 	return max(total-a.given[account], 0)
 }
 
-// Held returns the limit of an incarnation for an account.
-func (a *Allocator) Held(instance, account string) int64 {
-	if h := a.held[instance]; h != nil {
-		return h.limits[account]
-	}
-	return 0
-}
-
-// Stranded returns what the incarnations for which alive is false hold of an
-// account. It counts as spent.
+// Stranded returns what counts as spent of an account although it may not have
+// been: what incarnations that were lost, or for which alive is false, held
+// beyond their last report.
 func (a *Allocator) Stranded(account string, alive func(instance string) bool) int64 {
-	sum := int64(0)
+	sum := a.lost[account]
 	for name, h := range a.held {
 		if !alive(name) {
-			sum += h.limits[account]
+			sum += h.limits[account] - h.used[account]
 		}
 	}
 	return sum
@@ -112,24 +162,26 @@
 func (a *Allocator) Save(s *wire.CoreState) {
 	for _, name := range slices.Sorted(maps.Keys(a.held)) {
 		h := a.held[name]
-		q := &wire.Allotment{Instance: name, Sequence: h.sequence}
+		q := &wire.Allotment{Instance: name, Sequence: h.sequence, Tenure: h.tenure}
 		for _, account := range slices.Sorted(maps.Keys(h.limits)) {
-			q.Allowances = append(q.Allowances, &wire.Allowance{Account: account, Limit: h.limits[account]})
+			q.Allowances = append(q.Allowances, &wire.Allowance{Account: account, Limit: h.limits[account], Lock: h.locks[account], Used: h.used[account]})
 		}
 		s.Allotments = append(s.Allotments, q)
 	}
-	s.Spent = maps.Clone(a.spent)
+	s.Spent, s.Lost = maps.Clone(a.spent), maps.Clone(a.lost)
 }
 
 // Load replaces the state by that of a snapshot.
 func (a *Allocator) Load(s *wire.CoreState) {
-	a.held, a.spent, a.given = map[string]*holding{}, map[string]int64{}, map[string]int64{}
+	a.held, a.spent, a.lost, a.given = map[string]*holding{}, map[string]int64{}, map[string]int64{}, map[string]int64{}
+	maps.Copy(a.lost, s.Lost)
 	maps.Copy(a.spent, s.Spent)
 	maps.Copy(a.given, s.Spent)
 	for _, q := range s.Allotments {
-		h := &holding{sequence: q.Sequence, limits: map[string]int64{}}
+		h := newHolding()
+		h.sequence, h.tenure = q.Sequence, q.Tenure
 		for _, w := range q.Allowances {
-			h.limits[w.Account] = w.Limit
+			h.limits[w.Account], h.locks[w.Account], h.used[w.Account] = w.Limit, w.Lock, w.Used
 			a.given[w.Account] += w.Limit
 		}
 		a.held[q.Instance] = h
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -79,7 +79,9 @@
 		cfg: cfg, targets: enroller.New(),
 		heard: map[string]time.Time{}, entries: map[string]*entry{}, crashes: map[string]*crash{},
 	}
-	c.budgets = allocator.New(allocator.Config{Total: c.total})
+	c.budgets = allocator.New(allocator.Config{Total: c.total, Succeeded: func(instance string, pause time.Duration, confined bool) {
+		c.cfg.Logger.Info("Incarnation is followed by another one.", zap.String("instance", instance), zap.Duration("pause", pause), zap.Bool("confined", confined))
+	}})
 	return c
 }
 
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -66,25 +66,11 @@
 	return reply, nil
 }
 
-// allot commits what the incarnation declares and asks for, if that changes
-// anything.
+// allot commits what the incarnation declares and asks for, and when it was
+// last answered.
 func (c *Coordinator) allot(ctx context.Context, q *wire.SyncRequest) ([]*wire.Limit, error) {
-	changed := q.Closing
-	var limits []*wire.Limit
-	c.mu.Lock()
-	for _, w := range q.Allowances {
-		held := c.budgets.Held(q.Instance, w.Account)
-		total, _ := c.total(w.Account)
-		free := c.budgets.Free(w.Account)
-		changed = changed || w.Limit != held || w.Want > held && free > 0
-		limits = append(limits, &wire.Limit{Account: w.Account, Limit: held, Total: total, Free: free})
-	}
-	c.mu.Unlock()
-	if !changed {
-		return limits, nil
-	}
 	data, err := c.commit(ctx, &wire.Directive{Change: &wire.Directive_Allot{Allot: &wire.Allotment{
-		Instance: q.Instance, Sequence: q.Sequence, Allowances: q.Allowances, Closing: q.Closing,
+		Instance: q.Instance, Sequence: q.Sequence, Allowances: q.Allowances, Closing: q.Closing, Tenure: q.Tenure,
 	}}})
 	if err != nil {
 		return nil, err
@@ -142,6 +128,7 @@
 			}
 		}
 		l.Stranded = c.budgets.Stranded(l.Account, alive) > 0
+		l.Total, _ = c.total(l.Account)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/allocator"
 	"github.com/papayapond/papayapond/internal/balancer"
 	"github.com/papayapond/papayapond/internal/dialer"
 	"github.com/papayapond/papayapond/internal/exchanger"
@@ -89,14 +90,18 @@
 	e := &Entry{cfg: cfg, dialer: dialer.New(dialer.Config{})}
 	e.balancer = balancer.New(balancer.Config{Zone: cfg.Zone, Logger: cfg.Logger.Named("balancer")})
 	e.exchanger = exchanger.New(exchanger.Config{Identity: cfg.Headers.Attempt, Dialed: cfg.Dialed})
-	e.spender = spender.New(spender.Config{Hurry: func() { e.sync.Hurry() }})
+	e.spender = spender.New(spender.Config{
+		Hurry: func() { e.sync.Hurry() },
+		Alone: func() bool { return e.sync.Silence() > allocator.Patience },
+	})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Headers: cfg.Headers, Balancer: e.balancer, Exchanger: e.exchanger, Spender: e.spender,
 		RetryShare: cfg.RetryShare, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
 		Connected: e.connected, Observe: cfg.Observe, Logger: cfg.Logger.Named("forwarder"),
 	})
 	e.sync = synchronizer.New(synchronizer.Config{
-		Instance: cfg.Name + "#" + strconv.FormatUint(rand.Uint64(), 16), Zone: cfg.Zone, Seeds: cfg.Seeds,
+		Instance: cfg.Name + "#" + strconv.FormatUint(rand.Uint64(), 16), Machine: cfg.Name, Zone: cfg.Zone, Seeds: cfg.Seeds,
+		Boot: boot(cfg.Logger), Clock: sinceBoot,
 		Peer: func(name string) wire.DRPCSteeringClient {
 			return wire.NewDRPCSteeringClient(e.dialer.Conn(name))
 		},
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/papayapond/papayapond/internal/allocator"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -26,6 +27,9 @@
 	// firstShare is the part of a budget that is held before any demand is
 	// known, divided by the number of entry instances.
 	firstShare = 0.08
+	// nearTime is the time for which a lock lasts: until the core instances
+	// count as silent, and two calls more.
+	nearTime = allocator.Patience + 500*time.Millisecond
 	// keep is the factor by which a limit exceeds the need before a part is
 	// given back; smaller factors cost a commit for every change of demand.
 	keep = 1.6
@@ -40,6 +44,9 @@
 	Horizon time.Duration
 	// Hurry is called when a request waits for a limit.
 	Hurry func()
+	// Alone reports whether the core instances have been silent for
+	// allocator.Patience; then the locks don't count.
+	Alone func() bool
 	Now   func() time.Time
 }
 
@@ -57,6 +64,7 @@
 // account is the allowance of one account.
 type account struct {
 	limit   int64
+	lock    int64 // part of the limit that is spent while in contact
 	used    int64   // spent, and reserved at its most
 	settled int64   // spent by requests that have ended
 	largest int64   // largest reservation lately
@@ -82,6 +90,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Alone == nil {
+		cfg.Alone = func() bool { return false }
+	}
 	if cfg.Hurry == nil {
 		cfg.Hurry = func() {}
 	}
@@ -122,7 +133,7 @@
 	s.mu.Lock()
 	a := s.account(name)
 	a.largest = max(a.largest, tokens)
-	if a.used+tokens <= a.limit {
+	if a.used+tokens <= s.bound(a) {
 		defer s.mu.Unlock()
 		return s.take(a, tokens), nil
 	}
@@ -134,7 +145,7 @@
 	for {
 		s.mu.Lock()
 		changed := s.changed
-		fits := a.used+tokens <= a.limit
+		fits := a.used+tokens <= s.bound(a)
 		// The reply to a request that was on its way may not know of the need.
 		hopeless := s.round >= begun+2 && a.known && a.spare+a.limit < a.used+tokens && !a.strand
 		if fits || hopeless || ctx.Err() != nil {
@@ -160,12 +171,20 @@
 	}
 }
 
+// bound returns what may be spent now. The caller holds mu.
+func (s *Spender) bound(a *account) int64 {
+	if s.cfg.Alone() {
+		return a.limit
+	}
+	return min(a.lock, a.limit)
+}
+
 // granted reports whether a wait that has timed out can be served after all,
 // and ends it otherwise.
 func (s *Spender) granted(a *account, w *wait, tokens int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.used+tokens <= a.limit {
+	if a.used+tokens <= s.bound(a) {
 		return true
 	}
 	delete(a.waiting, w)
@@ -229,9 +248,19 @@
 	if float64(a.limit-a.used) < low*float64(wanted) || need > a.limit {
 		q.Want = max(a.used+wanted, need)
 	}
+	q.Lock = max(a.used+s.near(a, wanted), need)
+	a.lock = min(a.lock, q.Lock)
 	return q
 }
 
+// near returns what is held beyond the use for the time in which the core
+// instances answer, or until they have been silent for long. The caller holds
+// mu.
+func (s *Spender) near(a *account, wanted int64) int64 {
+	share := nearTime.Seconds() / s.cfg.Horizon.Seconds()
+	return min(wanted, max(int64(share*float64(wanted)), int64(a.rate*nearTime.Seconds())+a.largest))
+}
+
 // wanted returns what is held beyond the use. The caller holds mu.
 func (s *Spender) wanted(a *account) int64 {
 	if !a.known || a.total <= 0 {
@@ -260,7 +289,7 @@
 	s.entries = entries
 	for _, l := range limits {
 		a := s.account(l.Account)
-		a.limit, a.total, a.free, a.spare, a.strand, a.known = l.Limit, l.Total, l.Free, l.Spare, l.Stranded, true
+		a.limit, a.lock, a.total, a.free, a.spare, a.strand, a.known = l.Limit, l.Lock, l.Total, l.Free, l.Spare, l.Stranded, true
 	}
 	s.round++
 	close(s.changed)
@@ -274,8 +303,8 @@
 	defer s.mu.Unlock()
 	var list []*wire.Allowance
 	for name, a := range s.accounts {
-		a.limit = a.used
-		list = append(list, &wire.Allowance{Account: name, Limit: a.used, Used: a.used})
+		a.limit, a.lock = a.used, a.used
+		list = append(list, &wire.Allowance{Account: name, Limit: a.used, Lock: a.used, Used: a.used})
 	}
 	return list
 }
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -26,8 +26,14 @@
 
 // Config configures a Synchronizer.
 type Config struct {
-	// Instance is the incarnation of this instance, and Zone its zone.
-	Instance, Zone string
+	// Instance is the incarnation of this instance, Machine the name that all
+	// its incarnations share, and Zone its zone.
+	Instance, Machine, Zone string
+	// Boot identifies the boot of the machine; "" if it isn't known.
+	Boot string
+	// Clock returns the time since the boot, with the time in which the machine
+	// was suspended.
+	Clock func() time.Duration
 	// Seeds returns the core instances that the settings name.
 	Seeds func() []string
 	// Peer returns a client for the named core instance.
@@ -56,7 +62,9 @@
 	roster   uint64
 	leader   string
 	cores    []string
-	touched  time.Time // last successful call
+	touched  time.Time     // last successful call
+	started  time.Duration // by the boot clock
+	answered time.Duration // sending of the last request that was answered
 	suspects []*wire.Suspect
 	lost     bool
 }
@@ -69,7 +77,17 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Synchronizer{cfg: cfg, hurry: make(chan struct{}, 1)}
+	s := &Synchronizer{cfg: cfg, hurry: make(chan struct{}, 1), started: cfg.Clock()}
+	s.answered = s.started
+	return s
+}
+
+// Silence returns the time since the last request that was answered was sent,
+// by the boot clock.
+func (s *Synchronizer) Silence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg.Clock() - s.answered
 }
 
 // Hurry makes the next call soon.
@@ -140,7 +158,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
-	return &wire.SyncRequest{Instance: s.cfg.Instance, Zone: s.cfg.Zone, Sequence: s.sequence, Version: s.version, Roster: s.roster}
+	return &wire.SyncRequest{
+		Instance: s.cfg.Instance, Zone: s.cfg.Zone, Sequence: s.sequence, Version: s.version, Roster: s.roster,
+		Tenure: &wire.Tenure{Machine: s.cfg.Machine, Boot: s.cfg.Boot, Started: s.started.Nanoseconds(), Answered: s.answered.Nanoseconds()},
+	}
 }
 
 // round makes one call.
@@ -183,6 +204,7 @@
 func (s *Synchronizer) call(ctx context.Context, name string, q *wire.SyncRequest) (*wire.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := s.cfg.Clock()
 	reply, err := s.cfg.Peer(name).Sync(ctx, q)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -198,7 +220,7 @@
 		s.leader = ""
 	}
 	if err == nil {
-		s.leader, s.touched = name, time.Now()
+		s.leader, s.touched, s.answered = name, time.Now(), sent
 	}
 	return reply, err
 }
