Charge requests that engines haven't begun nothing

Change: a request that nobody waits for is withdrawn by closing the sending half; if the engine ends the connection in order without a byte of an answer, it has not begun. Horizons shrink with the square of the free part. What lost incarnations held counts as spent, so the answer is 402 and not a refusal that invites to come back.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -145,11 +145,10 @@
 	return max(total-a.given[account], 0)
 }
 
-// Stranded returns what counts as spent of an account although it may not have
-// been: what incarnations that were lost, or for which alive is false, held
-// beyond their last report.
-func (a *Allocator) Stranded(account string, alive func(instance string) bool) int64 {
-	sum := a.lost[account]
+// Absent returns what the incarnations for which alive is false hold of an
+// account beyond their last report. They may come back and return it.
+func (a *Allocator) Absent(account string, alive func(instance string) bool) int64 {
+	sum := int64(0)
 	for name, h := range a.held {
 		if !alive(name) {
 			sum += h.limits[account] - h.used[account]
@@ -158,6 +157,11 @@
 	return sum
 }
 
+// Lost returns what counts as spent of an account although it may not have
+// been: what incarnations that are followed by others held beyond their last
+// report.
+func (a *Allocator) Lost(account string) int64 { return a.lost[account] }
+
 // Save writes the state into a snapshot.
 func (a *Allocator) Save(s *wire.CoreState) {
 	for _, name := range slices.Sorted(maps.Keys(a.held)) {
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -127,7 +127,7 @@
 				}
 			}
 		}
-		l.Stranded = c.budgets.Stranded(l.Account, alive) > 0
+		l.Stranded = c.budgets.Absent(l.Account, alive) > 0
 		l.Total, _ = c.total(l.Account)
 	}
 }
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +26,28 @@
 	used    int           // requests before this one
 	timeout time.Duration // idle timeout that the target named, or 0
 	expires time.Time
+
+	withdrawn atomic.Bool
+}
+
+// withdrawTime is the time in which a target ends the answer to a request that
+// was withdrawn.
+const withdrawTime = 250 * time.Millisecond
+
+// withdraw tells the target that nobody waits for the answer. What the target
+// has sent before it ends the connection tells whether it had begun.
+func (c *conn) withdraw() {
+	c.withdrawn.Store(true)
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok || t.CloseWrite() != nil || t.SetReadDeadline(time.Now().Add(withdrawTime)) != nil {
+		_ = c.Close()
+	}
+}
+
+// isUnbegun reports whether an error of a read means that the target ended the
+// connection in order, after the request was withdrawn.
+func (c *conn) isUnbegun(err error) bool {
+	return c.withdrawn.Load() && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
 }
 
 // Answer is the answer to one request. Close must be called.
@@ -36,12 +59,18 @@
 	// Framed is false if only the end of the connection ends the body.
 	Framed bool
 
+	conn    *conn
 	body    io.Closer
 	written chan error
 	closing bool
 	release func(reuse bool)
 }
 
+// IsUnbegun reports whether an error of Body means that the target ended the
+// answer in order after the request was withdrawn, so that nothing was lost on
+// the way.
+func (a *Answer) IsUnbegun(err error) bool { return a.conn.isUnbegun(err) }
+
 // Close ends the exchange. The connection is used again only if the body was
 // read to its end and the request was written.
 func (a *Answer) Close(whole bool) {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -92,22 +93,30 @@
 	return &Exchanger{cfg: cfg, idle: map[string][]*conn{}}
 }
 
+// ErrUnbegun is the error of a request that was withdrawn, and that the target
+// dropped before it had made a part of an answer.
+var ErrUnbegun = errors.New("request was withdrawn before its answer began")
+
 // Send writes a request and returns the answer once its header has arrived.
-// When ctx ends, the connection is closed, also while the body is being read.
+// When ctx ends, the request is withdrawn, also while the body is being read.
 // The error wraps fault.Unavailable if the target can't have seen the request,
-// and fault.Uncertain if it may have.
+// ErrUnbegun if it dropped it, and fault.Uncertain if it may have run it.
 func (e *Exchanger) Send(ctx context.Context, q *Request) (*Answer, error) {
 	c, err := e.connect(ctx, q)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.withdraw)
 	a, err := c.exchange(q, e.cfg.Identity)
 	if err != nil {
 		stop()
 		_ = c.Close()
+		if c.isUnbegun(err) {
+			return nil, eris.Wrapf(ErrUnbegun, "target at %s", q.Address)
+		}
 		return nil, eris.Wrapf(fault.Uncertain, "target at %s, connection used %d times before: %v", q.Address, c.used, err)
 	}
+	a.conn = c
 	a.release = func(reuse bool) {
 		if stop() && reuse {
 			e.keep(q.Address, c)
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -159,6 +159,10 @@
 		}
 		if err != nil {
 			a.Close(false)
+			if a.IsUnbegun(err) && s.IsEmpty() {
+				x.runs--
+				return x.unless(refused), balancer.Broken, err
+			}
 			return x.unless(broken), balancer.Broken, err
 		}
 		pick.Begun()
@@ -229,7 +233,7 @@
 	}
 	x.f.cfg.Logger.Info("Request ended.", append([]zap.Field{
 		zap.String("request", x.id()), zap.String("outcome", outcome), zap.String("route", x.route.Name), zap.String("account", x.account.Name),
-		zap.Uint64("ruleset", version), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Int("events", x.events),
+		zap.Uint64("ruleset", version), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Int64("cost", x.cost()),
 		zap.Duration("first", report.First), zap.Duration("duration", report.Duration),
 	}, fields...)...)
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -120,6 +121,12 @@
 	}
 	x.sends++
 	x.runs++
+	if errors.Is(err, exchanger.ErrUnbegun) && x.pool.Engine != nil {
+		// An engine begins to run a request with its first event.
+		x.runs--
+		pick.Done(x.outcome(ctx, balancer.Broken))
+		return x.unless(refused), err
+	}
 	if err != nil {
 		o := x.outcome(ctx, balancer.Broken)
 		pick.Done(o)
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -64,7 +64,7 @@
 // account is the allowance of one account.
 type account struct {
 	limit   int64
-	lock    int64 // part of the limit that is spent while in contact
+	lock    int64   // part of the limit that is spent while in contact
 	used    int64   // spent, and reserved at its most
 	settled int64   // spent by requests that have ended
 	largest int64   // largest reservation lately
@@ -270,7 +270,9 @@
 	if part < scarce {
 		return 0
 	}
-	horizon := s.cfg.Horizon.Seconds() * min(part/ample, 1)
+	// The square keeps what is idle or lost with an instance far below what is
+	// free.
+	horizon := s.cfg.Horizon.Seconds() * min(part*part/(ample*ample), 1)
 	first := 0.0
 	if part > ample {
 		first = firstShare * float64(a.total) / float64(max(s.entries, 1))
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -17,6 +17,7 @@
 // Streamer reads one stream.
 type Streamer struct {
 	reader *bufio.Reader
+	read   int // bytes
 	id     []byte
 }
 
@@ -34,11 +35,12 @@
 	for len(event) < maxEvent {
 		line, err := s.reader.ReadBytes('\n')
 		event = append(event, line...)
+		s.read += len(line)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
 				return nil, io.EOF
 			}
-			return nil, eris.Wrapf(fault.Interrupted, "after %d bytes of an event: %v", len(event), err)
+			return nil, eris.Wrap(errors.Join(fault.Interrupted, err), "stream breaks off")
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
@@ -54,3 +56,6 @@
 
 // ID returns the id of the last event, or "".
 func (s *Streamer) ID() string { return string(s.id) }
+
+// IsEmpty reports whether not a byte of an event has been read.
+func (s *Streamer) IsEmpty() bool { return s.read == 0 }
