--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -59,6 +59,9 @@
 func (a *Allocator) Apply(q *wire.Allotment) *wire.AllotmentResult {
 	h := a.held[q.Instance]
 	if h == nil {
+		if a.isFollowed(q.Tenure) {
+			return &wire.AllotmentResult{Stale: true}
+		}
 		a.succeed(q.Tenure)
 		h = newHolding()
 		a.held[q.Instance] = h
@@ -94,6 +97,17 @@
 	return &wire.Limit{Account: w.Account, Limit: limit, Lock: h.locks[w.Account], Total: total, Free: free - more}
 }
 
+// isFollowed reports whether a later incarnation of the machine is known. Boot
+// clocks of different boots can't be compared; then the request counts as new.
+func (a *Allocator) isFollowed(t *wire.Tenure) bool {
+	for _, h := range a.held {
+		if t.GetMachine() != "" && h.tenure.GetMachine() == t.Machine && h.tenure.Boot == t.Boot && h.tenure.Started > t.Started {
+			return true
+		}
+	}
+	return false
+}
+
 // succeed closes the incarnations that a new one of the same machine follows.
 // One that was answered less than Patience before the new process started has
 // spent no more than its locks.
