--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -40,6 +40,9 @@
 			if errors.Is(err, io.EOF) && len(event) == 0 {
 				return nil, io.EOF
 			}
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF // io.EOF is the end after a whole event
+			}
 			return nil, eris.Wrap(errors.Join(fault.Interrupted, err), "stream breaks off")
 		}
 		text := bytes.TrimRight(line, "\r\n")
