--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,369 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/balancer"
+	"github.com/papayapond/papayapond/internal/exchanger"
+	"github.com/papayapond/papayapond/internal/forwarder"
+	"github.com/papayapond/papayapond/internal/ruleset"
+	"github.com/papayapond/papayapond/internal/spender"
+	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/pool"
+	"github.com/papayapond/papayapond/pkg/prepaid"
+	"github.com/papayapond/papayapond/pkg/route"
+)
+
+var headers = forwarder.Headers{
+	Attempt: "X-Id", Deadline: "X-Deadline", Signature: "X-Sign", Refused: "X-Refused", Target: "X-To", Account: "X-Account",
+	Usage: "X-Usage", Parts: "X-Parts", Priority: "X-Rank", Owned: []string{"X-Owned"},
+}
+
+// fleet is a forwarder before fake targets.
+type fleet struct {
+	t       *testing.T
+	front   *httptest.Server
+	spender *spender.Spender
+
+	mu       sync.Mutex
+	received []*http.Request
+}
+
+// script is what a target does with its n-th request, from 1 on.
+type script func(n int, w io.Writer, r *http.Request) (keep bool)
+
+// newFleet starts a target for each script, named a, b, and so on.
+func newFleet(t *testing.T, scripts ...script) *fleet {
+	t.Helper()
+	f := &fleet{t: t, spender: spender.New(spender.Config{})}
+	b := balancer.New(balancer.Config{Zone: "z"})
+	var listings []*wire.Listing
+	for i, s := range scripts {
+		// The first target is in the zone, so that it is chosen first.
+		zone := "z"
+		if i > 0 {
+			zone = fmt.Sprint("z", i)
+		}
+		listings = append(listings, &wire.Listing{Id: string(rune('a' + i)), Born: 1, Pool: "p", Address: f.target(s), Zone: zone})
+	}
+	b.Update(listings)
+	fw := forwarder.New(forwarder.Config{
+		Headers: headers, Balancer: b, Exchanger: exchanger.New(exchanger.Config{Identity: headers.Attempt}), Spender: f.spender,
+		RetryShare: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second, Connected: func() bool { return true },
+	})
+	tokens := int64(1000)
+	base := route.Route{Host: "h", Timeout: 2 * time.Second, Objective: 200 * time.Millisecond, Pause: 100 * time.Millisecond, Attempts: 2, Split: []route.Share{{Pool: "p", Weight: 1}}}
+	with := func(prefix string, kind route.Kind, resume bool) route.Route {
+		r := base
+		r.Name, r.Prefix, r.Kind, r.Resume = prefix, prefix, kind, resume
+		return r
+	}
+	rules, err := ruleset.New(ruleset.Config{
+		Version: 1, Pools: []pool.Pool{pool.Pool{Name: "p"}.WithEngine(pool.Engine{Batch: 4, Memory: 100000, Stride: 5})},
+		Routes:   []route.Route{with("/once/", route.Single, false), with("/again/", route.Idempotent, false), with("/resume/", route.Stream, true), with("/stream/", route.Stream, false)},
+		Accounts: []prepaid.Prepaid{{Name: "shop", Keys: []string{"key"}, Tokens: &tokens}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fw.Use(rules)
+	f.spender.Learn([]*wire.Limit{{Account: "shop", Limit: tokens, Lock: tokens, Total: tokens}}, 1)
+	f.front = httptest.NewServer(fw)
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+// target serves connections by a script.
+func (f *fleet) target(s script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = l.Close() })
+	var mu sync.Mutex
+	count := 0
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(r.Body)
+					r.Body = io.NopCloser(strings.NewReader(string(body)))
+					f.mu.Lock()
+					f.received = append(f.received, r)
+					f.mu.Unlock()
+					mu.Lock()
+					count++
+					n := count
+					mu.Unlock()
+					if !s(n, c, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// seen returns the requests that targets have received.
+func (f *fleet) seen() []*http.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.received
+}
+
+// post sends a request and returns status, body and the error of reading it.
+func (f *fleet) post(path string, change func(*http.Request)) (*http.Response, string, error) {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, f.front.URL+path, strings.NewReader("question"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Authorization", "Bearer key")
+	r.Header.Set(headers.Attempt, "id1")
+	r.Header.Set(headers.Usage, "10,50")
+	if change != nil {
+		change(r)
+	}
+	a, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return a, string(body), err
+}
+
+func whole(status int, extra, body string) script {
+	return func(_ int, w io.Writer, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers.Attempt, r.Header.Get(headers.Attempt), extra, len(body), body)
+		return true
+	}
+}
+
+const signed = "X-Sign: s\r\n"
+
+// events returns a script that sends events with rising ids, and the end of
+// the stream if it isn't torn.
+func events(sign string, from, to int, torn bool) script {
+	return func(_ int, w io.Writer, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\nX-Sign: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headers.Attempt, r.Header.Get(headers.Attempt), sign)
+		for i := from; i <= to; i++ {
+			e := event(i)
+			_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
+		}
+		if torn {
+			_, _ = io.WriteString(w, "5\r\nid: 9\r\n")
+			return false
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+		return true
+	}
+}
+
+func event(i int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", i) }
+
+func stream(from, to int) string {
+	s := ""
+	for i := from; i <= to; i++ {
+		s += event(i)
+	}
+	return s
+}
+
+// drop closes the connection without an answer.
+func drop(int, io.Writer, *http.Request) bool { return false }
+
+// A request that a target may have run must not run again unless it may, and a
+// refusal must be true.
+func TestRepeat(t *testing.T) {
+	refuse := whole(http.StatusServiceUnavailable, "X-Refused: 1\r\n", "")
+	unsigned := whole(http.StatusOK, "", "forged")
+	for _, test := range []struct {
+		name, path string
+		first      script
+		status     int
+		sent       int
+	}{
+		{"refused", "/once/", refuse, 200, 2},
+		{"refused stream", "/stream/", refuse, 200, 2},
+		{"lost", "/once/", drop, 502, 1},
+		{"lost, repeatable", "/again/", drop, 200, 2},
+		{"lost stream", "/stream/", drop, 502, 1},
+		{"lost stream that may be resumed", "/resume/", drop, 200, 2},
+		{"error", "/once/", whole(500, signed, "sorry"), 500, 1},
+		{"error, repeatable", "/again/", whole(500, signed, "sorry"), 200, 2},
+		{"without signature", "/once/", unsigned, 502, 1},
+		{"without signature, repeatable", "/again/", unsigned, 200, 2},
+		{"misdirected", "/once/", whole(http.StatusMisdirectedRequest, "", ""), 200, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, test.first, whole(200, signed, "answer"))
+			a, body, err := f.post(test.path, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if a.StatusCode != test.status || len(f.seen()) != test.sent {
+				t.Errorf("got status %d, %d sent, body %q, want %d and %d", a.StatusCode, len(f.seen()), body, test.status, test.sent)
+			}
+			if own := a.StatusCode == 502 || a.StatusCode == 503; own && a.Header.Get(headers.Signature) != "" {
+				t.Error("an own answer bears the signature of a target")
+			}
+		})
+	}
+}
+
+// A stream that breaks off must go on behind its last whole event under the
+// header of its first target, or end so that it doesn't look complete.
+func TestResume(t *testing.T) {
+	f := newFleet(t, events("first", 1, 3, true), func(n int, w io.Writer, r *http.Request) bool {
+		if got, want := r.Header.Get("Last-Event-Id"), "3"; got != want {
+			t.Errorf("goes on behind event %q, want %q", got, want)
+		}
+		return events("second", 4, 6, false)(n, w, r)
+	})
+	a, body, err := f.post("/resume/", nil)
+	if err != nil || body != stream(1, 6) || a.Header.Get(headers.Signature) != "first" {
+		t.Errorf("got %q, signature %q and %v, want events 1 to 6 of the first target", body, a.Header.Get(headers.Signature), err)
+	}
+	f = newFleet(t, events("first", 1, 3, true), events("second", 4, 6, false))
+	if _, body, err := f.post("/stream/", nil); err == nil || len(f.seen()) != 1 {
+		t.Errorf("stream that may not be resumed: got %q, %d sent and no error, want an answer that breaks off", body, len(f.seen()))
+	}
+}
+
+// A resumable stream whose target is silent must go on elsewhere before the
+// caller gives up.
+func TestSilentTarget(t *testing.T) {
+	silent := func(int, io.Writer, *http.Request) bool {
+		time.Sleep(5 * time.Second)
+		return false
+	}
+	f := newFleet(t, silent, events("second", 1, 2, false))
+	started := time.Now()
+	_, body, err := f.post("/resume/", nil)
+	if err != nil || body != stream(1, 2) || time.Since(started) > 1500*time.Millisecond {
+		t.Errorf("got %q and %v after %v, want the events of the second target", body, err, time.Since(started))
+	}
+}
+
+// Targets must see the request as the caller sent it, and only the fleet's own
+// word on the account, the target and the time left.
+func TestOutgoing(t *testing.T) {
+	f := newFleet(t, whole(200, signed, "answer"))
+	a, _, err := f.post("/again/%2F..//x?q=%20", func(r *http.Request) {
+		r.Header.Set(headers.Account, "other")
+		r.Header.Set(headers.Target, "other")
+		r.Header.Set("X-Owned", "1")
+		r.Header.Set("X-Other", "kept")
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "1")
+		r.Header.Set(headers.Deadline, "700")
+	})
+	if err != nil || a.StatusCode != 200 {
+		t.Fatalf("got %v and %v", a, err)
+	}
+	r := f.seen()[0]
+	body, _ := io.ReadAll(r.Body)
+	if r.RequestURI != "/again/%2F..//x?q=%20" || r.Host != "h" || string(body) != "question" {
+		t.Errorf("got %s, host %s and body %q", r.RequestURI, r.Host, body)
+	}
+	for name, want := range map[string]string{headers.Account: "shop", headers.Target: "a", "X-Owned": "", "X-Hop": "", "X-Other": "kept", "Authorization": "", headers.Attempt: "id1"} {
+		if got := r.Header.Get(name); got != want {
+			t.Errorf("%s: got %q, want %q", name, got, want)
+		}
+	}
+	if got := r.Header.Get(headers.Deadline); len(got) != 3 || got > "700" {
+		t.Errorf("time left: got %s ms, want less than 700", got)
+	}
+}
+
+// Each request must be charged what it has cost, and nothing if no target has
+// run it.
+func TestCharge(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		first      script
+		want       int64
+	}{
+		{"events", "/stream/", events("s", 1, 4, false), 10 + 4*5},
+		{"at most the reservation", "/stream/", events("s", 1, 40, false), 10 + 50},
+		{"lost", "/once/", drop, 10},
+		{"refused", "/once/", whole(http.StatusServiceUnavailable, "X-Refused: 1\r\n", ""), 0},
+	} {
+		f := newFleet(t, test.first)
+		if _, _, err := f.post(test.path, nil); err != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		deadline := time.Now().Add(time.Second)
+		for f.spender.Declare()[0].Used != test.want && time.Now().Before(deadline) {
+			time.Sleep(time.Millisecond)
+		}
+		if got := f.spender.Declare()[0].Used; got != test.want {
+			t.Errorf("%s: got %d tokens, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+// What can't be served is refused by the right status, without a word to a
+// target.
+func TestRefusals(t *testing.T) {
+	f := newFleet(t, whole(200, signed, "answer"))
+	for _, test := range []struct {
+		name, path string
+		change     func(*http.Request)
+		want       int
+	}{
+		{"no route", "/other/", nil, 404},
+		{"unknown key", "/once/", func(r *http.Request) { r.Header.Set("Authorization", "Bearer x") }, 401},
+		{"no key", "/once/", func(r *http.Request) { r.Header.Del("Authorization") }, 401},
+	} {
+		a, _, err := f.post(test.path, test.change)
+		if err != nil || a.StatusCode != test.want || len(f.seen()) > 0 {
+			t.Errorf("%s: got %v, %v and %d sent, want %d", test.name, a, err, len(f.seen()), test.want)
+		}
+	}
+}
+
+// When the caller leaves, its target must hear of it within half a second.
+func TestCallerLeaves(t *testing.T) {
+	left := make(chan time.Duration, 1)
+	f := newFleet(t, func(_ int, w io.Writer, _ *http.Request) bool {
+		started := time.Now()
+		c := w.(net.Conn)
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, _ = c.Read(make([]byte, 1))
+		left <- time.Since(started)
+		return false
+	})
+	c, err := net.Dial("tcp", f.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, "GET /stream/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nX-Id: i\r\n\r\n")
+	time.Sleep(100 * time.Millisecond)
+	_ = c.Close()
+	if got := <-left; got > 500*time.Millisecond {
+		t.Errorf("the target heard after %v", got)
+	}
+}
