--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,168 @@
+package balancer_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/balancer"
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/pool"
+)
+
+// clock is a clock that tests move.
+type clock struct{ now time.Time }
+
+func (c *clock) pass(d time.Duration) { c.now = c.now.Add(d) }
+
+// newBalancer returns a balancer with n engines in the zone and as many in
+// another one.
+func newBalancer(n int) (*balancer.Balancer, *clock) {
+	c := &clock{time.Unix(1000, 0)}
+	b := balancer.New(balancer.Config{Zone: "near", Now: func() time.Time { return c.now }})
+	b.Use([]pool.Pool{pool.Pool{Name: "engines"}.WithEngine(pool.Engine{Batch: 8, Memory: 100000, Stride: 1}), {Name: "services"}})
+	var list []*wire.Listing
+	for i := range n {
+		for _, zone := range []string{"near", "far"} {
+			for _, p := range []string{"engines", "services"} {
+				list = append(list, &wire.Listing{Id: fmt.Sprint(p, "-", zone, "-", i), Born: 1, Pool: p, Address: fmt.Sprint(p, zone, i), Zone: zone})
+			}
+		}
+	}
+	b.Update(list)
+	return b, c
+}
+
+func choose(t *testing.T, b *balancer.Balancer, q balancer.Query) *balancer.Pick {
+	t.Helper()
+	p, err := b.Choose(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func prompt(shared, own string) balancer.Query {
+	return balancer.Query{
+		Pool: "engines", Tokens: 6000, Output: 100, Repeatable: true,
+		Parts: []balancer.Part{{ID: shared, Tokens: 5000}, {ID: own, Tokens: 1000}},
+	}
+}
+
+// Requests that share a part must meet at the engine that has read it, also
+// when they come to different instances that don't know of each other.
+func TestSharedPartsHaveOneHome(t *testing.T) {
+	homes := map[string]map[string]bool{}
+	for instance := range 8 {
+		b, _ := newBalancer(6)
+		for i := range 40 {
+			shared := fmt.Sprint("part", i%10)
+			p := choose(t, b, prompt(shared, fmt.Sprint(instance, "-", i)))
+			if homes[shared] == nil {
+				homes[shared] = map[string]bool{}
+			}
+			homes[shared][p.ID()] = true
+			p.Done(balancer.Served)
+		}
+	}
+	used := map[string]bool{}
+	for shared, targets := range homes {
+		if len(targets) > 1 {
+			t.Errorf("%s: got %d engines that read it, want 1", shared, len(targets))
+		}
+		for id := range targets {
+			used[id] = true
+		}
+	}
+	if len(used) < 5 {
+		t.Errorf("10 parts: got %d engines, want them spread over 5 or more", len(used))
+	}
+}
+
+// A hot part must not queue at its home while other engines are idle.
+func TestHotPartSpreads(t *testing.T) {
+	b, _ := newBalancer(6)
+	counts := map[string]int{}
+	for i := range 48 {
+		counts[choose(t, b, prompt("hot", fmt.Sprint(i))).ID()]++
+	}
+	for id, n := range counts {
+		if n > 16 {
+			t.Errorf("%s: got %d of 48 requests in flight, want 16 at most", id, n)
+		}
+	}
+}
+
+// A long prompt must keep short ones away from its engine until it has been
+// read: they would wait for it.
+func TestLongPromptIsAvoided(t *testing.T) {
+	b, _ := newBalancer(2)
+	long := choose(t, b, balancer.Query{Pool: "engines", Tokens: 50000})
+	for range 6 {
+		short := choose(t, b, balancer.Query{Pool: "engines", Tokens: 600})
+		if short.ID() == long.ID() {
+			t.Errorf("a short prompt goes to %s behind the long one", short.ID())
+		}
+		short.Begun()
+	}
+}
+
+// A target that breaks connections must be left alone for a while, then tried
+// by one request that may be repeated.
+func TestBrokenTarget(t *testing.T) {
+	b, c := newBalancer(1)
+	q := balancer.Query{Pool: "services", Repeatable: true}
+	first, second := choose(t, b, q), choose(t, b, q)
+	id := first.ID()
+	if second.ID() != id {
+		t.Fatalf("got %s and %s, want both in the zone", id, second.ID())
+	}
+	first.Done(balancer.Broken)
+	second.Done(balancer.Broken)
+	for range 4 {
+		if p := choose(t, b, q); p.ID() == id {
+			t.Errorf("%s is chosen while it is taken out", id)
+		}
+	}
+	c.pass(time.Second)
+	for range 4 {
+		if p := choose(t, b, balancer.Query{Pool: "services"}); p.ID() == id {
+			t.Errorf("%s gets a request that may not be repeated as its trial", id)
+		}
+	}
+	trials := 0
+	for range 12 {
+		if p := choose(t, b, q); p.ID() == id {
+			trials++
+		}
+	}
+	if trials != 1 {
+		t.Errorf("got %d trials, want 1", trials)
+	}
+}
+
+// Targets that are leaving, gone or have been tried get nothing.
+func TestUnavailable(t *testing.T) {
+	b, _ := newBalancer(1)
+	b.Update([]*wire.Listing{{Id: "a", Pool: "services", Leaving: true}, {Id: "b", Pool: "services"}})
+	if _, err := b.Choose(balancer.Query{Pool: "services", Avoid: map[string]bool{"b": true}}); !errors.Is(err, fault.Unavailable) {
+		t.Errorf("got %v, want %v", err, fault.Unavailable)
+	}
+	if p := choose(t, b, balancer.Query{Pool: "services"}); p.ID() != "b" {
+		t.Errorf("got %s, want b", p.ID())
+	}
+}
+
+// The work that other instances report must count: all of them would send to
+// the same idle target otherwise.
+func TestReportedLoad(t *testing.T) {
+	b, _ := newBalancer(2)
+	b.Learn([]*wire.Load{{Target: "services-near-0", Running: 5}, {Target: "services-near-1", Running: 1}, {Target: "services-far-0", Running: 5}, {Target: "services-far-1", Running: 5}})
+	for range 3 {
+		if got, want := choose(t, b, balancer.Query{Pool: "services"}).ID(), "services-near-1"; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
