--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -111,6 +111,15 @@
 	return e
 }
 
+// InFlight returns the number of requests in flight.
+func (e *Entry) InFlight() int { return e.forwarder.InFlight() }
+
+// Version returns the version of the ruleset in force, or 0.
+func (e *Entry) Version() uint64 { return e.sync.Version() }
+
+// Silence returns the time since the core instances answered.
+func (e *Entry) Silence() time.Duration { return e.sync.Silence() }
+
 func (e *Entry) connected() bool { return time.Since(e.sync.Touched()) < contactTimeout }
 
 // use puts a ruleset in force.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -64,6 +64,7 @@
 type Report struct {
 	Route    string
 	Outcome  string
+	Status   int // of the answer; 0 if none was sent
 	Duration time.Duration
 	First    time.Duration // until the first byte of the answer; 0 if none
 	Attempts int
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -59,6 +59,7 @@
 	runs    int // targets that may have run the request
 	events  int // relayed
 	started bool
+	status  int    // sent to the caller; 0 for none
 	last    string // id of the last event relayed
 }
 
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -135,7 +135,8 @@
 		x.note("left", zap.Error(err))
 		return
 	}
-	x.note("answered", zap.Int("status", a.Status))
+	x.status = a.Status
+	x.note("answered")
 }
 
 // head copies the headers of a target.
@@ -154,7 +155,7 @@
 		if errors.Is(err, io.EOF) {
 			a.Close(true)
 			x.begin(a.Header)
-			x.note("answered", zap.Int("status", a.Status))
+			x.note("answered")
 			return answered, balancer.Served, nil
 		}
 		if err != nil {
@@ -190,6 +191,7 @@
 	}
 	x.started, x.first = true, x.f.cfg.Now()
 	x.head(h)
+	x.status = http.StatusOK
 	x.w.WriteHeader(http.StatusOK)
 }
 
@@ -213,7 +215,8 @@
 	}
 	h.Set("Content-Length", "0")
 	x.w.WriteHeader(status)
-	x.note("refused", zap.Int("status", status), zap.String("reason", why))
+	x.status = status
+	x.note("refused", zap.String("reason", why))
 }
 
 // id identifies the request in the log.
@@ -222,7 +225,7 @@
 // note logs and reports the end of the request.
 func (x *exchange) note(outcome string, fields ...zap.Field) {
 	now := x.f.cfg.Now()
-	report := Report{Route: x.route.Name, Outcome: outcome, Duration: now.Sub(x.arrived), Attempts: x.sends}
+	report := Report{Route: x.route.Name, Outcome: outcome, Status: x.status, Duration: now.Sub(x.arrived), Attempts: x.sends}
 	if !x.first.IsZero() {
 		report.First = x.first.Sub(x.arrived)
 	}
@@ -231,8 +234,12 @@
 	if x.rules != nil {
 		version = x.rules.Version()
 	}
-	x.f.cfg.Logger.Info("Request ended.", append([]zap.Field{
-		zap.String("request", x.id()), zap.String("outcome", outcome), zap.String("route", x.route.Name), zap.String("account", x.account.Name),
+	level := zap.InfoLevel
+	if outcome != "answered" && outcome != "left" {
+		level = zap.WarnLevel // of these no line is left out while ordinary ones are written
+	}
+	x.f.cfg.Logger.Log(level, "Request ended.", append([]zap.Field{
+		zap.String("request", x.id()), zap.String("outcome", outcome), zap.Int("status", x.status), zap.String("route", x.route.Name), zap.String("account", x.account.Name),
 		zap.Uint64("ruleset", version), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Int64("cost", x.cost()),
 		zap.Duration("first", report.First), zap.Duration("duration", report.Duration),
 	}, fields...)...)
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -60,7 +60,7 @@
 		if v == answered || v == gone {
 			return
 		}
-		x.f.cfg.Logger.Info("Attempt failed.", zap.String("request", x.id()), zap.String("target", pick.ID()),
+		x.f.cfg.Logger.Warn("Attempt failed.", zap.String("request", x.id()), zap.String("target", pick.ID()),
 			zap.Int("verdict", int(v)), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Error(err))
 		if !x.again(ctx, v) {
 			break
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/spooler"
 )
 
 // Logger is a zap logger whose level can be changed while it is in use.
@@ -35,6 +36,24 @@
 	return &Logger{Logger: built, Level: l}, nil
 }
 
+// NewSpooled returns a logger that writes through a spooler. Lines of the level
+// warn and above are lines of failures.
+func NewSpooled(level string, s *spooler.Spooler) (*Logger, error) {
+	l, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(fault.Malformed, "log level: %v", err)
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	ordinary := zap.LevelEnablerFunc(func(e zapcore.Level) bool { return l.Enabled(e) && e < zap.WarnLevel })
+	failures := zap.LevelEnablerFunc(func(e zapcore.Level) bool { return l.Enabled(e) && e >= zap.WarnLevel })
+	encoder := zapcore.NewJSONEncoder(cfg)
+	return &Logger{Logger: zap.New(zapcore.NewTee(
+		core{zapcore.NewCore(encoder, s.Ordinary(), ordinary)},
+		core{zapcore.NewCore(encoder, s.Failures(), failures)},
+	)), Level: l}, nil
+}
+
 // core writes errors as plain strings. Without it zap adds the stack trace of
 // each error of eris to the line.
 type core struct {
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,76 @@
+package meter
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/papayapond/papayapond/internal/forwarder"
+)
+
+// buckets are the bounds of the histograms, in seconds: fine around the
+// objectives of 0.1 to 1 s.
+var buckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.42, 0.6, 1, 2, 5, 15}
+
+// Config configures a Meter.
+type Config struct {
+	// Flight returns the number of requests in flight, Version that of the
+	// ruleset in force, Silence the seconds since the core instances answered.
+	// Nil for instances that serve no callers.
+	Flight  func() float64
+	Version func() float64
+	Silence func() float64
+}
+
+// Meter is safe for concurrent use.
+type Meter struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	sends    prometheus.Counter
+	dials    prometheus.Counter
+	duration *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+}
+
+// New returns a meter at zero.
+func New(cfg Config) *Meter {
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "papayapond_route_requests_total", Help: "Requests by route, outcome and status."}, []string{"route", "outcome", "status"}),
+		sends:    prometheus.NewCounter(prometheus.CounterOpts{Name: "papayapond_route_sends_total", Help: "Attempts that were sent to targets."}),
+		dials:    prometheus.NewCounter(prometheus.CounterOpts{Name: "papayapond_route_dials_total", Help: "New connections to targets."}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "papayapond_route_seconds", Help: "Time from the arrival of a request to its end.", Buckets: buckets}, []string{"route"}),
+		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "papayapond_route_first_seconds", Help: "Time from the arrival of a request to the first byte of a target's answer.", Buckets: buckets}, []string{"route"}),
+	}
+	m.registry.MustRegister(m.requests, m.sends, m.dials, m.duration, m.first)
+	m.gauge("papayapond_route_flight", "Requests in flight.", cfg.Flight)
+	m.gauge("papayapond_ruleset_version", "Version of the ruleset in force.", cfg.Version)
+	m.gauge("papayapond_core_silence_seconds", "Time since the core instances answered.", cfg.Silence)
+	return m
+}
+
+func (m *Meter) gauge(name, help string, value func() float64) {
+	if value != nil {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+}
+
+// Observe counts a request that has ended.
+func (m *Meter) Observe(r forwarder.Report) {
+	m.requests.WithLabelValues(r.Route, r.Outcome, strconv.Itoa(r.Status)).Inc()
+	m.sends.Add(float64(r.Attempts))
+	m.duration.WithLabelValues(r.Route).Observe(r.Duration.Seconds())
+	if r.First > 0 {
+		m.first.WithLabelValues(r.Route).Observe(r.First.Seconds())
+	}
+}
+
+// Dialed counts a new connection to a target.
+func (m *Meter) Dialed() { m.dials.Inc() }
+
+// Handler serves the counters.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,31 @@
+package meter_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/forwarder"
+	"github.com/papayapond/papayapond/internal/meter"
+)
+
+func ExampleMeter() {
+	m := meter.New(meter.Config{Flight: func() float64 { return 3 }})
+	m.Observe(forwarder.Report{Route: "chat", Outcome: "answered", Status: 200, Duration: 40 * time.Millisecond, First: 30 * time.Millisecond, Attempts: 1})
+	m.Dialed()
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for line := range strings.SplitSeq(w.Body.String(), "\n") {
+		if strings.HasPrefix(line, "papayapond") && (strings.Contains(line, "total") || strings.Contains(line, "flight") || strings.Contains(line, `le="0.05"`)) {
+			fmt.Println(line)
+		}
+	}
+	// Output:
+	// papayapond_route_dials_total 1
+	// papayapond_route_first_seconds_bucket{route="chat",le="0.05"} 1
+	// papayapond_route_flight 3
+	// papayapond_route_requests_total{outcome="answered",route="chat",status="200"} 1
+	// papayapond_route_seconds_bucket{route="chat",le="0.05"} 1
+	// papayapond_route_sends_total 1
+}
