--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -34,6 +34,9 @@
 	repeats  float64            // share of requests that arrive twice
 	election time.Duration
 	every    uint64 // SnapshotEvery
+	open     bool   // instances that aren't among the founders join by themselves
+	founders []string
+	voters   int
 	installs atomic.Int64
 	states   map[*Replicator]*state
 	history  [][]byte // commands by index, as first applied
@@ -114,10 +117,21 @@
 	if !slices.Contains(members, name) {
 		members = append(slices.Clone(members), name)
 	}
+	join := c.open && !slices.Contains(c.founders, name)
+	if join {
+		members = nil
+	} else if c.open {
+		members = c.founders
+	}
+	absence := time.Duration(0)
+	if c.open {
+		absence = 6 * c.election
+	}
 	d, s := n.disk, &state{c: c, Values: map[string]string{}}
 	d.revive()
 	member, err := New(Config{
 		Name: name, Members: members, Path: d.path,
+		Join: join, Contacts: func() []string { return c.founders }, Voters: c.voters, Absence: absence,
 		Apply: s.apply, Snapshot: s.snapshot, Restore: s.restore,
 		Vote: func(ctx context.Context, peer string, q *wire.VoteRequest) (*wire.VoteReply, error) {
 			return send(ctx, c, name, peer, q, (*Replicator).Vote)
@@ -202,6 +216,9 @@
 func (c *cluster) running(name string) (*Replicator, chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.nodes[name] == nil {
+		return nil, closed()
+	}
 	return c.nodes[name].member, c.nodes[name].frozen
 }
 
