--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,207 @@
+package coordinator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/papayapond/papayapond/internal/coordinator"
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/ruleset"
+	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/pool"
+	"github.com/papayapond/papayapond/pkg/prepaid"
+	"github.com/papayapond/papayapond/pkg/route"
+)
+
+// log is a log of one process that other instances share.
+type log struct {
+	mu       sync.Mutex
+	entries  [][]byte
+	leader   string
+	term     uint64
+	down     bool
+	replicas map[string]*coordinator.Coordinator
+	now      time.Time
+}
+
+// newLog returns a log with the coordinators a and b; a leads.
+func newLog() *log {
+	l := &log{leader: "a", term: 1, replicas: map[string]*coordinator.Coordinator{}, now: time.Unix(1000, 0)}
+	for _, name := range []string{"a", "b"} {
+		l.replicas[name] = coordinator.New(coordinator.Config{
+			Name: name, Leader: func() string { return l.leader }, Term: func() uint64 { return l.term },
+			Instances: func() []string { return []string{"a", "b"} },
+			Barrier:   func(context.Context) error { return l.check() },
+			Propose:   func(_ context.Context, c []byte) (uint64, []byte, error) { return l.propose(name, c) },
+			Peer:      func(name string) wire.DRPCSteeringClient { return peer{l.replicas[name]} },
+			Now:       func() time.Time { return l.now },
+		})
+	}
+	return l
+}
+
+func (l *log) check() error {
+	if l.down {
+		return errors.New("no quorum")
+	}
+	return nil
+}
+
+func (l *log) propose(name string, command []byte) (uint64, []byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.check(); err != nil {
+		return 0, nil, err
+	}
+	l.entries = append(l.entries, command)
+	var result []byte
+	for other, c := range l.replicas {
+		if r := c.Apply(uint64(len(l.entries)), command); other == name {
+			result = r
+		}
+	}
+	return uint64(len(l.entries)), result, nil
+}
+
+// peer calls a coordinator without a network.
+type peer struct{ c *coordinator.Coordinator }
+
+func (p peer) DRPCConn() drpc.Conn { return nil }
+
+func (p peer) Sync(ctx context.Context, q *wire.SyncRequest) (*wire.SyncReply, error) {
+	return p.c.Sync(ctx, q)
+}
+
+func (p peer) Enlist(ctx context.Context, q *wire.EnlistRequest) (*wire.EnlistReply, error) {
+	return p.c.Enlist(ctx, q)
+}
+
+func (p peer) Publish(ctx context.Context, q *wire.PublishRequest) (*wire.PublishReply, error) {
+	return p.c.Publish(ctx, q)
+}
+
+func (p peer) Newest(ctx context.Context, q *wire.NewestRequest) (*wire.NewestReply, error) {
+	return p.c.Newest(ctx, q)
+}
+
+func rules(t *testing.T, version uint64, tokens int64) *ruleset.Ruleset {
+	t.Helper()
+	r, err := ruleset.New(ruleset.Config{
+		Version: version, Pools: []pool.Pool{{Name: "p"}},
+		Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.Single, Timeout: time.Second, Split: []route.Share{{Pool: "p", Weight: 1}}}},
+		Accounts: []prepaid.Prepaid{prepaid.Prepaid{Name: "shop", Keys: []string{"k"}}.WithTokens(tokens)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// The highest version must win whatever the order in which versions arrive,
+// and other content under the version held must neither be read nor be obeyed.
+func TestSubmit(t *testing.T) {
+	l := newLog()
+	for i, version := range []uint64{3, 7, 5, 7, 8} {
+		via := l.replicas[[]string{"a", "b"}[i%2]]
+		if err := via.Submit(t.Context(), rules(t, version, 100), fmt.Append(nil, "document ", version, " ", i)); err != nil {
+			t.Fatal(err)
+		}
+		want := []string{"document 3 0", "document 7 1", "document 7 1", "document 7 1", "document 8 4"}[i]
+		for name, c := range l.replicas {
+			if _, got, err := c.Read(t.Context()); err != nil || string(got) != want {
+				t.Errorf("after version %d, read at %s: got %q and %v, want %q", version, name, got, err, want)
+			}
+		}
+	}
+}
+
+// An instance that can't be sure of the newest version must not answer with an
+// older one, and nothing is acknowledged without the quorum.
+func TestIsolated(t *testing.T) {
+	l := newLog()
+	if _, _, err := l.replicas["a"].Read(t.Context()); !errors.Is(err, fault.Unavailable) {
+		t.Errorf("read without a ruleset: got %v, want %v", err, fault.Unavailable)
+	}
+	if err := l.replicas["a"].Submit(t.Context(), rules(t, 1, 100), nil); err != nil {
+		t.Fatal(err)
+	}
+	l.down = true
+	for name, c := range l.replicas {
+		if _, _, err := c.Read(t.Context()); err == nil {
+			t.Errorf("read at %s: got no error", name)
+		}
+		if err := c.Submit(t.Context(), rules(t, 2, 100), nil); err == nil {
+			t.Errorf("submit at %s: got no error", name)
+		}
+		if err := c.Announce(t.Context(), &wire.Listing{Id: "t", Born: 1, Address: "x", Leaving: true}); err == nil {
+			t.Errorf("announce at %s: got no error", name)
+		}
+	}
+	l.leader = ""
+	if err := l.replicas["b"].Submit(t.Context(), rules(t, 2, 100), nil); !errors.Is(err, fault.Isolated) {
+		t.Errorf("without a leader: got %v, want %v", err, fault.Isolated)
+	}
+}
+
+// An entry instance gets what it doesn't hold, once, and a restored instance
+// answers the same.
+func TestSync(t *testing.T) {
+	l := newLog()
+	a := l.replicas["a"]
+	if err := a.Submit(t.Context(), rules(t, 4, 1000), nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.replicas["b"].Announce(t.Context(), &wire.Listing{Id: "t", Born: 1, Sequence: 1, Pool: "p", Address: "x"}); err != nil {
+		t.Fatal(err)
+	}
+	q := &wire.SyncRequest{Instance: "e#1", Sequence: 1, Allowances: []*wire.Allowance{{Account: "shop", Want: 100, Need: 100, Lock: 40}}}
+	r, err := a.Sync(t.Context(), q)
+	if err != nil || r.Fault.Err() != nil || len(r.Ruleset) == 0 || len(r.Targets) != 1 || r.Limits[0].Limit != 100 || r.Limits[0].Lock != 40 || r.Limits[0].Free != 900 {
+		t.Fatalf("got %v and %v", r, err)
+	}
+	q = &wire.SyncRequest{Instance: "e#1", Sequence: 2, Version: r.Version, Roster: r.Roster, Allowances: []*wire.Allowance{{Account: "shop", Limit: 100}}}
+	if r, err = a.Sync(t.Context(), q); err != nil || len(r.Ruleset) > 0 || r.Listed {
+		t.Errorf("nothing new: got %v and %v", r, err)
+	}
+	if r, err := l.replicas["b"].Sync(t.Context(), q); err != nil || !errors.Is(r.Fault.Err(), fault.Isolated) || r.Leader != "a" {
+		t.Errorf("at a follower: got %v and %v, want the name of the leader", r, err)
+	}
+	snapshot := a.Snapshot()
+	if err := l.replicas["b"].Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	l.leader, l.term = "b", 2
+	q = &wire.SyncRequest{Instance: "e#1", Sequence: 3, Allowances: []*wire.Allowance{{Account: "shop", Limit: 100, Want: 2000, Need: 2000}}}
+	if r, err := l.replicas["b"].Sync(t.Context(), q); err != nil || r.Version != 4 || len(r.Targets) != 1 || r.Limits[0].Limit != 1000 {
+		t.Errorf("after a snapshot: got %v and %v", r, err)
+	}
+}
+
+// A request that crashes targets must be stopped everywhere after the third,
+// but not one that was on connections to one target that broke.
+func TestBlocked(t *testing.T) {
+	l := newLog()
+	a := l.replicas["a"]
+	report := func(digest, target string) []string {
+		r, err := a.Sync(t.Context(), &wire.SyncRequest{Instance: "e#" + target, Sequence: uint64(l.now.Unix()), Suspects: []*wire.Suspect{{Digest: digest, Target: target}}})
+		if err != nil || r.Fault.Err() != nil {
+			t.Fatalf("got %v and %v", r, err)
+		}
+		return r.Blocked
+	}
+	for _, step := range []struct {
+		digest, target string
+		want           string
+	}{{"poison", "t1", "[]"}, {"poison", "t2", "[]"}, {"sound", "t3", "[]"}, {"sound", "t3", "[]"}, {"sound", "t3", "[]"}, {"poison", "t3", "[poison]"}} {
+		l.now = l.now.Add(time.Second)
+		if got := fmt.Sprint(report(step.digest, step.target)); got != step.want {
+			t.Errorf("%s at %s: got %s, want %s", step.digest, step.target, got, step.want)
+		}
+	}
+}
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -15,7 +15,7 @@
 	// crashLimit is the number of lifetimes of targets that a request may have
 	// been running on when they broke its connection before it is blocked.
 	// Single breaks happen to sound requests too.
-	crashLimit = 2
+	crashLimit = 3
 	// crashMemory is the time for which crashes of one request count together.
 	crashMemory = 60 * time.Second
 )
