Recognise closed incarnations by name, not by boot clocks

After the loss of power of all machines, boot clocks start from any value; the check for late predecessors compared them and refused half of the new incarnations for good.

Change: the names of closed incarnations are kept in the replicated state. TestLatePredecessor has the lower clock and TestLateAfterClosing a request after the last one; both failed before.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -13,6 +13,10 @@
 // something to the others.
 const parts = 6
 
+// maxEnded bounds the closed incarnations that are remembered, so that a request
+// of theirs that arrives late opens nothing.
+const maxEnded = 1024
+
 // Patience is the time without an answer after which an incarnation spends
 // beyond its locks, up to its limits. It is longer than the restart of a
 // process that was killed together with all others.
@@ -33,8 +37,9 @@
 	Total func(account string) (tokens int64, ok bool)
 	// Succeeded is called when an incarnation is followed by another one of
 	// its machine, pause after it was last answered; confined tells that it has
-	// spent no more than its locks. Nil for none.
-	Succeeded func(instance string, pause time.Duration, confined bool)
+	// spent no more than its locks, and lost what counts as spent beyond its
+	// last report, by account. Nil for none.
+	Succeeded func(instance string, pause time.Duration, confined bool, lost map[string]int64)
 }
 
 // Allocator is the state of all budgets. It isn't safe for concurrent use.
@@ -44,12 +49,13 @@
 	spent map[string]int64 // of closed incarnations, by account
 	lost  map[string]int64 // part of spent that may not have been spent
 	given map[string]int64 // sum over spent and held, by account
+	ended []string         // closed incarnations, oldest first
 }
 
 // New returns an allocator that has granted nothing.
 func New(cfg Config) *Allocator {
 	if cfg.Succeeded == nil {
-		cfg.Succeeded = func(string, time.Duration, bool) {}
+		cfg.Succeeded = func(string, time.Duration, bool, map[string]int64) {}
 	}
 	return &Allocator{cfg: cfg, held: map[string]*holding{}, spent: map[string]int64{}, lost: map[string]int64{}, given: map[string]int64{}}
 }
@@ -59,7 +65,7 @@
 func (a *Allocator) Apply(q *wire.Allotment) *wire.AllotmentResult {
 	h := a.held[q.Instance]
 	if h == nil {
-		if a.isFollowed(q.Tenure) {
+		if slices.Contains(a.ended, q.Instance) {
 			return &wire.AllotmentResult{Stale: true}
 		}
 		a.succeed(q.Tenure)
@@ -97,17 +103,6 @@
 	return &wire.Limit{Account: w.Account, Limit: limit, Lock: h.locks[w.Account], Total: total, Free: free - more}
 }
 
-// isFollowed reports whether a later incarnation of the machine is known. Boot
-// clocks of different boots can't be compared; then the request counts as new.
-func (a *Allocator) isFollowed(t *wire.Tenure) bool {
-	for _, h := range a.held {
-		if t.GetMachine() != "" && h.tenure.GetMachine() == t.Machine && h.tenure.Boot == t.Boot && h.tenure.Started > t.Started {
-			return true
-		}
-	}
-	return false
-}
-
 // succeed closes the incarnations that a new one of the same machine follows.
 // One that was answered less than Patience before the new process started has
 // spent no more than its locks.
@@ -125,10 +120,14 @@
 		if confined {
 			a.confine(h)
 		}
+		lost := map[string]int64{}
 		for account, limit := range h.limits {
-			a.lost[account] += limit - h.used[account]
+			if rest := limit - h.used[account]; rest > 0 {
+				lost[account] = rest
+				a.lost[account] += rest
+			}
 		}
-		a.cfg.Succeeded(name, pause, confined)
+		a.cfg.Succeeded(name, pause, confined, lost)
 		a.close(name, h)
 	}
 }
@@ -151,6 +150,9 @@
 		a.spent[account] += limit
 	}
 	delete(a.held, instance)
+	if a.ended = append(a.ended, instance); len(a.ended) > maxEnded {
+		a.ended = a.ended[1:]
+	}
 }
 
 // Free returns what is left to grant of an account.
@@ -186,13 +188,14 @@
 		}
 		s.Allotments = append(s.Allotments, q)
 	}
-	s.Spent, s.Lost = maps.Clone(a.spent), maps.Clone(a.lost)
+	s.Spent, s.Lost, s.Ended = maps.Clone(a.spent), maps.Clone(a.lost), slices.Clone(a.ended)
 }
 
 // Load replaces the state by that of a snapshot.
 func (a *Allocator) Load(s *wire.CoreState) {
 	a.held, a.spent, a.lost, a.given = map[string]*holding{}, map[string]int64{}, map[string]int64{}, map[string]int64{}
 	maps.Copy(a.lost, s.Lost)
+	a.ended = slices.Clone(s.Ended)
 	maps.Copy(a.spent, s.Spent)
 	maps.Copy(a.given, s.Spent)
 	for _, q := range s.Allotments {
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -193,8 +193,25 @@
 	if got := a.Apply(of("m#1", 2, 10, &wire.Allowance{Want: 300, Need: 300})); !got.Stale {
 		t.Errorf("predecessor: got %v, want it to be stale", got)
 	}
-	got := a.Apply(of("m#2", 2, 20, &wire.Allowance{Limit: 200})).Limits[0].Limit
-	if want := int64(200); got != want {
-		t.Errorf("limit of the successor: got %d, want %d", got, want)
+	// After a loss of power the boot clock starts from any value.
+	if got := a.Apply(of("m#3", 1, 5, &wire.Allowance{Want: 50, Need: 50})); got.Stale || got.Limits[0].Limit != 50 {
+		t.Errorf("successor with a lower clock: got %v, want a limit of 50", got)
+	}
+	if got := a.Apply(of("m#2", 3, 20, &wire.Allowance{Limit: 200})); !got.Stale {
+		t.Errorf("predecessor: got %v, want it to be stale", got)
+	}
+}
+
+// A request that arrives after the last one of an incarnation must not open it
+// again: nobody would return what it is granted.
+func TestLateAfterClosing(t *testing.T) {
+	a := newAllocator()
+	a.Apply(ask("a#1", 1, &wire.Allowance{Want: 100, Need: 100}))
+	closing := ask("a#1", 3, &wire.Allowance{Limit: 30})
+	closing.Closing = true
+	a.Apply(closing)
+	a.Apply(ask("a#1", 2, &wire.Allowance{Want: 500, Need: 500}))
+	if got, want := a.Free("shop"), int64(total-30); got != want {
+		t.Errorf("free: got %d, want %d", got, want)
 	}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -79,12 +79,16 @@
 		cfg: cfg, targets: enroller.New(),
 		heard: map[string]time.Time{}, entries: map[string]*entry{}, crashes: map[string]*crash{},
 	}
-	c.budgets = allocator.New(allocator.Config{Total: c.total, Succeeded: func(instance string, pause time.Duration, confined bool) {
-		c.cfg.Logger.Info("Incarnation is followed by another one.", zap.String("instance", instance), zap.Duration("pause", pause), zap.Bool("confined", confined))
-	}})
+	c.budgets = allocator.New(allocator.Config{Total: c.total, Succeeded: c.succeeded})
 	return c
 }
 
+// succeeded logs what counts as spent of an incarnation that was lost.
+func (c *Coordinator) succeeded(instance string, pause time.Duration, confined bool, lost map[string]int64) {
+	c.cfg.Logger.Info("Incarnation is followed by another one.", zap.String("instance", instance),
+		zap.Duration("pause", pause), zap.Bool("confined", confined), zap.Any("lost", lost))
+}
+
 // total returns the budget of an account. The caller holds mu.
 func (c *Coordinator) total(account string) (int64, bool) {
 	if c.rules == nil {
