Weigh shared tokens that are read again

Change: each shared token that a target would read again costs three more than one that waits; the home is trusted for 0.9 of them.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,7 +29,10 @@
 	fullCost = 20000
 	// homeShare is the part of a prompt's shared tokens that its home is taken
 	// to keep although this instance hasn't sent them there.
-	homeShare = 0.7
+	homeShare = 0.9
+	// repeatCost is the further cost of each shared token that is read again:
+	// it takes reading time from all others, and room from other parts.
+	repeatCost = 3
 	// busyTime is the time for which a target that has refused a request for
 	// lack of a place is avoided.
 	busyTime = 150 * time.Millisecond
@@ -247,6 +250,7 @@
 		}
 	}
 	cost := float64(t.unread+t.remote.Unread) + float64(q.Tokens-cached) + runningCost*running
+	cost += repeatCost * float64(max(shared(q.Parts)-cached, 0))
 	if away {
 		cost += distanceCost
 	}
@@ -257,6 +261,16 @@
 	return cost + t.reluctance(now, fullCost)
 }
 
+// shared returns the tokens of the parts that other requests share: all but
+// the last.
+func shared(parts []Part) int64 {
+	sum := int64(0)
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		sum += p.Tokens
+	}
+	return sum
+}
+
 // reluctance is the cost of a target that is busy, silent or has failed lately.
 func (t *target) reluctance(now time.Time, unit float64) float64 {
 	cost := unit * t.failures
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -18,7 +18,7 @@
 	// It covers a partition of some seconds.
 	defaultHorizon = 9 * time.Second
 	// ample is the free part of a budget from which the whole horizon is held.
-	ample = 0.3
+	ample = 0.25
 	// scarce is the free part below which nothing is held beyond running and
 	// waiting requests.
 	scarce = 0.02
