--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -31,10 +31,10 @@
 	// count as silent, and two calls more.
 	nearTime = allocator.Patience + 500*time.Millisecond
 	// keep is the factor by which a limit exceeds the need before a part is
-	// given back; smaller factors cost a commit for every change of demand.
-	keep = 1.6
+	// given back. Each call is committed anyway.
+	keep = 1.1
 	// low is the part of the wanted allowance below which more is asked for.
-	low = 0.7
+	low = 0.95
 )
 
 // Config configures a Spender.
