Sum up the reports of entry instances once in 100 ms

Change: summaries at most 100 ms old, idle targets left out, and calls up to every 0.5 s with many instances.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -161,16 +161,20 @@
 	return max(total-a.given[account], 0)
 }
 
-// Absent returns what the incarnations for which alive is false hold of an
-// account beyond their last report. They may come back and return it.
-func (a *Allocator) Absent(account string, alive func(instance string) bool) int64 {
-	sum := int64(0)
+// Absent calls found with each account of which incarnations for which alive
+// is false hold a part beyond their last report. They may come back and return
+// it.
+func (a *Allocator) Absent(alive func(instance string) bool, found func(account string)) {
 	for name, h := range a.held {
-		if !alive(name) {
-			sum += h.limits[account] - h.used[account]
+		if alive(name) {
+			continue
+		}
+		for account, limit := range h.limits {
+			if limit > h.used[account] {
+				found(account)
+			}
 		}
 	}
-	return sum
 }
 
 // Lost returns what counts as spent of an account although it may not have
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -126,6 +126,9 @@
 func (b *Balancer) Learn(loads []*wire.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, t := range b.targets {
+		t.remote = wire.Load{}
+	}
 	for _, l := range loads {
 		if t := b.targets[l.Target]; t != nil {
 			t.remote = wire.Load{Running: l.Running, Unread: l.Unread, Memory: l.Memory, Silence: l.Silence}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -62,6 +62,7 @@
 	heard   map[string]time.Time
 	entries map[string]*entry
 	crashes map[string]*crash
+	summary *summary
 }
 
 // New returns a coordinator that knows no ruleset.
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -18,6 +18,11 @@
 	crashLimit = 3
 	// crashMemory is the time for which crashes of one request count together.
 	crashMemory = 60 * time.Second
+	// summaryAge is the longest age of what is told about other incarnations.
+	summaryAge = 100 * time.Millisecond
+	// maxQuiet is the silence of a target in ms that isn't told: three
+	// announcements.
+	maxQuiet = 3600
 )
 
 // entry is an incarnation of an entry instance that is in touch.
@@ -49,7 +54,7 @@
 	defer c.mu.Unlock()
 	c.note(q)
 	reply.Limits = limits
-	c.complete(reply.Limits, q.Instance)
+	c.complete(reply.Limits, q)
 	if c.rules != nil {
 		reply.Version = c.rules.Version()
 		if reply.Version > q.Version {
@@ -60,7 +65,7 @@
 	if reply.Roster != q.Roster {
 		reply.Targets, reply.Listed = c.targets.List(), true
 	}
-	reply.Loads = c.loads(q.Instance)
+	reply.Loads = c.loads(q)
 	reply.Entries = int32(len(c.entries))
 	reply.Blocked = c.blocked()
 	return reply, nil
@@ -113,52 +118,87 @@
 	}
 }
 
-// complete adds what the limits of other incarnations leave idle. The caller
-// holds mu.
-func (c *Coordinator) complete(limits []*wire.Limit, self string) {
-	alive := func(name string) bool { return c.entries[name] != nil }
-	for _, l := range limits {
-		l.Free = c.budgets.Free(l.Account)
-		l.Spare = l.Free
-		for name, e := range c.entries {
-			for _, w := range e.allowances {
-				if name != self && w.Account == l.Account {
-					l.Spare += max(w.Limit-w.Used, 0)
-				}
-			}
-		}
-		l.Stranded = c.budgets.Absent(l.Account, alive) > 0
-		l.Total, _ = c.total(l.Account)
-	}
+// summary sums up what all incarnations report. Summing up for each call would
+// cost the square of their number.
+type summary struct {
+	at     time.Time
+	loads  []*wire.Load
+	idle   map[string]int64 // tokens in allowances, by account
+	absent map[string]bool  // accounts of which silent incarnations hold a part
 }
 
-// loads sums up the work of all other incarnations by target, and tells how
-// long targets have been silent. The caller holds mu.
-func (c *Coordinator) loads(self string) []*wire.Load {
+// summarize returns a summary that is at most summaryAge old. The caller holds
+// mu.
+func (c *Coordinator) summarize() *summary {
 	now := c.cfg.Now()
+	if c.summary != nil && now.Sub(c.summary.at) < summaryAge {
+		return c.summary
+	}
+	s := &summary{at: now, idle: map[string]int64{}, absent: map[string]bool{}}
 	sums := map[string]*wire.Load{}
-	list := []*wire.Load{}
 	for _, l := range c.targets.List() {
-		s := &wire.Load{Target: l.Id}
+		sum := &wire.Load{Target: l.Id}
 		if at, ok := c.heard[l.Id]; ok {
-			s.Silence = now.Sub(at).Milliseconds()
+			sum.Silence = now.Sub(at).Milliseconds()
 		}
-		sums[l.Id] = s
-		list = append(list, s)
+		sums[l.Id] = sum
+		s.loads = append(s.loads, sum)
 	}
-	for name, e := range c.entries {
-		if name == self {
-			continue
-		}
+	for _, e := range c.entries {
 		for _, l := range e.loads {
-			if s := sums[l.Target]; s != nil {
-				s.Running += l.Running
-				s.Unread += l.Unread
-				s.Memory += l.Memory
-				s.Failures += l.Failures
-				s.Successes += l.Successes
+			if sum := sums[l.Target]; sum != nil {
+				sum.Running += l.Running
+				sum.Unread += l.Unread
+				sum.Memory += l.Memory
 			}
 		}
+		for _, w := range e.allowances {
+			s.idle[w.Account] += max(w.Limit-w.Used, 0)
+		}
+	}
+	c.budgets.Absent(func(name string) bool { return c.entries[name] != nil }, func(account string) { s.absent[account] = true })
+	c.summary = s
+	return s
+}
+
+// complete adds what the limits of other incarnations leave idle. The caller
+// holds mu.
+func (c *Coordinator) complete(limits []*wire.Limit, q *wire.SyncRequest) {
+	s := c.summarize()
+	own := map[string]int64{}
+	for _, w := range q.Allowances {
+		own[w.Account] = max(w.Limit-w.Used, 0)
+	}
+	for _, l := range limits {
+		l.Free = c.budgets.Free(l.Account)
+		l.Spare = l.Free + max(s.idle[l.Account]-own[l.Account], 0)
+		l.Stranded = s.absent[l.Account]
+		l.Total, _ = c.total(l.Account)
+	}
+}
+
+// loads returns the work of all other incarnations by target, and how long
+// targets have been silent. Targets without either are left out. The caller
+// holds mu.
+func (c *Coordinator) loads(q *wire.SyncRequest) []*wire.Load {
+	own := map[string]*wire.Load{}
+	for _, l := range q.Loads {
+		own[l.Target] = l
+	}
+	var list []*wire.Load
+	for _, sum := range c.summarize().loads {
+		l := &wire.Load{Target: sum.Target, Running: sum.Running, Unread: sum.Unread, Memory: sum.Memory}
+		if sum.Silence > maxQuiet {
+			l.Silence = sum.Silence
+		}
+		if o := own[l.Target]; o != nil {
+			l.Running = max(l.Running-o.Running, 0)
+			l.Unread = max(l.Unread-o.Unread, 0)
+			l.Memory = max(l.Memory-o.Memory, 0)
+		}
+		if l.Running > 0 || l.Silence > 0 {
+			list = append(list, l)
+		}
 	}
 	return list
 }
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -18,6 +18,11 @@
 	// defaultInterval is the pause between two calls. It bounds the time until
 	// a change is in force, and the age of the loads of other instances.
 	defaultInterval = 200 * time.Millisecond
+	// manyEntries is the number of entry instances above which they call less
+	// often, so that the load of the leader stays bounded.
+	manyEntries = 25
+	// maxInterval bounds the pause with many instances.
+	maxInterval = 500 * time.Millisecond
 	// callTimeout bounds one call; the leader may have to commit.
 	callTimeout = 400 * time.Millisecond
 	// hurryPause is the shortest pause between two calls.
@@ -67,6 +72,7 @@
 	answered time.Duration // sending of the last request that was answered
 	suspects []*wire.Suspect
 	lost     bool
+	entries  int // entry instances in touch
 }
 
 // New returns a synchronizer that knows nothing but the settings.
@@ -119,7 +125,8 @@
 		if err := s.round(ctx); err != nil && ctx.Err() == nil {
 			s.fail(err)
 		}
-		pause := time.NewTimer(s.cfg.Interval - min(time.Since(started), s.cfg.Interval-hurryPause))
+		interval := s.interval()
+		pause := time.NewTimer(interval - min(time.Since(started), interval-hurryPause))
 		select {
 		case <-ctx.Done():
 		case <-pause.C:
@@ -135,6 +142,13 @@
 	}
 }
 
+// interval returns the pause between two calls.
+func (s *Synchronizer) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.cfg.Interval, min(s.cfg.Interval*time.Duration(s.entries)/manyEntries, maxInterval))
+}
+
 // fail notes that the leader can't be reached.
 func (s *Synchronizer) fail(err error) {
 	s.mu.Lock()
@@ -259,6 +273,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version = max(s.version, reply.Version)
+	s.entries = int(reply.Entries)
 	if reply.Listed {
 		s.roster = reply.Roster
 	}
