Try targets that are alive when a whole pool is taken out

Change: targets that got no connection are told from those that broke one; the one that comes back first is tried if it still announces itself. Requests that run once use no connection that was idle for over 2 s; others up to 10 s. TestAllTakenOut failed before.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -190,12 +190,31 @@
 			best, lowest = t, cost
 		}
 	}
+	if best == nil {
+		best = b.last(list, q)
+	}
 	if best == nil {
 		return nil, eris.Wrapf(fault.Unavailable, "no target of pool %s out of %d takes requests", q.Pool, len(list))
 	}
 	return b.pick(best, q), nil
 }
 
+// last returns, if all targets are taken out, the one that comes back first and
+// is known to be alive. A queue of new connections that is full for a moment
+// must not stop a whole pool; a request that gets no connection loses nothing.
+func (b *Balancer) last(list []*target, q Query) *target {
+	var best *target
+	for _, t := range list {
+		if q.Avoid[t.listing.Id] || t.remote.Silence > 0 || !t.unreached && !q.Repeatable {
+			continue
+		}
+		if best == nil || t.until.Before(best.until) {
+			best = t
+		}
+	}
+	return best
+}
+
 // open reports whether a target may get a request. After a pause one request
 // tries it, if it may be repeated.
 func (t *target) open(now time.Time, repeatable bool) bool {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -166,3 +166,33 @@
 		}
 	}
 }
+
+// A pool whose targets all refuse new connections for a moment must still be
+// tried: nothing is lost by that, and they are alive.
+func TestAllTakenOut(t *testing.T) {
+	for _, test := range []struct {
+		outcome    balancer.Outcome
+		repeatable bool
+		silence    int64
+		want       bool
+	}{
+		{balancer.Unreached, false, 0, true},
+		{balancer.Unreached, true, 0, true},
+		{balancer.Unreached, true, 6000, false},
+		{balancer.Broken, true, 0, true},
+		{balancer.Broken, false, 0, false},
+	} {
+		b, _ := newBalancer(1)
+		b.Update([]*wire.Listing{{Id: "a", Pool: "services", Zone: "near"}})
+		q := balancer.Query{Pool: "services", Repeatable: test.repeatable}
+		first, second := choose(t, b, q), choose(t, b, q)
+		first.Done(test.outcome)
+		second.Done(test.outcome)
+		if test.silence > 0 {
+			b.Learn([]*wire.Load{{Target: "a", Silence: test.silence}})
+		}
+		if _, err := b.Choose(q); (err == nil) != test.want {
+			t.Errorf("%+v: got %v", test, err)
+		}
+	}
+}
--- a/internal/balancer/target.go
+++ b/internal/balancer/target.go
@@ -32,8 +32,10 @@
 	Refused
 	// Failed requests were answered by an error of the target.
 	Failed
-	// Broken requests lost their connection, or never got one.
+	// Broken requests lost their connection.
 	Broken
+	// Unreached requests got no connection, so that no target has seen them.
+	Unreached
 	// Late requests got no answer in time.
 	Late
 	// Left requests were given up by the caller.
@@ -58,7 +60,9 @@
 	until    time.Time
 	pause    time.Duration
 	trial    bool // a request tries the target after a pause
-	busy     time.Time
+	// unreached is set if the last request got no connection.
+	unreached bool
+	busy      time.Time
 }
 
 // part is a part of prompts that a target has read.
@@ -122,10 +126,11 @@
 		t.breaks = 0
 	case Misdirected:
 		t.breaks = breakLimit
-	case Broken, Late:
+	case Broken, Late, Unreached:
 		failed = 1
 		t.breaks++
 	}
+	t.unreached = o == Unreached
 	t.failures += failureWeight * (failed - t.failures)
 	if t.breaks >= breakLimit || t.failures > rate+failureLimit {
 		t.pause = min(max(2*t.pause, firstPause), maxPause)
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -25,6 +25,7 @@
 	reader  *bufio.Reader
 	used    int           // requests before this one
 	timeout time.Duration // idle timeout that the target named, or 0
+	since   time.Time     // when it became idle
 	expires time.Time
 
 	withdrawn atomic.Bool
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -22,7 +22,7 @@
 	dialTimeout = 300 * time.Millisecond
 	// defaultIdle is the time after which an idle connection isn't used again
 	// if the target names none.
-	defaultIdle = 4 * time.Second
+	defaultIdle = 10 * time.Second
 	// idleMargin is the time before the idle timeout of the target from which
 	// on a connection isn't used again.
 	idleMargin = 400 * time.Millisecond
@@ -68,8 +68,9 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	// Fresh asks for a new connection.
-	Fresh bool
+	// MaxIdle is the longest time for which the connection has been idle; 0 for
+	// any.
+	MaxIdle time.Duration
 }
 
 // New returns an exchanger without connections.
@@ -129,8 +130,8 @@
 
 // connect returns an idle connection that still works, or a new one.
 func (e *Exchanger) connect(ctx context.Context, q *Request) (*conn, error) {
-	for !q.Fresh {
-		c := e.take(q.Address)
+	for {
+		c := e.take(q.Address, q.MaxIdle)
 		if c == nil {
 			break
 		}
@@ -148,8 +149,9 @@
 	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, nil
 }
 
-// take returns the connection that was used last.
-func (e *Exchanger) take(address string) *conn {
+// take returns the connection that was used last, unless it has been idle for
+// longer than maxIdle.
+func (e *Exchanger) take(address string, maxIdle time.Duration) *conn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list := e.idle[address]
@@ -157,6 +159,9 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	if maxIdle > 0 && e.cfg.Now().Sub(c.since) > maxIdle {
+		return nil
+	}
 	e.idle[address] = list[:len(list)-1]
 	return c
 }
@@ -167,7 +172,8 @@
 	if c.timeout > 0 {
 		wait = c.timeout - idleMargin
 	}
-	c.expires = e.cfg.Now().Add(wait)
+	c.since = e.cfg.Now()
+	c.expires = c.since.Add(wait)
 	e.mu.Lock()
 	list := e.idle[address]
 	var oldest *conn
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -59,8 +59,9 @@
 	runs    int // targets that may have run the request
 	events  int // relayed
 	started bool
-	status  int    // sent to the caller; 0 for none
-	last    string // id of the last event relayed
+	status  int           // sent to the caller; 0 for none
+	waited  time.Duration // for a higher limit
+	last    string        // id of the last event relayed
 }
 
 // prepare finds out what the request asks for. It answers and returns false if
@@ -167,7 +168,9 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(wait, x.deadline.Sub(x.f.cfg.Now())))
 	defer cancel()
+	begun := x.f.cfg.Now()
 	reserve, err := x.f.cfg.Spender.Reserve(ctx, x.account.Name, x.tokens+x.output)
+	x.waited = x.f.cfg.Now().Sub(begun)
 	if err == nil {
 		x.reserve = reserve
 		return true
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -240,7 +240,7 @@
 	}
 	x.f.cfg.Logger.Log(level, "Request ended.", append([]zap.Field{
 		zap.String("request", x.id()), zap.String("outcome", outcome), zap.Int("status", x.status), zap.String("route", x.route.Name), zap.String("account", x.account.Name),
-		zap.Uint64("ruleset", version), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Int64("cost", x.cost()),
+		zap.Uint64("ruleset", version), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Int64("cost", x.cost()), zap.Duration("waited", x.waited),
 		zap.Duration("first", report.First), zap.Duration("duration", report.Duration),
 	}, fields...)...)
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -116,7 +116,7 @@
 	a, err := x.f.cfg.Exchanger.Send(ctx, x.request(pick))
 	if err != nil && fault.Of(err) == fault.Unavailable {
 		x.sends++ // bounds the attempts, also those that reach no target
-		pick.Done(x.outcome(ctx, balancer.Broken))
+		pick.Done(x.outcome(ctx, balancer.Unreached))
 		return x.unless(unsent), err
 	}
 	x.sends++
@@ -167,8 +167,21 @@
 	}
 	return &exchanger.Request{
 		Address: pick.Address(), Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
-		Fresh: false,
+		MaxIdle: x.maxIdle(),
+	}
+}
+
+// singleIdle is the longest idle time of a connection for a request that can't
+// be sent again. Targets may drop idle connections without notice.
+const singleIdle = 2 * time.Second
+
+// maxIdle returns the longest idle time of a connection for the request; 0 for
+// any.
+func (x *exchange) maxIdle() time.Duration {
+	if x.route.Repeatable() {
+		return 0
 	}
+	return singleIdle
 }
 
 // isRefusal reports whether the target says that it didn't run the request.
