Reach the leader through other entry instances; spread returns by silence

Cause: entry instances that are cut off from the core machines can still reach each other, and served only from their limits; refused callers were told to come back after 0.7 s of a partition of 7 s.

Change: entry instances pass calls of others on to the leader; all candidates are asked at the same time. In a silence of the core, Retry-After is about as long as the silence so far, at most 4 s. TestContact and TestRelay.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -196,3 +196,21 @@
 		}
 	}
 }
+
+// BenchmarkChoose measures the choice among the targets of a pool.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{6, 45, 1550} {
+		b.Run(fmt.Sprint("targets=", 2*n), func(b *testing.B) {
+			balance, _ := newBalancer(n)
+			i := 0
+			for b.Loop() {
+				i++
+				p, err := balance.Choose(prompt(fmt.Sprint("part", i%200), fmt.Sprint(i)))
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Done(balancer.Served)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordinator/bench_test.go
@@ -0,0 +1,59 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/ruleset"
+	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/pool"
+	"github.com/papayapond/papayapond/pkg/prepaid"
+	"github.com/papayapond/papayapond/pkg/route"
+)
+
+// BenchmarkSync measures one call of an entry instance at the leader, without
+// network and disk, by entry instances, accounts of each call and targets.
+func BenchmarkSync(b *testing.B) {
+	for _, size := range [][3]int{{8, 10, 21}, {72, 24, 94}, {340, 24, 94}, {340, 24, 3100}, {340, 500, 3100}} {
+		b.Run(fmt.Sprintf("entries=%d/accounts=%d/targets=%d", size[0], size[1], size[2]), func(b *testing.B) {
+			l := newLog()
+			delete(l.replicas, "b")
+			a := l.replicas["a"]
+			cfg := ruleset.Config{Version: 1, Pools: []pool.Pool{{Name: "p"}}, Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: 1, Split: []route.Share{{Pool: "p", Weight: 1}}}}}
+			for i := range size[1] {
+				cfg.Accounts = append(cfg.Accounts, prepaid.Prepaid{Name: fmt.Sprint("account", i)}.WithTokens(1<<40))
+			}
+			r, err := ruleset.New(cfg)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := a.Submit(b.Context(), r, nil); err != nil {
+				b.Fatal(err)
+			}
+			for i := range size[2] {
+				if err := a.Announce(b.Context(), &wire.Listing{Id: fmt.Sprint("target", i), Born: 1, Pool: "p", Address: fmt.Sprint(i)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			l.entries = nil
+			n := 0
+			for b.Loop() {
+				n++
+				q := &wire.SyncRequest{Instance: fmt.Sprint("entry", n%size[0]), Sequence: uint64(n), Version: 1, Roster: uint64(size[2])}
+				for i := range size[1] {
+					q.Allowances = append(q.Allowances, &wire.Allowance{Account: fmt.Sprint("account", i), Limit: 1000, Lock: 500, Used: 400})
+				}
+				for i := range 20 {
+					q.Loads = append(q.Loads, &wire.Load{Target: fmt.Sprint("target", (n+i)%size[2]), Running: 1})
+				}
+				if _, err := a.Sync(b.Context(), q); err != nil {
+					b.Fatal(err)
+				}
+				l.entries = l.entries[:0]
+				// The clock moves as with five calls a second of each instance.
+				l.now = l.now.Add(200 * time.Millisecond / time.Duration(size[0]))
+			}
+		})
+	}
+}
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -18,6 +18,8 @@
 	crashLimit = 3
 	// crashMemory is the time for which crashes of one request count together.
 	crashMemory = 60 * time.Second
+	// toldPeers is the number of entry instances that a reply names.
+	toldPeers = 4
 	// summaryAge is the longest age of what is told about other incarnations.
 	summaryAge = 100 * time.Millisecond
 	// maxQuiet is the silence of a target in ms that isn't told: three
@@ -28,6 +30,7 @@
 // entry is an incarnation of an entry instance that is in touch.
 type entry struct {
 	at         time.Time
+	address    string
 	loads      []*wire.Load
 	allowances []*wire.Allowance
 }
@@ -68,6 +71,7 @@
 	reply.Loads = c.loads(q)
 	reply.Entries = int32(len(c.entries))
 	reply.Blocked = c.blocked()
+	reply.Peers = c.peers(q.Instance)
 	return reply, nil
 }
 
@@ -101,7 +105,7 @@
 	if q.Closing {
 		delete(c.entries, q.Instance)
 	} else {
-		c.entries[q.Instance] = &entry{at: now, loads: q.Loads, allowances: q.Allowances}
+		c.entries[q.Instance] = &entry{at: now, address: q.Address, loads: q.Loads, allowances: q.Allowances}
 	}
 	for _, s := range q.Suspects {
 		k := c.crashes[s.Digest]
@@ -203,6 +207,21 @@
 	return list
 }
 
+// peers returns the addresses of some other entry instances, different ones for
+// each call. The caller holds mu.
+func (c *Coordinator) peers(self string) []string {
+	var list []string
+	for name, e := range c.entries {
+		if name != self && e.address != "" {
+			list = append(list, e.address)
+		}
+		if len(list) == toldPeers {
+			break
+		}
+	}
+	return list
+}
+
 // blocked returns the digests of requests that crash targets. The caller holds
 // mu.
 func (c *Coordinator) blocked() []string {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,9 +29,6 @@
 )
 
 const (
-	// contactTimeout is the time without an answer of the leader after which
-	// requests don't wait for it.
-	contactTimeout = 900 * time.Millisecond
 	// headerTimeout bounds the time in which a caller sends its header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is above the idle timeout of any ruleset, so that callers end
@@ -55,6 +52,8 @@
 type Config struct {
 	// Name is the name of the instance, Zone its zone.
 	Name, Zone string
+	// Inner is the address for other entry instances.
+	Inner string
 	// Frontend is the address for callers, Readiness that for checks.
 	Frontend, Readiness string
 	// Ready is the path of the check of readiness.
@@ -97,11 +96,11 @@
 	e.forwarder = forwarder.New(forwarder.Config{
 		Headers: cfg.Headers, Balancer: e.balancer, Exchanger: e.exchanger, Spender: e.spender,
 		RetryShare: cfg.RetryShare, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
-		Connected: e.connected, Observe: cfg.Observe, Logger: cfg.Logger.Named("forwarder"),
+		Silence: func() time.Duration { return e.sync.Silence() }, Observe: cfg.Observe, Logger: cfg.Logger.Named("forwarder"),
 	})
 	e.sync = synchronizer.New(synchronizer.Config{
 		Instance: cfg.Name + "#" + strconv.FormatUint(rand.Uint64(), 16), Machine: cfg.Name, Zone: cfg.Zone, Seeds: cfg.Seeds,
-		Boot: boot(cfg.Logger), Clock: sinceBoot,
+		Address: cfg.Inner, Boot: boot(cfg.Logger), Clock: sinceBoot,
 		Peer: func(name string) wire.DRPCSteeringClient {
 			return wire.NewDRPCSteeringClient(e.dialer.Conn(name))
 		},
@@ -120,8 +119,6 @@
 // Silence returns the time since the core instances answered.
 func (e *Entry) Silence() time.Duration { return e.sync.Silence() }
 
-func (e *Entry) connected() bool { return time.Since(e.sync.Touched()) < contactTimeout }
-
 // use puts a ruleset in force.
 func (e *Entry) use(r *ruleset.Ruleset) {
 	var names []string
@@ -161,6 +158,10 @@
 	if err != nil {
 		return err
 	}
+	inner, err := e.listen(e.cfg.Inner)
+	if err != nil {
+		return err
+	}
 	std := zap.NewStdLog(e.cfg.Logger.Named("http"))
 	callers := &http.Server{Handler: e.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: std}
 	checks := &http.Server{Handler: e.checks(), ReadHeaderTimeout: headerTimeout, ErrorLog: std}
@@ -169,6 +170,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { e.sync.Run(running) })
 	group.Go(func() { e.sweep(running) })
+	group.Go(func() { e.relay(running, inner) })
 	group.Go(func() { e.serve(callers, front) })
 	group.Go(func() { e.serve(checks, check) })
 	<-ctx.Done()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -52,8 +52,8 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// Connected reports whether the core instances answer.
-	Connected func() bool
+	// Silence returns the time since the core instances answered.
+	Silence func() time.Duration
 	// Observe is called at the end of each request; nil for none.
 	Observe func(Report)
 	Logger  *zap.Logger
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -58,7 +58,7 @@
 	b.Update(listings)
 	fw := forwarder.New(forwarder.Config{
 		Headers: headers, Balancer: b, Exchanger: exchanger.New(exchanger.Config{Identity: headers.Attempt}), Spender: f.spender,
-		RetryShare: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second, Connected: func() bool { return true },
+		RetryShare: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second, Silence: func() time.Duration { return 0 },
 	})
 	tokens := int64(1000)
 	base := route.Route{Host: "h", Timeout: 2 * time.Second, Objective: 200 * time.Millisecond, Pause: 100 * time.Millisecond, Attempts: 2, Split: []route.Share{{Pool: "p", Weight: 1}}}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -25,9 +25,14 @@
 const (
 	// budgetWait bounds the wait for a higher limit: two calls to the leader.
 	budgetWait = 600 * time.Millisecond
+	// contactTimeout is the silence of the core instances after which requests
+	// don't wait for them.
+	contactTimeout = 900 * time.Millisecond
 	// startDelay is the time after which a refused caller may find an instance
 	// that has a ruleset, or a leader.
 	startDelay = 700 * time.Millisecond
+	// maxDelay bounds the delay in a silence of the core instances.
+	maxDelay = 4 * time.Second
 	// defaultBody bounds a body if the ruleset doesn't, in bytes.
 	defaultBody = 4 << 20
 )
@@ -163,7 +168,7 @@
 		return true
 	}
 	wait := budgetWait
-	if !x.f.cfg.Connected() {
+	if x.f.cfg.Silence() > contactTimeout {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(wait, x.deadline.Sub(x.f.cfg.Now())))
@@ -178,11 +183,17 @@
 	if fault.Of(err) == fault.Exhausted {
 		x.refuse(http.StatusPaymentRequired, 0, err.Error())
 	} else {
-		x.refuse(http.StatusServiceUnavailable, startDelay, err.Error())
+		x.refuse(http.StatusServiceUnavailable, x.limitDelay(), err.Error())
 	}
 	return false
 }
 
+// limitDelay returns the time after which a higher limit is likely. A silence of
+// the core instances lasts about as long again as it has lasted.
+func (x *exchange) limitDelay() time.Duration {
+	return max(startDelay, min(x.f.cfg.Silence(), maxDelay))
+}
+
 // hopHeaders concern one connection only.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -25,6 +25,9 @@
 	maxInterval = 500 * time.Millisecond
 	// callTimeout bounds one call; the leader may have to commit.
 	callTimeout = 400 * time.Millisecond
+	// relayContact is the time since the last answer of the leader after which
+	// calls of other entry instances aren't passed on.
+	relayContact = time.Second
 	// hurryPause is the shortest pause between two calls.
 	hurryPause = 10 * time.Millisecond
 )
@@ -34,6 +37,8 @@
 	// Instance is the incarnation of this instance, Machine the name that all
 	// its incarnations share, and Zone its zone.
 	Instance, Machine, Zone string
+	// Address is where other entry instances reach this one.
+	Address string
 	// Boot identifies the boot of the machine; "" if it isn't known.
 	Boot string
 	// Clock returns the time since the boot, with the time in which the machine
@@ -67,6 +72,7 @@
 	roster   uint64
 	leader   string
 	cores    []string
+	peers    []string      // entry instances
 	touched  time.Time     // last successful call
 	started  time.Duration // by the boot clock
 	answered time.Duration // sending of the last request that was answered
@@ -111,13 +117,6 @@
 	return s.version
 }
 
-// Touched returns when the leader last answered.
-func (s *Synchronizer) Touched() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.touched
-}
-
 // Run calls the leader until ctx ends.
 func (s *Synchronizer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -173,7 +172,7 @@
 	defer s.mu.Unlock()
 	s.sequence++
 	return &wire.SyncRequest{
-		Instance: s.cfg.Instance, Zone: s.cfg.Zone, Sequence: s.sequence, Version: s.version, Roster: s.roster,
+		Instance: s.cfg.Instance, Zone: s.cfg.Zone, Sequence: s.sequence, Version: s.version, Roster: s.roster, Address: s.cfg.Address,
 		Tenure: &wire.Tenure{Machine: s.cfg.Machine, Boot: s.cfg.Boot, Started: s.started.Nanoseconds(), Answered: s.answered.Nanoseconds()},
 	}
 }
@@ -192,28 +191,59 @@
 	return s.learn(reply)
 }
 
-// ask calls the leader if it is known, and otherwise the core instances in
-// turn until one of them is or names the leader.
+// ask calls the leader if it is known. If it doesn't answer, all other core
+// instances and some entry instances are asked at the same time: the former
+// know the leader, the latter may reach it where this instance can't.
 func (s *Synchronizer) ask(ctx context.Context, q *wire.SyncRequest) (*wire.SyncReply, error) {
+	leader, others := s.candidates()
 	err := eris.Wrap(fault.Unavailable, "no core instance is known")
-	asked := map[string]bool{}
-	for _, name := range s.candidates() {
-		for name != "" && !asked[name] && ctx.Err() == nil {
-			asked[name] = true
-			var reply *wire.SyncReply
-			if reply, err = s.call(ctx, name, q); err == nil {
-				return reply, nil
-			}
-			next := ""
-			if reply != nil {
-				next = reply.Leader
+	if leader != "" {
+		var reply *wire.SyncReply
+		if reply, err = s.call(ctx, leader, q); err == nil {
+			return reply, nil
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		reply *wire.SyncReply
+		err   error
+	}
+	answers := make(chan answer, len(others))
+	for _, name := range others {
+		go func() {
+			reply, err := s.call(ctx, name, q)
+			if err != nil && reply.GetLeader() != "" && reply.GetLeader() != leader && reply.GetLeader() != name {
+				reply, err = s.call(ctx, reply.GetLeader(), q)
 			}
-			name = next
+			answers <- answer{reply, err}
+		}()
+	}
+	for range others {
+		a := <-answers
+		if a.err == nil {
+			return a.reply, nil
 		}
+		err = a.err
 	}
 	return nil, err
 }
 
+// Relay passes the call of another entry instance on to the leader, if this
+// instance is in contact with it.
+func (s *Synchronizer) Relay(ctx context.Context, q *wire.SyncRequest) (*wire.SyncReply, error) {
+	s.mu.Lock()
+	leader := s.leader
+	contact := time.Since(s.touched) < relayContact
+	s.mu.Unlock()
+	if leader == "" || !contact {
+		return &wire.SyncReply{Fault: wire.NewFault(eris.Wrap(fault.Isolated, "no contact with a leader"))}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.cfg.Peer(leader).Sync(ctx, q)
+}
+
 // call asks one core instance and remembers whether it leads.
 func (s *Synchronizer) call(ctx context.Context, name string, q *wire.SyncRequest) (*wire.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -222,6 +252,9 @@
 	reply, err := s.cfg.Peer(name).Sync(ctx, q)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if ctx.Err() != nil && err != nil {
+		err = eris.Wrapf(fault.Unavailable, "%s: %v", name, ctx.Err())
+	}
 	if err == nil && len(reply.Cores) > 0 {
 		s.cores = reply.Cores
 	}
@@ -233,23 +266,40 @@
 	if err != nil && s.leader == name {
 		s.leader = ""
 	}
+	if err != nil && s.via == name {
+		s.via = ""
+	}
 	if err == nil {
-		s.leader, s.touched, s.answered = name, time.Now(), sent
+		if reply.Leader != "" && reply.Leader != name {
+			// Another entry instance has passed the call on.
+			if name != s.via {
+				s.via, s.until = name, time.Now().Add(viaTime)
+			}
+			name = reply.Leader
+		}
+		s.leader, s.touched, s.answered = name, time.Now(), max(s.answered, sent)
+		if len(reply.Peers) > 0 {
+			s.peers = reply.Peers
+		}
 	}
 	return reply, err
 }
 
-// candidates returns the core instances in the order in which they are asked.
-func (s *Synchronizer) candidates() []string {
+// candidates returns the leader, if it is known, and the instances that are
+// asked if it doesn't answer.
+func (s *Synchronizer) candidates() (leader string, others []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var list []string
-	for _, name := range append(append([]string{s.leader}, s.cores...), s.cfg.Seeds()...) {
-		if name != "" && !slices.Contains(list, name) {
-			list = append(list, name)
+	all := slices.Concat(s.cores, s.cfg.Seeds())
+	if s.lost {
+		all = append(all, s.peers...)
+	}
+	for _, name := range all {
+		if name != s.leader && name != s.cfg.Address && !slices.Contains(others, name) {
+			others = append(others, name)
 		}
 	}
-	return list
+	return s.leader, others
 }
 
 // learn takes what is newer.
--- /dev/null
+++ b/internal/synchronizer/synchronizer_test.go
@@ -0,0 +1,152 @@
+package synchronizer_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/ruleset"
+	"github.com/papayapond/papayapond/internal/synchronizer"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// network is what instances answer, by name; an instance without an entry is
+// silent.
+type network struct {
+	mu      sync.Mutex
+	answers map[string]func(*wire.SyncRequest) *wire.SyncReply
+}
+
+func (n *network) set(name string, answer func(*wire.SyncRequest) *wire.SyncReply) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.answers[name] = answer
+}
+
+func (n *network) client(name string) wire.DRPCSteeringClient { return client{n, name} }
+
+// client calls one instance of a network.
+type client struct {
+	n    *network
+	name string
+}
+
+func (client) DRPCConn() drpc.Conn { return nil }
+
+func (c client) Sync(ctx context.Context, q *wire.SyncRequest) (*wire.SyncReply, error) {
+	c.n.mu.Lock()
+	answer := c.n.answers[c.name]
+	c.n.mu.Unlock()
+	if answer == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return answer(q), nil
+}
+
+func (client) Enlist(context.Context, *wire.EnlistRequest) (*wire.EnlistReply, error) {
+	return nil, errors.ErrUnsupported
+}
+
+func (client) Publish(context.Context, *wire.PublishRequest) (*wire.PublishReply, error) {
+	return nil, errors.ErrUnsupported
+}
+
+func (client) Newest(context.Context, *wire.NewestRequest) (*wire.NewestReply, error) {
+	return nil, errors.ErrUnsupported
+}
+
+// leads answers like the leader a with the peers e2 and e3.
+func leads(*wire.SyncRequest) *wire.SyncReply {
+	return &wire.SyncReply{Leader: "a", Cores: []string{"a", "b", "c"}, Peers: []string{"e2", "e3"}}
+}
+
+// follows returns the answer of an instance that names the leader.
+func follows(leader string) func(*wire.SyncRequest) *wire.SyncReply {
+	return func(*wire.SyncRequest) *wire.SyncReply {
+		return &wire.SyncReply{Leader: leader, Fault: wire.NewFault(fault.Isolated)}
+	}
+}
+
+func newSynchronizer(n *network) *synchronizer.Synchronizer {
+	begun := time.Now()
+	return synchronizer.New(synchronizer.Config{
+		Instance: "e1#1", Machine: "e1", Address: "e1", Seeds: func() []string { return []string{"b"} }, Peer: n.client,
+		Clock:      func() time.Duration { return time.Since(begun) },
+		Allowances: func() []*wire.Allowance { return nil }, Loads: func() []*wire.Load { return nil }, Suspects: func() []*wire.Suspect { return nil },
+		Rules: func(*ruleset.Ruleset) {}, Reply: func(*wire.SyncReply) {},
+	})
+}
+
+// An instance must find the leader through a seed that only follows, the next
+// leader after a change, and go on through another entry instance when all
+// core instances are out of its reach.
+func TestContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{answers: map[string]func(*wire.SyncRequest) *wire.SyncReply{}}
+		n.set("b", follows("a"))
+		n.set("a", leads)
+		s := newSynchronizer(n)
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		check := func(state string, want time.Duration) {
+			t.Helper()
+			if got := s.Silence(); got > want {
+				t.Errorf("%s: got a silence of %v, want at most %v", state, got, want)
+			}
+		}
+		time.Sleep(time.Second)
+		check("leader named by a seed", 300*time.Millisecond)
+
+		n.set("a", nil)
+		n.set("b", nil)
+		n.set("c", leads)
+		time.Sleep(2 * time.Second)
+		check("another leader", 300*time.Millisecond)
+
+		n.set("c", nil)
+		time.Sleep(2 * time.Second)
+		if got := s.Silence(); got < time.Second {
+			t.Errorf("no instance answers: got a silence of %v", got)
+		}
+		n.set("e3", leads)
+		time.Sleep(3 * time.Second)
+		check("through another entry instance", time.Second)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A call must not be passed on by an instance that is out of contact itself:
+// calls would go in circles.
+func TestRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{answers: map[string]func(*wire.SyncRequest) *wire.SyncReply{}}
+		n.set("b", leads)
+		n.set("a", leads)
+		s := newSynchronizer(n)
+		if r, err := s.Relay(t.Context(), &wire.SyncRequest{}); err != nil || !errors.Is(r.Fault.Err(), fault.Isolated) {
+			t.Errorf("before the first contact: got %v and %v, want %v", r, err, fault.Isolated)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		time.Sleep(time.Second)
+		if r, err := s.Relay(t.Context(), &wire.SyncRequest{}); err != nil || r.Fault.Err() != nil {
+			t.Errorf("in contact: got %v and %v, want the reply of the leader", r, err)
+		}
+		n.set("a", nil)
+		n.set("b", nil)
+		time.Sleep(3 * time.Second)
+		if r, err := s.Relay(t.Context(), &wire.SyncRequest{}); err != nil || !errors.Is(r.Fault.Err(), fault.Isolated) {
+			t.Errorf("out of contact: got %v and %v, want %v", r, err, fault.Isolated)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
