--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -25,6 +25,8 @@
 	maxInterval = 500 * time.Millisecond
 	// callTimeout bounds one call; the leader may have to commit.
 	callTimeout = 400 * time.Millisecond
+	// viaTime is the time after which the leader is called directly again.
+	viaTime = 3 * time.Second
 	// relayContact is the time since the last answer of the leader after which
 	// calls of other entry instances aren't passed on.
 	relayContact = time.Second
@@ -72,7 +74,9 @@
 	roster   uint64
 	leader   string
 	cores    []string
-	peers    []string      // entry instances
+	peers    []string // entry instances
+	via      string   // entry instance that passes calls on
+	until    time.Time
 	touched  time.Time     // last successful call
 	started  time.Duration // by the boot clock
 	answered time.Duration // sending of the last request that was answered
@@ -272,7 +276,7 @@
 	if err == nil {
 		if reply.Leader != "" && reply.Leader != name {
 			// Another entry instance has passed the call on.
-			if name != s.via {
+			if name != s.via || time.Now().After(s.until) {
 				s.via, s.until = name, time.Now().Add(viaTime)
 			}
 			name = reply.Leader
@@ -294,11 +298,17 @@
 	if s.lost {
 		all = append(all, s.peers...)
 	}
+	if s.via != "" {
+		all = append(all, s.via)
+	}
 	for _, name := range all {
 		if name != s.leader && name != s.cfg.Address && !slices.Contains(others, name) {
 			others = append(others, name)
 		}
 	}
+	if s.via != "" && time.Now().Before(s.until) {
+		return s.via, append(others, s.leader)
+	}
 	return s.leader, others
 }
 
