--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -12,6 +12,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/papayapond/papayapond/internal/balancer"
 	"github.com/papayapond/papayapond/internal/exchanger"
 	"github.com/papayapond/papayapond/internal/forwarder"
@@ -43,6 +46,12 @@
 
 // newFleet starts a target for each script, named a, b, and so on.
 func newFleet(t *testing.T, scripts ...script) *fleet {
+	t.Helper()
+	return newFleetWith(t, func(*forwarder.Config) {}, scripts...)
+}
+
+// newFleetWith is newFleet with another configuration of the forwarder.
+func newFleetWith(t *testing.T, change func(*forwarder.Config), scripts ...script) *fleet {
 	t.Helper()
 	f := &fleet{t: t, spender: spender.New(spender.Config{})}
 	b := balancer.New(balancer.Config{Zone: "z"})
@@ -56,10 +65,12 @@
 		listings = append(listings, &wire.Listing{Id: string(rune('a' + i)), Born: 1, Pool: "p", Address: f.target(s), Zone: zone})
 	}
 	b.Update(listings)
-	fw := forwarder.New(forwarder.Config{
+	cfg := forwarder.Config{
 		Headers: headers, Balancer: b, Exchanger: exchanger.New(exchanger.Config{Identity: headers.Attempt}), Spender: f.spender,
 		RetryShare: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second, Silence: func() time.Duration { return 0 },
-	})
+	}
+	change(&cfg)
+	fw := forwarder.New(cfg)
 	tokens := int64(1000)
 	base := route.Route{Host: "h", Timeout: 2 * time.Second, Objective: 200 * time.Millisecond, Pause: 100 * time.Millisecond, Attempts: 2, Split: []route.Share{{Pool: "p", Weight: 1}}}
 	with := func(prefix string, kind route.Kind, resume bool) route.Route {
@@ -367,3 +378,73 @@
 		t.Errorf("the target heard after %v", got)
 	}
 }
+
+// logged returns the lines of a log with a field of a value, as "message" or
+// "message: reason".
+func logged(logs *observer.ObservedLogs, field, value string) []string {
+	var lines []string
+	for _, e := range logs.All() {
+		m := e.ContextMap()
+		if fmt.Sprint(m[field]) != value {
+			continue
+		}
+		line := e.Message
+		for _, name := range []string{"outcome", "status", "target", "reason", "error"} {
+			if v, ok := m[name]; ok {
+				line += fmt.Sprint(" ", name, "=", v)
+			}
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// An engineer on call must get from the id of a failed request to its cause by
+// the steps of docs/OPERATIONS.md: the lines of the request first, then those of
+// the target or of the core instances that they name.
+func TestExplainFailure(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		target  script
+		usage   string
+		silence time.Duration
+		want    []string
+	}{
+		{
+			"refused for the budget", whole(200, signed, "answer"), "5000,50", 0,
+			[]string{"outcome=refused", "status=402", "5050 tokens are needed", "the prepaid budget is too small"},
+		},
+		{
+			"failed at a target", drop, "10,50", 0,
+			[]string{"Attempt failed. target=a", "outcome=refused status=502", "EOF"},
+		},
+		{
+			"not served in a partition", whole(200, signed, "answer"), "5000,50", 3 * time.Second,
+			[]string{"outcome=refused status=503", "the limit leaves 1000", "core instances silent for 3s"},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			core, logs := observer.New(zap.InfoLevel)
+			f := newFleetWith(t, func(c *forwarder.Config) {
+				c.Logger = zap.New(core)
+				c.Silence = func() time.Duration { return test.silence }
+			}, test.target)
+			go func() {
+				// The leader answers that nothing more is free.
+				for range 50 {
+					time.Sleep(10 * time.Millisecond)
+					f.spender.Learn([]*wire.Limit{{Account: "shop", Limit: 1000, Lock: 1000, Total: 1000}}, 1)
+				}
+			}()
+			if _, _, err := f.post("/once/", func(r *http.Request) { r.Header.Set(headers.Usage, test.usage) }); err != nil {
+				t.Fatal(err)
+			}
+			got := strings.Join(logged(logs, "request", "id1"), "\n")
+			for _, want := range test.want {
+				if !strings.Contains(got, want) {
+					t.Errorf("got %s\nwant it to hold %q", got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -183,7 +184,8 @@
 	if fault.Of(err) == fault.Exhausted {
 		x.refuse(http.StatusPaymentRequired, 0, err.Error())
 	} else {
-		x.refuse(http.StatusServiceUnavailable, x.limitDelay(), err.Error())
+		silence := x.f.cfg.Silence()
+		x.refuse(http.StatusServiceUnavailable, x.limitDelay(), fmt.Sprintf("%v; core instances silent for %v", err, silence.Round(time.Millisecond)))
 	}
 	return false
 }
--- /dev/null
+++ b/internal/ruleset/ruleset_test.go
@@ -0,0 +1,101 @@
+package ruleset_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/ruleset"
+	"github.com/papayapond/papayapond/pkg/pool"
+	"github.com/papayapond/papayapond/pkg/prepaid"
+	"github.com/papayapond/papayapond/pkg/route"
+)
+
+func base() route.Route {
+	return route.Route{Name: "r", Host: "h", Prefix: "/", Kind: route.Single, Timeout: time.Second, Split: []route.Share{{Pool: "p", Weight: 1}}}
+}
+
+func at(name, host, prefix string) route.Route {
+	r := base()
+	r.Name, r.Host, r.Prefix = name, host, prefix
+	return r
+}
+
+// A request must take the longest prefix of its own host, compared byte by
+// byte, and none of another host.
+func TestMatch(t *testing.T) {
+	r, err := ruleset.New(ruleset.Config{Pools: []pool.Pool{{Name: "p"}}, Routes: []route.Route{at("short", "h", "/a/"), at("long", "h", "/a/b/"), at("other", "i", "/")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct{ host, path, want string }{
+		{"h", "/a/", "short"}, {"h", "/a/bc", "short"}, {"h", "/a/b/c", "long"}, {"H:80", "/a/b/", "long"},
+		{"h", "/a", ""}, {"h", "/b/", ""}, {"h", "/A/", ""}, {"h", "/a%2Fb/", ""}, {"i", "/a/b/c", "other"}, {"j", "/a/", ""},
+	} {
+		if got, _ := r.Match(test.host, test.path); got.Name != test.want {
+			t.Errorf("%s%s: got %q, want %q", test.host, test.path, got.Name, test.want)
+		}
+	}
+}
+
+// A version that could route or bill wrongly must be refused as a whole.
+func TestNewRefuses(t *testing.T) {
+	pools := []pool.Pool{{Name: "p"}}
+	negative := base().WithSplit(route.Share{Pool: "p", Weight: -1}, route.Share{Pool: "p", Weight: 2})
+	for name, cfg := range map[string]ruleset.Config{
+		"unknown pool":    {Routes: []route.Route{base()}},
+		"same place":      {Pools: pools, Routes: []route.Route{at("a", "h", "/"), at("b", "H", "/")}},
+		"no weight":       {Pools: pools, Routes: []route.Route{base().WithSplit()}},
+		"negative weight": {Pools: pools, Routes: []route.Route{negative}},
+		"no timeout":      {Pools: pools, Routes: []route.Route{base().WithTimeout(0)}},
+		"open prefix":     {Pools: pools, Routes: []route.Route{at("a", "h", "/a")}},
+		"shared key":      {Accounts: []prepaid.Prepaid{{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"k"}}}},
+		"same account":    {Accounts: []prepaid.Prepaid{{Name: "a"}, {Name: "a"}}},
+	} {
+		if _, err := ruleset.New(cfg); !errors.Is(err, fault.Malformed) {
+			t.Errorf("%s: got %v, want %v", name, err, fault.Malformed)
+		}
+	}
+}
+
+// What is sent between instances must be read back the same.
+func TestEncode(t *testing.T) {
+	priority := 2
+	account := prepaid.Prepaid{Name: "a", Keys: []string{"k"}, Priority: &priority}.WithTokens(7)
+	r, err := ruleset.New(ruleset.Config{
+		Version: 3, Pools: []pool.Pool{pool.Pool{Name: "p"}.WithEngine(pool.Engine{Batch: 2})}, Routes: []route.Route{base()}, Accounts: []prepaid.Prepaid{account}, BodyBytes: 9,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := r.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := ruleset.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := decoded.Encode()
+	if err != nil || string(again) != string(data) {
+		t.Errorf("got %s and %v, want %s", again, err, data)
+	}
+	if owner, ok := decoded.Owner("k"); !ok || *owner.Tokens != 7 || *owner.Priority != 2 {
+		t.Errorf("owner: got %v", owner)
+	}
+}
+
+func ExampleRuleset_Match() {
+	r, err := ruleset.New(ruleset.Config{Pools: []pool.Pool{{Name: "p"}, {Name: "q"}}, Routes: []route.Route{
+		base().WithSplit(route.Share{Pool: "p", Weight: 9}, route.Share{Pool: "q", Weight: 1}),
+	}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	t, ok := r.Match("h:8080", "/orders")
+	fmt.Println(ok, t.Pool(0.5), t.Pool(0.95))
+	// Output: true p q
+}
