Don't multiply calls to a slow leader

Change: other entry instances are asked after 1.2 s of silence only; a call that comes on two ways is committed once; calls may take 0.6 s.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,6 +63,8 @@
 	entries map[string]*entry
 	crashes map[string]*crash
 	summary *summary
+	// sequences are those of the last calls, by incarnation.
+	sequences map[string]uint64
 }
 
 // New returns a coordinator that knows no ruleset.
@@ -78,7 +80,7 @@
 	}
 	c := &Coordinator{
 		cfg: cfg, targets: enroller.New(),
-		heard: map[string]time.Time{}, entries: map[string]*entry{}, crashes: map[string]*crash{},
+		heard: map[string]time.Time{}, entries: map[string]*entry{}, crashes: map[string]*crash{}, sequences: map[string]uint64{},
 	}
 	c.budgets = allocator.New(allocator.Config{Total: c.total, Succeeded: c.succeeded})
 	return c
@@ -164,7 +166,7 @@
 	if c.term != term {
 		c.term = term
 		// What the leader before knew of these is lost.
-		c.entries, c.heard = map[string]*entry{}, map[string]time.Time{}
+		c.entries, c.heard, c.sequences = map[string]*entry{}, map[string]time.Time{}, map[string]uint64{}
 	}
 	return nil
 }
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -48,6 +48,11 @@
 		reply.Fault = wire.NewFault(err)
 		return reply, nil
 	}
+	if c.isRepeated(q) {
+		// The same call has come on two ways.
+		reply.Fault = wire.NewFault(eris.Wrapf(fault.Conflict, "sequence %d of %s is being served", q.Sequence, q.Instance))
+		return reply, nil
+	}
 	limits, err := c.allot(ctx, q)
 	if err != nil {
 		reply.Fault = wire.NewFault(err)
@@ -75,6 +80,17 @@
 	return reply, nil
 }
 
+// isRepeated reports whether a call has come before, and remembers it.
+func (c *Coordinator) isRepeated(q *wire.SyncRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sequences[q.Instance] >= q.Sequence {
+		return true
+	}
+	c.sequences[q.Instance] = q.Sequence
+	return false
+}
+
 // allot commits what the incarnation declares and asks for, and when it was
 // last answered.
 func (c *Coordinator) allot(ctx context.Context, q *wire.SyncRequest) ([]*wire.Limit, error) {
@@ -100,6 +116,7 @@
 	for name, e := range c.entries {
 		if now.Sub(e.at) > entryTimeout {
 			delete(c.entries, name)
+			delete(c.sequences, name)
 		}
 	}
 	if q.Closing {
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -24,7 +24,10 @@
 	// maxInterval bounds the pause with many instances.
 	maxInterval = 500 * time.Millisecond
 	// callTimeout bounds one call; the leader may have to commit.
-	callTimeout = 400 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
+	// peerSilence is the silence of the leader after which other entry instances
+	// are asked. Sooner, they would multiply the calls to a leader that is slow.
+	peerSilence = 1200 * time.Millisecond
 	// viaTime is the time after which the leader is called directly again.
 	viaTime = 3 * time.Second
 	// relayContact is the time since the last answer of the leader after which
@@ -196,8 +199,8 @@
 }
 
 // ask calls the leader if it is known. If it doesn't answer, all other core
-// instances and some entry instances are asked at the same time: the former
-// know the leader, the latter may reach it where this instance can't.
+// instances are asked at the same time who leads, and, once the silence is
+// long, some entry instances, which may reach the leader where this one can't.
 func (s *Synchronizer) ask(ctx context.Context, q *wire.SyncRequest) (*wire.SyncReply, error) {
 	leader, others := s.candidates()
 	err := eris.Wrap(fault.Unavailable, "no core instance is known")
@@ -295,7 +298,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := slices.Concat(s.cores, s.cfg.Seeds())
-	if s.lost {
+	if time.Since(s.touched) > peerSilence {
 		all = append(all, s.peers...)
 	}
 	if s.via != "" {
