--- a/internal/ruleset/ruleset.go
+++ b/internal/ruleset/ruleset.go
@@ -1,8 +1,11 @@
 package ruleset
 
 import (
+	"bytes"
 	"cmp"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"net"
 	"slices"
 	"strings"
@@ -16,6 +19,9 @@
 	"github.com/papayapond/papayapond/pkg/route"
 )
 
+// maxEncoded bounds a ruleset without compression, in bytes.
+const maxEncoded = 64 << 20
+
 // Config holds what a Ruleset is made of.
 type Config struct {
 	Version  uint64            `json:"version"`
@@ -114,17 +120,29 @@
 
 // Decode reads what Encode has written.
 func Decode(data []byte) (*Ruleset, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, eris.Wrapf(fault.Malformed, "ruleset: %v", err)
+	}
 	var cfg Config
-	if err := json.Unmarshal(data, &cfg); err != nil {
+	if err := json.NewDecoder(io.LimitReader(reader, maxEncoded)).Decode(&cfg); err != nil {
 		return nil, eris.Wrapf(fault.Malformed, "ruleset: %v", err)
 	}
 	return New(cfg)
 }
 
-// Encode returns the ruleset in the format between instances.
+// Encode returns the ruleset in the format between instances. It is compressed:
+// after a partition all instances fetch a new version at the same time.
 func (r *Ruleset) Encode() ([]byte, error) {
-	data, err := json.Marshal(r.cfg)
-	return data, eris.Wrap(err, "encode ruleset")
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err == nil {
+		err = json.NewEncoder(w).Encode(r.cfg)
+	}
+	if err == nil {
+		err = w.Close()
+	}
+	return b.Bytes(), eris.Wrap(err, "encode ruleset")
 }
 
 // Version returns the number of the version; a higher one replaces a lower
--- a/internal/ruleset/ruleset_test.go
+++ b/internal/ruleset/ruleset_test.go
@@ -99,3 +99,29 @@
 	fmt.Println(ok, t.Pool(0.5), t.Pool(0.95))
 	// Output: true p q
 }
+
+// BenchmarkDecode measures the way of a ruleset to an instance, by its routes.
+func BenchmarkDecode(b *testing.B) {
+	for _, n := range []int{12, 400, 4000} {
+		b.Run(fmt.Sprint("routes=", n), func(b *testing.B) {
+			cfg := ruleset.Config{Version: 1, Pools: []pool.Pool{{Name: "p"}}}
+			for i := range n {
+				cfg.Routes = append(cfg.Routes, at(fmt.Sprint("r-", i*7919), "tizi99.example", fmt.Sprintf("/x%x/", i*104729)))
+			}
+			r, err := ruleset.New(cfg)
+			if err != nil {
+				b.Fatal(err)
+			}
+			data, err := r.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if _, err := ruleset.Decode(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "B/ruleset")
+		})
+	}
+}
