--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -110,7 +110,7 @@
 		}()
 	}
 	for range maxStray + maxInformal {
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method}) //nolint:bodyclose // Answer.Close closes it
 		if err != nil {
 			return nil, eris.Wrap(err, "read")
 		}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -142,8 +142,15 @@
 	return f.received
 }
 
-// post sends a request and returns status, body and the error of reading it.
-func (f *fleet) post(path string, change func(*http.Request)) (*http.Response, string, error) {
+// answer is the head of an answer to a caller.
+type answer struct {
+	StatusCode int
+	Header     http.Header
+}
+
+// post sends a request and returns the answer, its body and the error of
+// reading it.
+func (f *fleet) post(path string, change func(*http.Request)) (answer, string, error) {
 	f.t.Helper()
 	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, f.front.URL+path, strings.NewReader("question"))
 	if err != nil {
@@ -158,11 +165,11 @@
 	}
 	a, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return nil, "", err
+		return answer{}, "", err
 	}
 	defer a.Body.Close()
 	body, err := io.ReadAll(a.Body)
-	return a, string(body), err
+	return answer{a.StatusCode, a.Header}, string(body), err
 }
 
 func whole(status int, extra, body string) script {
@@ -237,7 +244,7 @@
 			if a.StatusCode != test.status || len(f.seen()) != test.sent {
 				t.Errorf("got status %d, %d sent, body %q, want %d and %d", a.StatusCode, len(f.seen()), body, test.status, test.sent)
 			}
-			if own := a.StatusCode == 502 || a.StatusCode == 503; own && a.Header.Get(headers.Signature) != "" {
+			if own := a.StatusCode == http.StatusBadGateway || a.StatusCode == http.StatusServiceUnavailable; own && a.Header.Get(headers.Signature) != "" {
 				t.Error("an own answer bears the signature of a target")
 			}
 		})
@@ -291,7 +298,7 @@
 		r.Header.Set("X-Hop", "1")
 		r.Header.Set(headers.Deadline, "700")
 	})
-	if err != nil || a.StatusCode != 200 {
+	if err != nil || a.StatusCode != http.StatusOK {
 		t.Fatalf("got %v and %v", a, err)
 	}
 	r := f.seen()[0]
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"time"
@@ -15,7 +16,7 @@
 	m.Observe(forwarder.Report{Route: "chat", Outcome: "answered", Status: 200, Duration: 40 * time.Millisecond, First: 30 * time.Millisecond, Attempts: 1})
 	m.Dialed()
 	w := httptest.NewRecorder()
-	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for line := range strings.SplitSeq(w.Body.String(), "\n") {
 		if strings.HasPrefix(line, "papayapond") && (strings.Contains(line, "total") || strings.Contains(line, "flight") || strings.Contains(line, `le="0.05"`)) {
 			fmt.Println(line)
--- a/internal/spender/spender_test.go
+++ b/internal/spender/spender_test.go
@@ -14,13 +14,12 @@
 )
 
 // round passes the declaration of a spender through an allocator.
-func round(s *spender.Spender, a *allocator.Allocator, instance string, sequence uint64, spare int64) []*wire.Limit {
+func round(s *spender.Spender, a *allocator.Allocator, instance string, sequence uint64, spare int64) {
 	result := a.Apply(&wire.Allotment{Instance: instance, Sequence: sequence, Allowances: s.Declare()})
 	for _, l := range result.Limits {
 		l.Spare = l.Free + spare
 	}
 	s.Learn(result.Limits, 1)
-	return result.Limits
 }
 
 func newAllocator(total int64) *allocator.Allocator {
