--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -14,8 +14,8 @@
 	return &wire.Listing{Id: id, Born: born, Sequence: sequence, Pool: "p", Address: address, Zone: "z", Capacity: 4}
 }
 
-func leaving(born int64, sequence uint64) *wire.Listing {
-	l := ready("a", born, sequence, "x")
+func leaving(sequence uint64) *wire.Listing {
+	l := ready("a", 1, sequence, "x")
 	l.Leaving = true
 	return l
 }
@@ -31,9 +31,9 @@
 		want string
 	}{
 		{"ready", []*wire.Listing{ready("a", 1, 1, "x")}, "[a1]"},
-		{"late ready after leaving", []*wire.Listing{leaving(1, 5), ready("a", 1, 4, "x")}, "[a1 leaving]"},
-		{"later ready after leaving", []*wire.Listing{leaving(1, 5), ready("a", 1, 6, "x")}, "[a1 leaving]"},
-		{"next lifetime after leaving", []*wire.Listing{leaving(1, 5), ready("a", 2, 1, "x")}, "[a2]"},
+		{"late ready after leaving", []*wire.Listing{leaving(5), ready("a", 1, 4, "x")}, "[a1 leaving]"},
+		{"later ready after leaving", []*wire.Listing{leaving(5), ready("a", 1, 6, "x")}, "[a1 leaving]"},
+		{"next lifetime after leaving", []*wire.Listing{leaving(5), ready("a", 2, 1, "x")}, "[a2]"},
 		{"late ready after the end", []*wire.Listing{ready("a", 1, 1, "x"), gone("a", 1), ready("a", 1, 9, "x")}, "[]"},
 		{"late end of an earlier lifetime", []*wire.Listing{ready("a", 2, 1, "x"), gone("a", 1)}, "[a2]"},
 		{"end without a birth", []*wire.Listing{ready("a", 2, 1, "x"), gone("a", 0)}, "[]"},
@@ -71,7 +71,7 @@
 	e.Save(s)
 	restored := enroller.New()
 	restored.Load(s)
-	for _, l := range []*wire.Listing{ready("a", 1, 2, "x"), ready("b", 1, 5, "y"), leaving(1, 3)} {
+	for _, l := range []*wire.Listing{ready("a", 1, 2, "x"), ready("b", 1, 5, "y"), leaving(3)} {
 		if got, want := restored.Changes(l), e.Changes(l); got != want {
 			t.Errorf("%v: got %v, want %v", l, got, want)
 		}
