--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -56,7 +56,7 @@
 		p.b.rates[pool] += failureWeight / 10 * (failed - p.b.rates[pool])
 	}
 	if t.until != before {
-		p.b.cfg.Logger.Info("Target is taken out.", zap.String("target", t.listing.Id), zap.Int("outcome", int(o)),
+		p.b.cfg.Logger.Info("Target is taken out.", zap.String("target", t.listing.Id), zap.Stringer("outcome", o),
 			zap.Float64("failures", t.failures), zap.Float64("pool", p.b.rates[pool]), zap.Duration("pause", t.pause))
 	}
 }
--- a/internal/balancer/target.go
+++ b/internal/balancer/target.go
@@ -44,6 +44,15 @@
 	Misdirected
 )
 
+// outcomes are the names of outcomes in the log.
+var outcomes = map[Outcome]string{
+	Served: "served", Refused: "refused", Failed: "failed", Broken: "broken", Unreached: "unreached", Late: "late", Left: "left",
+	Misdirected: "misdirected",
+}
+
+// String returns the name for the log.
+func (o Outcome) String() string { return outcomes[o] }
+
 // target is the model of one target.
 type target struct {
 	listing *wire.Listing
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -37,6 +37,14 @@
 	gone                    // the caller has left
 )
 
+// verdicts are the names of verdicts in the log.
+var verdicts = map[verdict]string{
+	answered: "answered", refused: "refused", unsent: "unreached", broken: "broken", failed: "failed", gone: "left",
+}
+
+// String returns the name for the log.
+func (v verdict) String() string { return verdicts[v] }
+
 // serve sends the request until it is answered or can't be sent again.
 func (x *exchange) serve(ctx context.Context) {
 	defer func() { x.reserve.Settle(x.cost()) }()
@@ -61,7 +69,7 @@
 			return
 		}
 		x.f.cfg.Logger.Warn("Attempt failed.", zap.String("request", x.id()), zap.String("target", pick.ID()),
-			zap.Int("verdict", int(v)), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Error(err))
+			zap.Stringer("verdict", v), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Error(err))
 		if !x.again(ctx, v) {
 			break
 		}
