--- a/internal/replicator/config.go
+++ b/internal/replicator/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,6 +83,7 @@
 }
 
 func (c Config) withDefaults() Config {
+	c.Members = slices.Clone(c.Members) // the caller may change its slice
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/replicator/start.go
+++ b/internal/replicator/start.go
@@ -124,7 +124,10 @@
 		r.mu.Lock()
 		b := r.ballot
 		outside := r.failed == nil && b.Started && (!isVoter(r.members(), b.Member) || r.isForgotten())
-		contacts := r.contacts()
+		var contacts []string
+		if outside {
+			contacts = r.contacts()
+		}
 		r.mu.Unlock()
 		if !outside {
 			continue
