Lend parts of budgets between entry instances

Each of 72 to 87 instances held a part of each budget for its own callers; it sees one request of an account in some seconds, so its part covered none, while the parts of all held most of the budget.

Ruled out: larger parts. One largest request for each of 72 instances is more than the budget of a small account.

Change: two instances of each zone, chosen by a hash that all share, hold the part of the zone; the others borrow what a request needs, also while the core instances are silent, then from other zones too. A loan counts as spent by the lender; what isn't spent is repaid. The leader tells the list of entry instances and the demand of the zone.

TestExplainFailure sets the silence of the spender as well, which now decides whether a request waits; what it checks is the same.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,6 +63,7 @@
 	entries map[string]*entry
 	crashes map[string]*crash
 	summary *summary
+	fleet   fleet
 	// sequences are those of the last calls, by incarnation.
 	sequences map[string]uint64
 }
@@ -167,6 +168,7 @@
 		c.term = term
 		// What the leader before knew of these is lost.
 		c.entries, c.heard, c.sequences = map[string]*entry{}, map[string]time.Time{}, map[string]uint64{}
+		c.fleet = fleet{since: c.cfg.Now()}
 	}
 	return nil
 }
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -31,6 +31,7 @@
 type entry struct {
 	at         time.Time
 	address    string
+	zone       string
 	loads      []*wire.Load
 	allowances []*wire.Allowance
 }
@@ -77,6 +78,7 @@
 	reply.Entries = int32(len(c.entries))
 	reply.Blocked = c.blocked()
 	reply.Peers = c.peers(q.Instance)
+	reply.Fleet, reply.Members = c.fleet.told(q.Fleet, c.cfg.Now())
 	return reply, nil
 }
 
@@ -121,8 +123,10 @@
 	}
 	if q.Closing {
 		delete(c.entries, q.Instance)
+		c.fleet.remove(q.Address)
 	} else {
-		c.entries[q.Instance] = &entry{at: now, address: q.Address, loads: q.Loads, allowances: q.Allowances}
+		c.entries[q.Instance] = &entry{at: now, address: q.Address, zone: q.Zone, loads: q.Loads, allowances: q.Allowances}
+		c.fleet.add(q.Address, q.Zone, now)
 	}
 	for _, s := range q.Suspects {
 		k := c.crashes[s.Digest]
@@ -146,8 +150,12 @@
 	loads  []*wire.Load
 	idle   map[string]int64 // tokens in allowances, by account
 	absent map[string]bool  // accounts of which silent incarnations hold a part
+	demand map[demandKey]int64
 }
 
+// demandKey names an account in a zone.
+type demandKey struct{ zone, account string }
+
 // summarize returns a summary that is at most summaryAge old. The caller holds
 // mu.
 func (c *Coordinator) summarize() *summary {
@@ -155,7 +163,7 @@
 	if c.summary != nil && now.Sub(c.summary.at) < summaryAge {
 		return c.summary
 	}
-	s := &summary{at: now, idle: map[string]int64{}, absent: map[string]bool{}}
+	s := &summary{at: now, idle: map[string]int64{}, absent: map[string]bool{}, demand: map[demandKey]int64{}}
 	sums := map[string]*wire.Load{}
 	for _, l := range c.targets.List() {
 		sum := &wire.Load{Target: l.Id}
@@ -175,6 +183,7 @@
 		}
 		for _, w := range e.allowances {
 			s.idle[w.Account] += max(w.Limit-w.Used, 0)
+			s.demand[demandKey{e.zone, w.Account}] += w.Rate
 		}
 	}
 	c.budgets.Absent(func(name string) bool { return c.entries[name] != nil }, func(account string) { s.absent[account] = true })
@@ -194,6 +203,7 @@
 		l.Free = c.budgets.Free(l.Account)
 		l.Spare = l.Free + max(s.idle[l.Account]-own[l.Account], 0)
 		l.Stranded = s.absent[l.Account]
+		l.Demand = s.demand[demandKey{q.Zone, l.Account}]
 		l.Total, _ = c.total(l.Account)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/papayapond/papayapond/internal/exchanger"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/forwarder"
+	"github.com/papayapond/papayapond/internal/lender"
 	"github.com/papayapond/papayapond/internal/listener"
 	"github.com/papayapond/papayapond/internal/ruleset"
 	"github.com/papayapond/papayapond/internal/spender"
@@ -44,6 +45,9 @@
 	// stopMargin is what is left of the grace period when requests that are
 	// still in flight are cut.
 	stopMargin = time.Second
+	// silentTime is the silence of the core instances after which nothing waits
+	// for them, and lenders of other zones are asked: a call has failed.
+	silentTime = 900 * time.Millisecond
 	// sweepInterval is the time between two looks for expired connections.
 	sweepInterval = time.Second
 )
@@ -79,6 +83,7 @@
 	balancer  *balancer.Balancer
 	exchanger *exchanger.Exchanger
 	spender   *spender.Spender
+	lender    *lender.Lender
 	forwarder *forwarder.Forwarder
 	sync      *synchronizer.Synchronizer
 	leaving   atomic.Bool
@@ -90,8 +95,21 @@
 	e.balancer = balancer.New(balancer.Config{Zone: cfg.Zone, Logger: cfg.Logger.Named("balancer")})
 	e.exchanger = exchanger.New(exchanger.Config{Identity: cfg.Headers.Attempt, Dialed: cfg.Dialed})
 	e.spender = spender.New(spender.Config{
-		Hurry: func() { e.sync.Hurry() },
-		Alone: func() bool { return e.sync.Silence() > allocator.Patience },
+		Hurry:  func() { e.sync.Hurry() },
+		Alone:  func() bool { return e.sync.Silence() > allocator.Patience },
+		Silent: func() bool { return e.sync.Silence() > silentTime },
+		Role:   func(account string) (float64, float64, bool) { return e.lender.Role(account) },
+		Borrow: func(ctx context.Context, account string, tokens int64) bool {
+			return e.lender.Borrow(ctx, account, tokens)
+		},
+	})
+	e.lender = lender.New(lender.Config{
+		Self: cfg.Inner, Zone: cfg.Zone, Lend: e.spender.Lend, Receive: e.spender.Receive, Surplus: e.spender.Surplus,
+		Peer: func(address string) wire.DRPCLendingClient {
+			return wire.NewDRPCLendingClient(e.dialer.Conn(address))
+		},
+		Alone:  func() bool { return e.sync.Silence() > silentTime },
+		Logger: cfg.Logger.Named("lender"),
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Headers: cfg.Headers, Balancer: e.balancer, Exchanger: e.exchanger, Spender: e.spender,
@@ -138,6 +156,9 @@
 		e.balancer.Update(reply.Targets)
 		e.exchanger.Sweep(e.balancer.Wanted)
 	}
+	if len(reply.Members) > 0 {
+		e.lender.Update(reply.Members)
+	}
 	e.balancer.Learn(reply.Loads)
 	e.forwarder.Learn(int(reply.Entries), reply.Blocked)
 }
@@ -170,6 +191,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { e.sync.Run(running) })
 	group.Go(func() { e.sweep(running) })
+	group.Go(func() { e.lender.Run(running) })
 	group.Go(func() { e.relay(running, inner) })
 	group.Go(func() { e.serve(callers, front) })
 	group.Go(func() { e.serve(checks, check) })
@@ -182,6 +204,11 @@
 	group.Wait()
 	last, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
+	if e.Silence() > silentTime {
+		// The leader won't hear of the end; the next incarnation would count as
+		// spent what this one still holds.
+		e.lender.Return(last, e.spender.Empty())
+	}
 	if err := e.sync.Close(last, e.spender.Close()); err != nil {
 		e.cfg.Logger.Warn("Allowances aren't given back.", zap.Error(err))
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -47,6 +47,10 @@
 		e.cfg.Logger.Error("Registering the relay failed.", zap.Error(err))
 		return
 	}
+	if err := wire.DRPCRegisterLending(mux, e.lender); err != nil {
+		e.cfg.Logger.Error("Registering the lender failed.", zap.Error(err))
+		return
+	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: dialer.Options()})
 	if err := server.Serve(ctx, l); err != nil && ctx.Err() == nil {
 		e.cfg.Logger.Error("Serving entry instances failed.", zap.Error(err))
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -39,6 +39,7 @@
 
 	mu       sync.Mutex
 	received []*http.Request
+	silence  time.Duration // of the core instances, for the spender
 }
 
 // script is what a target does with its n-th request, from 1 on.
@@ -53,7 +54,8 @@
 // newFleetWith is newFleet with another configuration of the forwarder.
 func newFleetWith(t *testing.T, change func(*forwarder.Config), scripts ...script) *fleet {
 	t.Helper()
-	f := &fleet{t: t, spender: spender.New(spender.Config{})}
+	f := &fleet{t: t}
+	f.spender = spender.New(spender.Config{Silent: func() bool { return f.silence > time.Second }})
 	b := balancer.New(balancer.Config{Zone: "z"})
 	var listings []*wire.Listing
 	for i, s := range scripts {
@@ -436,6 +438,7 @@
 				c.Logger = zap.New(core)
 				c.Silence = func() time.Duration { return test.silence }
 			}, test.target)
+			f.silence = test.silence
 			go func() {
 				// The leader answers that nothing more is free.
 				for range 50 {
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -26,9 +26,6 @@
 const (
 	// budgetWait bounds the wait for a higher limit: two calls to the leader.
 	budgetWait = 600 * time.Millisecond
-	// contactTimeout is the silence of the core instances after which requests
-	// don't wait for them.
-	contactTimeout = 900 * time.Millisecond
 	// startDelay is the time after which a refused caller may find an instance
 	// that has a ruleset, or a leader.
 	startDelay = 700 * time.Millisecond
@@ -168,11 +165,7 @@
 	if x.account.Tokens == nil || x.tokens+x.output == 0 {
 		return true
 	}
-	wait := budgetWait
-	if x.f.cfg.Silence() > contactTimeout {
-		wait = 0
-	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), min(wait, x.deadline.Sub(x.f.cfg.Now())))
+	ctx, cancel := context.WithTimeout(x.r.Context(), min(budgetWait, x.deadline.Sub(x.f.cfg.Now())))
 	defer cancel()
 	begun := x.f.cfg.Now()
 	reserve, err := x.f.cfg.Spender.Reserve(ctx, x.account.Name, x.tokens+x.output)
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -35,6 +35,9 @@
 	keep = 1.1
 	// low is the part of the wanted allowance below which more is asked for.
 	low = 0.95
+	// maxLoans bounds the loans for one request. Others may take what has been
+	// lent before the request does.
+	maxLoans = 3
 )
 
 // Config configures a Spender.
@@ -47,7 +50,17 @@
 	// Alone reports whether the core instances have been silent for
 	// allocator.Patience; then the locks don't count.
 	Alone func() bool
-	Now   func() time.Time
+	// Role returns the parts of the demand of the zone and of the whole fleet
+	// for which this instance holds tokens of an account, 0 if others do, and
+	// whether that is known. Nil if it holds tokens for its own callers.
+	Role func(account string) (zone, fleet float64, known bool)
+	// Borrow adds tokens of another instance to an account by Receive, and
+	// reports whether it did. Nil if there is none.
+	Borrow func(ctx context.Context, account string, tokens int64) bool
+	// Silent reports whether the core instances have missed calls, so that a
+	// request doesn't wait for them.
+	Silent func() bool
+	Now    func() time.Time
 }
 
 // Spender is safe for concurrent use.
@@ -59,17 +72,22 @@
 	changed  chan struct{} // closed when limits have been learnt
 	round    uint64        // number of replies learnt
 	entries  int
+	closed   bool
 }
 
 // account is the allowance of one account.
 type account struct {
-	limit   int64
-	lock    int64   // part of the limit that is spent while in contact
-	used    int64   // spent, and reserved at its most
-	settled int64   // spent by requests that have ended
-	largest int64   // largest reservation lately
-	rate    float64 // tokens per second
-	last    int64   // used at the last declaration
+	limit int64
+	lock  int64 // part of the limit that is spent while in contact
+	// used is what counts against the limit: spent, reserved at its most, or
+	// lent, less what was borrowed. It is negative while more is borrowed than
+	// used.
+	used    int64
+	taken   int64   // spent by own callers, and reserved at its most
+	largest int64   // largest reservation or loan lately
+	rate    float64 // of own callers, in tokens per second
+	zone    float64 // of all callers in the zone
+	last    int64   // taken at the last declaration
 	at      time.Time
 	waiting map[*wait]struct{}
 	total   int64
@@ -93,6 +111,9 @@
 	if cfg.Alone == nil {
 		cfg.Alone = func() bool { return false }
 	}
+	if cfg.Silent == nil {
+		cfg.Silent = func() bool { return false }
+	}
 	if cfg.Hurry == nil {
 		cfg.Hurry = func() {}
 	}
@@ -126,8 +147,8 @@
 	return a
 }
 
-// Reserve reserves tokens of an account. It waits for a higher limit until ctx
-// ends. The error wraps fault.Exhausted if the budget doesn't cover the
+// Reserve reserves tokens of an account. It borrows what its limit lacks, or
+// waits for a higher limit until ctx ends. The error wraps fault.Exhausted if the budget doesn't cover the
 // tokens, and fault.Overloaded if it may cover them but the limit doesn't.
 func (s *Spender) Reserve(ctx context.Context, name string, tokens int64) (*Reservation, error) {
 	s.mu.Lock()
@@ -137,6 +158,14 @@
 		defer s.mu.Unlock()
 		return s.take(a, tokens), nil
 	}
+	s.mu.Unlock()
+	if r := s.borrow(ctx, name, a, tokens); r != nil {
+		return r, nil
+	}
+	if s.cfg.Silent() {
+		return nil, s.short(name, a, tokens)
+	}
+	s.mu.Lock()
 	w := &wait{tokens}
 	a.waiting[w] = struct{}{}
 	begun := s.round
@@ -165,12 +194,91 @@
 			s.cfg.Hurry()
 		case <-ctx.Done():
 			if ctx.Err() != nil && !s.granted(a, w, tokens) {
-				return nil, eris.Wrapf(fault.Overloaded, "account %s: %d tokens are needed, the limit leaves %d", name, tokens, limit-used)
+				return nil, s.short(name, a, tokens)
 			}
 		}
 	}
 }
 
+// short returns the error of a reservation that the limit doesn't cover.
+func (s *Spender) short(name string, a *account, tokens int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return eris.Wrapf(fault.Overloaded, "account %s: %d tokens are needed, the limit leaves %d", name, tokens, a.limit-a.used)
+}
+
+// borrow reserves tokens with the help of other instances. It returns nil if
+// they don't have enough.
+func (s *Spender) borrow(ctx context.Context, name string, a *account, tokens int64) *Reservation {
+	if s.cfg.Borrow == nil {
+		return nil
+	}
+	for range maxLoans {
+		s.mu.Lock()
+		missing := a.used + tokens - s.bound(a)
+		if missing <= 0 {
+			defer s.mu.Unlock()
+			return s.take(a, tokens)
+		}
+		s.mu.Unlock()
+		if !s.cfg.Borrow(ctx, name, missing) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// Lend takes tokens out of the allowance of an account for another instance, all
+// or none, and reports whether it did.
+func (s *Spender) Lend(name string, tokens int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(name)
+	a.largest = max(a.largest, tokens)
+	if s.closed || a.used+tokens > s.bound(a) {
+		return false
+	}
+	a.used += tokens
+	return true
+}
+
+// Receive adds tokens that another instance has taken out of its allowance.
+func (s *Spender) Receive(name string, tokens int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account(name).used -= tokens
+}
+
+// Surplus takes out and returns what is borrowed beyond the use, of the accounts
+// for which keep is false.
+func (s *Spender) Surplus(keep func(account string) bool) map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	amounts := map[string]int64{}
+	for name, a := range s.accounts {
+		if a.used < 0 && !keep(name) {
+			amounts[name] = -a.used
+			a.used = 0
+		}
+	}
+	return amounts
+}
+
+// Empty takes out and returns all that may still be spent.
+func (s *Spender) Empty() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	amounts := map[string]int64{}
+	for name, a := range s.accounts {
+		if rest := s.bound(a) - a.used; rest > 0 {
+			amounts[name] = rest
+			a.used += rest
+		}
+	}
+	return amounts
+}
+
 // bound returns what may be spent now. The caller holds mu.
 func (s *Spender) bound(a *account) int64 {
 	if s.cfg.Alone() {
@@ -194,6 +302,7 @@
 // take reserves tokens. The caller holds mu.
 func (s *Spender) take(a *account, tokens int64) *Reservation {
 	a.used += tokens
+	a.taken += tokens
 	return &Reservation{s: s, account: a, tokens: tokens}
 }
 
@@ -207,7 +316,7 @@
 	defer r.s.mu.Unlock()
 	tokens = min(max(tokens, 0), r.tokens)
 	r.account.used -= r.tokens - tokens
-	r.account.settled += tokens
+	r.account.taken -= r.tokens - tokens
 	r.s = nil
 }
 
@@ -229,8 +338,9 @@
 func (s *Spender) declare(name string, a *account, now time.Time) *wire.Allowance {
 	if elapsed := now.Sub(a.at).Seconds(); elapsed > 0.02 {
 		weight := 1 - math.Exp(-elapsed/memory.Seconds())
-		a.rate += weight * (max(float64(a.used-a.last), 0)/elapsed - a.rate)
-		a.last, a.at = a.used, now
+		a.rate += weight * (max(float64(a.taken-a.last), 0)/elapsed - a.rate)
+		a.last, a.at = a.taken, now
+		a.zone -= weight * a.zone
 		a.largest -= int64(weight * float64(a.largest) / 8)
 	}
 	need := a.used
@@ -240,48 +350,58 @@
 	if len(a.waiting) == 0 {
 		need = 0
 	}
-	wanted := s.wanted(a)
-	if target := a.used + int64(keep*float64(wanted)); a.limit > target {
-		a.limit = max(target, a.used)
+	h := s.hold(name, a)
+	if target := max(a.used+int64(keep*float64(h.limit)), 0); a.limit > target {
+		a.limit = target
 	}
-	q := &wire.Allowance{Account: name, Limit: a.limit, Need: need, Used: a.used}
-	if float64(a.limit-a.used) < low*float64(wanted) || need > a.limit {
-		q.Want = max(a.used+wanted, need)
+	q := &wire.Allowance{Account: name, Limit: a.limit, Need: max(need, 0), Used: max(a.used, 0), Rate: int64(a.rate)}
+	if float64(a.limit-a.used) < low*float64(h.limit) || need > a.limit {
+		q.Want = max(a.used+h.limit, need, 0)
 	}
-	q.Lock = max(a.used+s.near(a, wanted), need)
+	q.Lock = max(a.used+h.lock, need, 0)
 	a.lock = min(a.lock, q.Lock)
 	return q
 }
 
-// near returns what is held beyond the use for the time in which the core
-// instances answer, or until they have been silent for long. The caller holds
-// mu.
-func (s *Spender) near(a *account, wanted int64) int64 {
-	share := nearTime.Seconds() / s.cfg.Horizon.Seconds()
-	return min(wanted, max(int64(share*float64(wanted)), int64(a.rate*nearTime.Seconds())+a.largest))
-}
+// holding is what is held of an account beyond the use, in tokens: the whole,
+// and the part for the time in which the core instances answer, or until they
+// have been silent for long.
+type holding struct{ limit, lock int64 }
 
-// wanted returns what is held beyond the use. The caller holds mu.
-func (s *Spender) wanted(a *account) int64 {
+// hold returns what is to be held of an account. The caller holds mu.
+func (s *Spender) hold(name string, a *account) holding {
 	if !a.known || a.total <= 0 {
-		return 0
+		return holding{}
 	}
 	part := float64(a.free) / float64(a.total)
 	if part < scarce {
-		return 0
+		return holding{}
 	}
 	// The square keeps what is idle or lost with an instance far below what is
 	// free.
-	horizon := s.cfg.Horizon.Seconds() * min(part*part/(ample*ample), 1)
-	first := 0.0
+	factor := min(part*part/(ample*ample), 1)
+	rate, fleet := a.rate, 1/float64(max(s.entries, 1))
+	if s.cfg.Role != nil {
+		if zone, all, known := s.cfg.Role(name); known {
+			if zone == 0 {
+				// The lenders hold the rest.
+				near := int64(a.rate * nearTime.Seconds() * factor)
+				return holding{near, near}
+			}
+			rate, fleet = max(a.zone*zone, a.rate), all
+		}
+	}
+	first, largest := 0.0, 0.0
 	if part > ample {
-		first = firstShare * float64(a.total) / float64(max(s.entries, 1))
+		first = firstShare * float64(a.total) * fleet
 	}
-	largest := 0.0
 	if part > ample/2 {
 		largest = float64(a.largest)
 	}
-	return int64(max(a.rate*horizon+largest, first))
+	limit := int64(max(rate*s.cfg.Horizon.Seconds()*factor+largest, first))
+	share := nearTime.Seconds() / s.cfg.Horizon.Seconds()
+	lock := max(int64(share*float64(limit)), int64(rate*nearTime.Seconds())+a.largest)
+	return holding{limit, min(limit, lock)}
 }
 
 // Learn takes the limits of the reply to the last declaration.
@@ -292,6 +412,8 @@
 	for _, l := range limits {
 		a := s.account(l.Account)
 		a.limit, a.lock, a.total, a.free, a.spare, a.strand, a.known = l.Limit, l.Lock, l.Total, l.Free, l.Spare, l.Stranded, true
+		// After a partition the leader hears of the demand by and by.
+		a.zone = max(a.zone, float64(l.Demand))
 	}
 	s.round++
 	close(s.changed)
@@ -304,9 +426,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []*wire.Allowance
+	s.closed = true
 	for name, a := range s.accounts {
-		a.limit, a.lock = a.used, a.used
-		list = append(list, &wire.Allowance{Account: name, Limit: a.used, Lock: a.used, Used: a.used})
+		used := max(a.used, 0)
+		a.limit, a.lock = used, used
+		list = append(list, &wire.Allowance{Account: name, Limit: used, Lock: used, Used: used})
 	}
 	return list
 }
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -75,6 +75,7 @@
 	sequence uint64
 	version  uint64
 	roster   uint64
+	fleet    uint64 // digest of the entry instances held
 	leader   string
 	cores    []string
 	peers    []string // entry instances
@@ -179,7 +180,7 @@
 	defer s.mu.Unlock()
 	s.sequence++
 	return &wire.SyncRequest{
-		Instance: s.cfg.Instance, Zone: s.cfg.Zone, Sequence: s.sequence, Version: s.version, Roster: s.roster, Address: s.cfg.Address,
+		Instance: s.cfg.Instance, Zone: s.cfg.Zone, Sequence: s.sequence, Version: s.version, Roster: s.roster, Fleet: s.fleet, Address: s.cfg.Address,
 		Tenure: &wire.Tenure{Machine: s.cfg.Machine, Boot: s.cfg.Boot, Started: s.started.Nanoseconds(), Answered: s.answered.Nanoseconds()},
 	}
 }
@@ -340,5 +341,8 @@
 	if reply.Listed {
 		s.roster = reply.Roster
 	}
+	if len(reply.Members) > 0 {
+		s.fleet = reply.Fleet
+	}
 	return nil
 }
