--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"path/filepath"
@@ -27,6 +28,8 @@
 type Config struct {
 	// Address is where other instances reach this one; it is its name.
 	Address string
+	// Bind is the address to listen on if it isn't Address.
+	Bind string
 	// Founders are the addresses of the first members of the log. It is empty
 	// for an instance that joins a log.
 	Founders []string
@@ -110,9 +113,10 @@
 	if err := wire.DRPCRegisterSteering(mux, c.coordinator); err != nil {
 		return eris.Wrap(err, "register steering")
 	}
-	l, err := net.Listen("tcp", c.cfg.Address)
+	bind := cmp.Or(c.cfg.Bind, c.cfg.Address)
+	l, err := net.Listen("tcp", bind)
 	if err != nil {
-		return eris.Wrapf(fault.Unavailable, "listen on %s: %v", c.cfg.Address, err)
+		return eris.Wrapf(fault.Unavailable, "listen on %s: %v", bind, err)
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: dialer.Options()})
 	serving, stop := context.WithCancel(context.Background())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -24,6 +25,7 @@
 	"github.com/papayapond/papayapond/internal/lender"
 	"github.com/papayapond/papayapond/internal/listener"
 	"github.com/papayapond/papayapond/internal/ruleset"
+	"github.com/papayapond/papayapond/internal/shedder"
 	"github.com/papayapond/papayapond/internal/spender"
 	"github.com/papayapond/papayapond/internal/synchronizer"
 	"github.com/papayapond/papayapond/internal/wire"
@@ -58,6 +60,8 @@
 	Name, Zone string
 	// Inner is the address for other entry instances.
 	Inner string
+	// Bind is the address to listen on for them if it isn't Inner.
+	Bind string
 	// Frontend is the address for callers, Readiness that for checks.
 	Frontend, Readiness string
 	// Ready is the path of the check of readiness.
@@ -69,6 +73,9 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Link is what the network link carries each way, in bytes per second; 0 if
+	// it isn't known.
+	Link float64
 	// Grace is the time from a planned stop to the end.
 	Grace   time.Duration
 	Observe func(forwarder.Report)
@@ -84,6 +91,7 @@
 	exchanger *exchanger.Exchanger
 	spender   *spender.Spender
 	lender    *lender.Lender
+	shedder   *shedder.Shedder
 	forwarder *forwarder.Forwarder
 	sync      *synchronizer.Synchronizer
 	leaving   atomic.Bool
@@ -111,10 +119,12 @@
 		Alone:  func() bool { return e.sync.Silence() > silentTime },
 		Logger: cfg.Logger.Named("lender"),
 	})
+	e.shedder = shedder.New(shedder.Config{Capacity: cfg.Link, Logger: cfg.Logger.Named("shedder")})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Headers: cfg.Headers, Balancer: e.balancer, Exchanger: e.exchanger, Spender: e.spender,
 		RetryShare: cfg.RetryShare, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
 		Silence: func() time.Duration { return e.sync.Silence() }, Observe: cfg.Observe, Logger: cfg.Logger.Named("forwarder"),
+		Count: e.shedder.Count, Closing: e.shedder.IsClosing,
 	})
 	e.sync = synchronizer.New(synchronizer.Config{
 		Instance: cfg.Name + "#" + strconv.FormatUint(rand.Uint64(), 16), Machine: cfg.Name, Zone: cfg.Zone, Seeds: cfg.Seeds,
@@ -165,7 +175,7 @@
 
 // isReady reports whether callers are to come to this instance.
 func (e *Entry) isReady() bool {
-	return !e.leaving.Load() && e.sync.Version() > 0 && e.balancer.Ready() > 0
+	return !e.leaving.Load() && e.sync.Version() > 0 && e.balancer.Ready() > 0 && !e.shedder.IsFull()
 }
 
 // Run serves until ctx ends, then ends the requests in flight within the grace
@@ -179,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	inner, err := e.listen(e.cfg.Inner)
+	inner, err := e.listen(cmp.Or(e.cfg.Bind, e.cfg.Inner))
 	if err != nil {
 		return err
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -54,6 +54,10 @@
 	RetryWindow time.Duration
 	// Silence returns the time since the core instances answered.
 	Silence func() time.Duration
+	// Count is called with bytes that come and bytes that leave, Closing tells whether
+	// the connection of an answer is to be closed; nil for none.
+	Count   func(received, sent int)
+	Closing func() bool
 	// Observe is called at the end of each request; nil for none.
 	Observe func(Report)
 	Logger  *zap.Logger
@@ -91,6 +95,12 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
+	if cfg.Count == nil {
+		cfg.Count = func(int, int) {}
+	}
+	if cfg.Closing == nil {
+		cfg.Closing = func() bool { return false }
+	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(Report) {}
 	}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -138,6 +138,7 @@
 		limit = defaultBody
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	x.f.cfg.Count(len(body)+headerBytes, 0)
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		x.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
 		return false
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -119,6 +119,7 @@
 // readAll reads an answer that isn't a stream.
 func (x *exchange) readAll(a *exchanger.Answer) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
+	x.f.cfg.Count(len(body)+headerBytes, len(body)+headerBytes)
 	if err == nil && len(body) > maxAnswer {
 		err = eris.Wrapf(fault.Malformed, "answer is longer than %d bytes", maxAnswer)
 	}
@@ -144,6 +145,9 @@
 	for name, values := range strip(h) {
 		x.w.Header()[name] = values
 	}
+	if x.f.cfg.Closing() {
+		x.w.Header().Set("Connection", "close")
+	}
 }
 
 // stream relays events as they arrive.
@@ -179,6 +183,7 @@
 			x.note("left", zap.Error(err))
 			return gone, balancer.Left, nil
 		}
+		x.f.cfg.Count(len(event)+eventBytes, len(event)+eventBytes)
 		x.events++
 		x.last = s.ID()
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -19,6 +19,10 @@
 	// maxSends bounds the targets that are tried for one request. Those that
 	// refuse don't count as runs.
 	maxSends = 4
+	// headerBytes and eventBytes are the bytes of a header and around an event
+	// on a connection, about.
+	headerBytes = 600
+	eventBytes  = 80
 	// minLeft is the time below which a request isn't sent again.
 	minLeft = 20 * time.Millisecond
 	// fullDelay is the time after which a place is likely to be free again.
@@ -119,6 +123,7 @@
 func (x *exchange) attempt(whole context.Context, pick *balancer.Pick) (verdict, error) {
 	ctx, cancel := context.WithCancel(whole)
 	defer cancel()
+	x.f.cfg.Count(0, len(x.body)+headerBytes)
 	watch := x.watch(cancel)
 	defer watch.stop()
 	a, err := x.f.cfg.Exchanger.Send(ctx, x.request(pick))
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -16,9 +16,9 @@
 const (
 	// defaultHorizon is the time for which a limit lasts while much is free.
 	// It covers a partition of some seconds.
-	defaultHorizon = 9 * time.Second
+	defaultHorizon = 10 * time.Second
 	// ample is the free part of a budget from which the whole horizon is held.
-	ample = 0.25
+	ample = 0.18
 	// scarce is the free part below which nothing is held beyond running and
 	// waiting requests.
 	scarce = 0.02
@@ -83,11 +83,12 @@
 	// lent, less what was borrowed. It is negative while more is borrowed than
 	// used.
 	used    int64
-	taken   int64   // spent by own callers, and reserved at its most
-	largest int64   // largest reservation or loan lately
-	rate    float64 // of own callers, in tokens per second
-	zone    float64 // of all callers in the zone
-	last    int64   // taken at the last declaration
+	taken   int64     // spent by own callers, and reserved at its most
+	begun   time.Time // first reservation
+	largest int64     // largest reservation or loan lately
+	rate    float64   // of own callers, in tokens per second
+	zone    float64   // of all callers in the zone
+	last    int64     // taken at the last declaration
 	at      time.Time
 	waiting map[*wait]struct{}
 	total   int64
@@ -303,6 +304,9 @@
 func (s *Spender) take(a *account, tokens int64) *Reservation {
 	a.used += tokens
 	a.taken += tokens
+	if a.begun.IsZero() {
+		a.begun = s.cfg.Now()
+	}
 	return &Reservation{s: s, account: a, tokens: tokens}
 }
 
@@ -338,6 +342,10 @@
 func (s *Spender) declare(name string, a *account, now time.Time) *wire.Allowance {
 	if elapsed := now.Sub(a.at).Seconds(); elapsed > 0.02 {
 		weight := 1 - math.Exp(-elapsed/memory.Seconds())
+		if age := now.Sub(a.begun).Seconds(); !a.begun.IsZero() && age < memory.Seconds() {
+			// Until then, the average is over the time since the first request.
+			weight = min(max(weight, elapsed/max(age, 1)), 1)
+		}
 		a.rate += weight * (max(float64(a.taken-a.last), 0)/elapsed - a.rate)
 		a.last, a.at = a.taken, now
 		a.zone -= weight * a.zone
@@ -377,9 +385,8 @@
 	if part < scarce {
 		return holding{}
 	}
-	// The square keeps what is idle or lost with an instance far below what is
-	// free.
-	factor := min(part*part/(ample*ample), 1)
+	// What is idle or lost with all instances stays below what is free.
+	factor := min(part/ample, 1)
 	rate, fleet := a.rate, 1/float64(max(s.entries, 1))
 	if s.cfg.Role != nil {
 		if zone, all, known := s.cfg.Role(name); known {
