Tell work in flight between entry instances while the core instances are silent

Cause: in a silence each entry instance knows its own work only, and what others had in flight before it.

Change: gossiper; one instance of each zone is the hub, and hubs exchange the sums of their zones. The order of instances by hashes is ranker's, which the lender and the balancer use too. The test of the order found that FNV alone gave 3 of 20 instances all first places, so that all accounts had the same lenders; the bits are mixed now, as the balancer did before.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"hash/fnv"
 	"math"
 	"sync"
 	"time"
@@ -10,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/ranker"
 	"github.com/papayapond/papayapond/internal/wire"
 	"github.com/papayapond/papayapond/pkg/pool"
 )
@@ -232,26 +232,15 @@
 	}
 	var best *target
 	highest := uint64(0)
-	key := parts[len(parts)-2].ID
+	rank := ranker.New(parts[len(parts)-2].ID)
 	for _, t := range list {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(key))          // a hash doesn't fail
-		_, _ = h.Write([]byte(t.listing.Id)) // a hash doesn't fail
-		if sum := mix(h.Sum64()); best == nil || sum > highest {
+		if sum := rank.Score(t.listing.Id); best == nil || sum > highest {
 			best, highest = t, sum
 		}
 	}
 	return best
 }
 
-// mix spreads the bits of a hash. The last bytes of FNV reach few of them.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	return h
-}
-
 // cost returns the expected time until the request begins, in prompt tokens for
 // engines and in requests for plain services. The caller holds mu.
 func (b *Balancer) cost(t *target, q Query, home bool, now time.Time) float64 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/papayapond/papayapond/internal/exchanger"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/forwarder"
+	"github.com/papayapond/papayapond/internal/gossiper"
 	"github.com/papayapond/papayapond/internal/lender"
 	"github.com/papayapond/papayapond/internal/listener"
 	"github.com/papayapond/papayapond/internal/ruleset"
@@ -91,6 +92,7 @@
 	exchanger *exchanger.Exchanger
 	spender   *spender.Spender
 	lender    *lender.Lender
+	gossiper  *gossiper.Gossiper
 	shedder   *shedder.Shedder
 	forwarder *forwarder.Forwarder
 	sync      *synchronizer.Synchronizer
@@ -119,6 +121,13 @@
 		Alone:  func() bool { return e.sync.Silence() > silentTime },
 		Logger: cfg.Logger.Named("lender"),
 	})
+	e.gossiper = gossiper.New(gossiper.Config{
+		Self: cfg.Inner, Zone: cfg.Zone, Loads: e.balancer.Loads, Learn: e.balancer.Learn, Logger: cfg.Logger.Named("gossiper"),
+		Peer: func(address string) wire.DRPCGossipClient {
+			return wire.NewDRPCGossipClient(e.dialer.Conn(address))
+		},
+		Silent: func() bool { return e.sync.Silence() > silentTime },
+	})
 	e.shedder = shedder.New(shedder.Config{Capacity: cfg.Link, Logger: cfg.Logger.Named("shedder")})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Headers: cfg.Headers, Balancer: e.balancer, Exchanger: e.exchanger, Spender: e.spender,
@@ -168,6 +177,7 @@
 	}
 	if len(reply.Members) > 0 {
 		e.lender.Update(reply.Members)
+		e.gossiper.Update(reply.Members)
 	}
 	e.balancer.Learn(reply.Loads)
 	e.forwarder.Learn(int(reply.Entries), reply.Blocked)
@@ -202,6 +212,7 @@
 	group.Go(func() { e.sync.Run(running) })
 	group.Go(func() { e.sweep(running) })
 	group.Go(func() { e.lender.Run(running) })
+	group.Go(func() { e.gossiper.Run(running) })
 	group.Go(func() { e.relay(running, inner) })
 	group.Go(func() { e.serve(callers, front) })
 	group.Go(func() { e.serve(checks, check) })
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -51,6 +51,10 @@
 		e.cfg.Logger.Error("Registering the lender failed.", zap.Error(err))
 		return
 	}
+	if err := wire.DRPCRegisterGossip(mux, e.gossiper); err != nil {
+		e.cfg.Logger.Error("Registering the gossiper failed.", zap.Error(err))
+		return
+	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: dialer.Options()})
 	if err := server.Serve(ctx, l); err != nil && ctx.Err() == nil {
 		e.cfg.Logger.Error("Serving entry instances failed.", zap.Error(err))
--- /dev/null
+++ b/internal/gossiper/gossiper_test.go
@@ -0,0 +1,115 @@
+package gossiper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/papayapond/papayapond/internal/gossiper"
+	"github.com/papayapond/papayapond/internal/wire"
+)
+
+// fleet is gossipers without a network between them.
+type fleet struct {
+	now       time.Time
+	gossipers map[string]*gossiper.Gossiper
+	running   map[string]int32 // own requests at the target, by address
+	learnt    map[string]int32 // requests of the others
+	down      map[string]bool
+}
+
+type client struct {
+	f       *fleet
+	address string
+}
+
+func (client) DRPCConn() drpc.Conn { return nil }
+
+func (c client) Report(ctx context.Context, q *wire.ReportRequest) (*wire.ReportReply, error) {
+	if c.f.down[c.address] {
+		return nil, errors.New("no answer")
+	}
+	return c.f.gossipers[c.address].Report(ctx, q)
+}
+
+// newFleet returns n instances in three zones.
+func newFleet(n int) *fleet {
+	f := &fleet{
+		now: time.Unix(1000, 0), gossipers: map[string]*gossiper.Gossiper{}, running: map[string]int32{}, learnt: map[string]int32{}, down: map[string]bool{},
+	}
+	var members []*wire.Member
+	for i := range n {
+		members = append(members, &wire.Member{Address: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i%3)})
+	}
+	for _, m := range members {
+		f.running[m.Address] = 1
+		f.gossipers[m.Address] = gossiper.New(gossiper.Config{
+			Self: m.Address, Zone: m.Zone, Now: func() time.Time { return f.now },
+			Peer:  func(address string) wire.DRPCGossipClient { return client{f, address} },
+			Loads: func() []*wire.Load { return []*wire.Load{{Target: "a", Running: f.running[m.Address]}} },
+			Learn: func(loads []*wire.Load) {
+				f.learnt[m.Address] = 0
+				for _, l := range loads {
+					f.learnt[m.Address] += l.Running
+				}
+			},
+		})
+		f.gossipers[m.Address].Update(members)
+	}
+	return f
+}
+
+func (f *fleet) rounds(t *testing.T, n int) {
+	t.Helper()
+	for range n {
+		f.now = f.now.Add(400 * time.Millisecond)
+		for address, g := range f.gossipers {
+			if !f.down[address] {
+				g.Round(t.Context())
+			}
+		}
+	}
+}
+
+// Each instance must learn the work of all others, and no work twice, although
+// no core instance tells it.
+func TestWorkOfAllOthers(t *testing.T) {
+	f := newFleet(30)
+	f.rounds(t, 3)
+	for address, got := range f.learnt {
+		if want := int32(29); got != want {
+			t.Errorf("%s: got %d requests of others, want %d", address, got, want)
+		}
+	}
+}
+
+// The work of an instance that has fallen silent must not count for good, and
+// the loss of a hub must not end the reports of its zone.
+func TestLostHub(t *testing.T) {
+	f := newFleet(30)
+	f.rounds(t, 3)
+	const lost = "e0"
+	f.down[lost] = true
+	f.rounds(t, 8)
+	for address, got := range f.learnt {
+		// The hub of a zone counts twice if it isn't known to be lost.
+		if want := int32(28); address != lost && got != want {
+			t.Errorf("without %s, %s: got %d requests of others, want %d", lost, address, got, want)
+		}
+	}
+	for i := range 30 {
+		f := newFleet(30)
+		down := fmt.Sprint("e", i)
+		f.down[down] = true
+		f.rounds(t, 8)
+		for address, got := range f.learnt {
+			if got < 9 {
+				t.Errorf("without %s, %s: got %d requests of others, want those of its zone at least", down, zone, got)
+			}
+		}
+	}
+}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -1,9 +1,7 @@
 package lender
 
 import (
-	"cmp"
 	"context"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"sync"
@@ -11,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/ranker"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -114,7 +113,7 @@
 	}
 	c := &choice{}
 	for zone, list := range zones {
-		list = rank(account, list)
+		list = ranker.New(account).Order(list)
 		list = list[:min(len(list), lendersPerZone)]
 		c.fleet += len(list)
 		if zone != l.cfg.Zone {
@@ -129,25 +128,11 @@
 			}
 		}
 	}
-	c.remote = rank(l.cfg.Self+account, c.remote)
+	c.remote = ranker.New(l.cfg.Self + account).Order(c.remote)
 	l.accounts[account] = c
 	return c
 }
 
-// rank orders addresses by the hash of a key and the address, so that the loss
-// of one address changes no other place.
-func rank(key string, addresses []string) []string {
-	sums := map[string]uint64{}
-	for _, address := range addresses {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(address + "\n" + key)) // a hash doesn't fail
-		sums[address] = h.Sum64()
-	}
-	list := slices.Clone(addresses)
-	slices.SortFunc(list, func(a, b string) int { return cmp.Or(cmp.Compare(sums[a], sums[b]), cmp.Compare(a, b)) })
-	return list
-}
-
 // sources returns the instances that are asked for a loan, in order.
 func (l *Lender) sources(account string) []string {
 	alone := l.cfg.Alone()
