--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -182,11 +182,16 @@
 	lowest := math.Inf(1)
 	home := b.home(list, q.Parts)
 	now := b.cfg.Now()
+	homeCost := math.Inf(1)
 	for _, t := range list {
 		if q.Avoid[t.listing.Id] || !t.open(now, q.Repeatable) {
 			continue
 		}
-		if cost := b.cost(t, q, t == home, now); cost < lowest {
+		cost := b.cost(t, q, t == home, now)
+		if t == home {
+			homeCost = cost
+		}
+		if cost < lowest {
 			best, lowest = t, cost
 		}
 	}
@@ -196,7 +201,9 @@
 	if best == nil {
 		return nil, eris.Wrapf(fault.Unavailable, "no target of pool %s out of %d takes requests", q.Pool, len(list))
 	}
-	return b.pick(best, q), nil
+	p := b.pick(best, q)
+	p.cost, p.homeCost, p.home = lowest, homeCost, best == home
+	return p, nil
 }
 
 // last returns, if all targets are taken out, the one that comes back first and
@@ -297,7 +304,7 @@
 // pick notes that a request goes to a target. The caller holds mu.
 func (b *Balancer) pick(t *target, q Query) *Pick {
 	unread := max(q.Tokens-t.cached(q.Parts), 0)
-	p := &Pick{b: b, t: t, unread: unread, held: q.Tokens + q.Output}
+	p := &Pick{b: b, t: t, unread: unread, reads: unread, held: q.Tokens + q.Output, running: t.running + int(t.remote.Running), backlog: t.unread + t.remote.Unread}
 	if t.pause > 0 {
 		t.trial, p.trial = true, true
 	}
--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -7,8 +7,26 @@
 	b      *Balancer
 	t      *target
 	unread int64
+	reads  int64 // prompt tokens that the target is taken to read
 	held   int64
 	trial  bool
+
+	// What the choice was based on, for the log.
+	cost, homeCost float64
+	home           bool
+	running        int
+	backlog        int64
+}
+
+// Fields returns what the choice was based on, for the log: the costs of the
+// target and of the home of the prompt's shared parts, the requests in flight at
+// the target, its prompt tokens that wait, and those of the prompt that it is
+// taken to read.
+func (p *Pick) Fields() []zap.Field {
+	return []zap.Field{
+		zap.String("target", p.ID()), zap.Bool("home", p.home), zap.Float64("score", p.cost), zap.Float64("homescore", p.homeCost),
+		zap.Int("running", p.running), zap.Int64("backlog", p.backlog), zap.Int64("reads", p.reads),
+	}
 }
 
 // ID returns the name of the target.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,7 +81,9 @@
 	Grace   time.Duration
 	Observe func(forwarder.Report)
 	Dialed  func()
-	Logger  *zap.Logger
+	// Lent is called for each loan that this instance asks another one for.
+	Lent   func(granted bool)
+	Logger *zap.Logger
 }
 
 // Entry is one entry instance.
@@ -118,8 +120,9 @@
 		Peer: func(address string) wire.DRPCLendingClient {
 			return wire.NewDRPCLendingClient(e.dialer.Conn(address))
 		},
-		Alone:  func() bool { return e.sync.Silence() > silentTime },
-		Logger: cfg.Logger.Named("lender"),
+		Alone:   func() bool { return e.sync.Silence() > silentTime },
+		Observe: cfg.Lent,
+		Logger:  cfg.Logger.Named("lender"),
 	})
 	e.gossiper = gossiper.New(gossiper.Config{
 		Self: cfg.Inner, Zone: cfg.Zone, Loads: e.balancer.Loads, Learn: e.balancer.Learn, Logger: cfg.Logger.Named("gossiper"),
@@ -156,6 +159,9 @@
 // Silence returns the time since the core instances answered.
 func (e *Entry) Silence() time.Duration { return e.sync.Silence() }
 
+// LinkShare returns the part of the network link in use.
+func (e *Entry) LinkShare() float64 { return e.shedder.Share() }
+
 // use puts a ruleset in force.
 func (e *Entry) use(r *ruleset.Ruleset) {
 	var names []string
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -57,6 +57,7 @@
 	reserve *spender.Reservation
 
 	header  http.Header // to the target
+	choice  []zap.Field // of the last target
 	avoid   map[string]bool
 	sends   int // attempts that a target may have seen
 	runs    int // targets that may have run the request
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -247,5 +247,5 @@
 		zap.String("request", x.id()), zap.String("outcome", outcome), zap.Int("status", x.status), zap.String("route", x.route.Name), zap.String("account", x.account.Name),
 		zap.Uint64("ruleset", version), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Int64("cost", x.cost()), zap.Duration("waited", x.waited),
 		zap.Duration("first", report.First), zap.Duration("duration", report.Duration),
-	}, fields...)...)
+	}, append(x.choice, fields...)...)...)
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -123,6 +123,7 @@
 func (x *exchange) attempt(whole context.Context, pick *balancer.Pick) (verdict, error) {
 	ctx, cancel := context.WithCancel(whole)
 	defer cancel()
+	x.choice = pick.Fields()
 	x.f.cfg.Count(0, len(x.body)+headerBytes)
 	watch := x.watch(cancel)
 	defer watch.stop()
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -108,7 +108,7 @@
 		f.rounds(t, 8)
 		for address, got := range f.learnt {
 			if got < 9 {
-				t.Errorf("without %s, %s: got %d requests of others, want those of its zone at least", down, zone, got)
+				t.Errorf("without %s, %s: got %d requests of others, want those of its zone at least", down, address, got)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/lender/bench_test.go
@@ -0,0 +1,24 @@
+package lender_test
+
+import "testing"
+
+// BenchmarkLoan measures a loan for one request and its return, without a
+// network.
+func BenchmarkLoan(b *testing.B) {
+	f := newFleet(72, 1<<50, true)
+	for range 4 {
+		f.round(0)
+	}
+	e := f.instances["e0"]
+	if zone, _, _ := e.lender.Role(account); zone > 0 {
+		b.Fatal("e0 is a lender itself")
+	}
+	for b.Loop() {
+		r, err := f.reserve("e0", 2000)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Settle(0)
+		e.lender.Return(b.Context(), e.spender.Surplus(func(string) bool { return false }))
+	}
+}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -43,9 +43,11 @@
 	Surplus func(keep func(account string) bool) map[string]int64
 	// Alone reports whether the core instances are silent. Only then lenders of
 	// other zones are asked.
-	Alone  func() bool
-	Now    func() time.Time
-	Logger *zap.Logger
+	Alone func() bool
+	// Observe is called for each loan that this instance asks for; nil for none.
+	Observe func(granted bool)
+	Now     func() time.Time
+	Logger  *zap.Logger
 }
 
 // Lender is safe for concurrent use.
@@ -72,6 +74,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Observe == nil {
+		cfg.Observe = func(bool) {}
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
@@ -159,6 +164,12 @@
 // Borrow gets tokens from another instance and adds them to the own allowance.
 // It returns false if none of the lenders has that many.
 func (l *Lender) Borrow(ctx context.Context, account string, tokens int64) bool {
+	granted := l.borrow(ctx, account, tokens)
+	l.cfg.Observe(granted)
+	return granted
+}
+
+func (l *Lender) borrow(ctx context.Context, account string, tokens int64) bool {
 	for _, address := range l.sources(account) {
 		if ctx.Err() != nil {
 			return false
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -22,6 +22,8 @@
 	Flight  func() float64
 	Version func() float64
 	Silence func() float64
+	// Link returns the part of the network link in use.
+	Link func() float64
 }
 
 // Meter is safe for concurrent use.
@@ -30,6 +32,7 @@
 	requests *prometheus.CounterVec
 	sends    prometheus.Counter
 	dials    prometheus.Counter
+	loans    *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 }
@@ -44,10 +47,12 @@
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "papayapond_route_seconds", Help: "Time from the arrival of a request to its end.", Buckets: buckets}, []string{"route"}),
 		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "papayapond_route_first_seconds", Help: "Time from the arrival of a request to the first byte of a target's answer.", Buckets: buckets}, []string{"route"}),
 	}
-	m.registry.MustRegister(m.requests, m.sends, m.dials, m.duration, m.first)
+	m.loans = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "papayapond_loans_total", Help: "Loans that this instance has asked other entry instances for, by result."}, []string{"result"})
+	m.registry.MustRegister(m.loans, m.requests, m.sends, m.dials, m.duration, m.first)
 	m.gauge("papayapond_route_flight", "Requests in flight.", cfg.Flight)
 	m.gauge("papayapond_ruleset_version", "Version of the ruleset in force.", cfg.Version)
 	m.gauge("papayapond_core_silence_seconds", "Time since the core instances answered.", cfg.Silence)
+	m.gauge("papayapond_link_share", "Part of the network link in use.", cfg.Link)
 	return m
 }
 
@@ -70,6 +75,15 @@
 // Dialed counts a new connection to a target.
 func (m *Meter) Dialed() { m.dials.Inc() }
 
+// Lent counts a loan that was asked for.
+func (m *Meter) Lent(granted bool) {
+	result := "refused"
+	if granted {
+		result = "granted"
+	}
+	m.loans.WithLabelValues(result).Inc()
+}
+
 // Handler serves the counters.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/shedder/shedder.go
+++ b/internal/shedder/shedder.go
@@ -15,8 +15,8 @@
 	// fullShare is the part of the link from which callers are sent elsewhere.
 	// Traffic comes in bursts, and packets have headers that aren't counted.
 	fullShare = 0.55
-	// clearShare is the part of the link below which callers may come again. It
-	// is lower, so that the instance doesn't change its mind with each burst.
+	// clearShare is the part of the link below which callers may come again.
+	// Hysteresis keeps readiness from switching with each burst.
 	clearShare = 0.35
 	// noticeTime is the time until the load balancer has noticed: two checks a
 	// second apart. Connections that are closed sooner would come back.
@@ -95,6 +95,17 @@
 	return s.full
 }
 
+// Share returns the part of the link in use, of the direction that is busier.
+func (s *Shedder) Share() float64 {
+	if s.cfg.Capacity <= 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.update()
+	return s.share()
+}
+
 // IsClosing reports whether the connection of an answer is to be closed, so that
 // its caller goes elsewhere with the next request.
 func (s *Shedder) IsClosing() bool {
