Hold at most half of what is free; prefer targets with a kept connection

Cause: after a final loss of power all limits count as spent.

Ruled out: a proof of what was spent after a loss of power. Boot clocks start anew, and wall clocks may be off by more than the patience of 2.2 s.

Change: all instances together hold at most half of what is free for the demand, a quarter for the largest request; the leader tells the demand of the fleet. A target without a kept connection costs 250 prompt tokens more.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -21,6 +21,9 @@
 	// distanceCost is the cost of another zone in prompt tokens; bytes between
 	// zones are paid for.
 	distanceCost = 700
+	// dialCost is the cost of a new connection in prompt tokens: a round trip,
+	// and targets accept only so many.
+	dialCost = 250
 	// serviceCost is the cost of another zone at a plain service, in requests
 	// in flight.
 	serviceCost = 2.5
@@ -66,9 +69,12 @@
 // Config configures a Balancer.
 type Config struct {
 	// Zone is the zone of this instance.
-	Zone   string
-	Now    func() time.Time
-	Logger *zap.Logger
+	Zone string
+	// Connected reports whether an idle connection to an address is kept; nil if
+	// that doesn't matter.
+	Connected func(address string) bool
+	Now       func() time.Time
+	Logger    *zap.Logger
 }
 
 // Balancer is safe for concurrent use.
@@ -87,6 +93,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Connected == nil {
+		cfg.Connected = func(string) bool { return true }
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
@@ -272,6 +281,9 @@
 	if away {
 		cost += distanceCost
 	}
+	if !b.cfg.Connected(t.listing.Address) {
+		cost += dialCost
+	}
 	held := t.memory + t.remote.Memory
 	if running >= float64(engine.Batch) || engine.Memory > 0 && held+q.Tokens+q.Output > engine.Memory {
 		cost += fullCost
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -151,6 +151,7 @@
 	idle   map[string]int64 // tokens in allowances, by account
 	absent map[string]bool  // accounts of which silent incarnations hold a part
 	demand map[demandKey]int64
+	whole  map[string]int64 // demand by account
 }
 
 // demandKey names an account in a zone.
@@ -163,7 +164,7 @@
 	if c.summary != nil && now.Sub(c.summary.at) < summaryAge {
 		return c.summary
 	}
-	s := &summary{at: now, idle: map[string]int64{}, absent: map[string]bool{}, demand: map[demandKey]int64{}}
+	s := &summary{at: now, idle: map[string]int64{}, absent: map[string]bool{}, demand: map[demandKey]int64{}, whole: map[string]int64{}}
 	sums := map[string]*wire.Load{}
 	for _, l := range c.targets.List() {
 		sum := &wire.Load{Target: l.Id}
@@ -184,6 +185,7 @@
 		for _, w := range e.allowances {
 			s.idle[w.Account] += max(w.Limit-w.Used, 0)
 			s.demand[demandKey{e.zone, w.Account}] += w.Rate
+			s.whole[w.Account] += w.Rate
 		}
 	}
 	c.budgets.Absent(func(name string) bool { return c.entries[name] != nil }, func(account string) { s.absent[account] = true })
@@ -203,7 +205,7 @@
 		l.Free = c.budgets.Free(l.Account)
 		l.Spare = l.Free + max(s.idle[l.Account]-own[l.Account], 0)
 		l.Stranded = s.absent[l.Account]
-		l.Demand = s.demand[demandKey{q.Zone, l.Account}]
+		l.Demand, l.Whole = s.demand[demandKey{q.Zone, l.Account}], s.whole[l.Account]
 		l.Total, _ = c.total(l.Account)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,8 +104,8 @@
 // New builds an entry instance under a new incarnation.
 func New(cfg Config) *Entry {
 	e := &Entry{cfg: cfg, dialer: dialer.New(dialer.Config{})}
-	e.balancer = balancer.New(balancer.Config{Zone: cfg.Zone, Logger: cfg.Logger.Named("balancer")})
 	e.exchanger = exchanger.New(exchanger.Config{Identity: cfg.Headers.Attempt, Dialed: cfg.Dialed})
+	e.balancer = balancer.New(balancer.Config{Zone: cfg.Zone, Connected: e.exchanger.IsConnected, Logger: cfg.Logger.Named("balancer")})
 	e.spender = spender.New(spender.Config{
 		Hurry:  func() { e.sync.Hurry() },
 		Alone:  func() bool { return e.sync.Silence() > allocator.Patience },
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -166,6 +166,14 @@
 	return c
 }
 
+// IsConnected reports whether an idle connection to an address is kept.
+func (e *Exchanger) IsConnected(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := e.idle[address]
+	return len(list) > 0 && e.cfg.Now().Before(list[len(list)-1].expires)
+}
+
 // keep makes a connection available again.
 func (e *Exchanger) keep(address string, c *conn) {
 	wait := defaultIdle
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -17,8 +17,14 @@
 	// defaultHorizon is the time for which a limit lasts while much is free.
 	// It covers a partition of some seconds.
 	defaultHorizon = 10 * time.Second
-	// ample is the free part of a budget from which the whole horizon is held.
+	// ample is the free part of a budget from which a part is held before any
+	// demand is known.
 	ample = 0.18
+	// parkedShare is the most that all instances together hold for the demand,
+	// as a part of what is free, and largestShare the most for the largest
+	// request lately. A loss of power of all machines counts both as spent.
+	parkedShare  = 0.5
+	largestShare = 0.25
 	// scarce is the free part below which nothing is held beyond running and
 	// waiting requests.
 	scarce = 0.02
@@ -88,6 +94,7 @@
 	largest int64     // largest reservation or loan lately
 	rate    float64   // of own callers, in tokens per second
 	zone    float64   // of all callers in the zone
+	whole   float64   // of all callers in the fleet
 	last    int64     // taken at the last declaration
 	at      time.Time
 	waiting map[*wait]struct{}
@@ -349,6 +356,7 @@
 		a.rate += weight * (max(float64(a.taken-a.last), 0)/elapsed - a.rate)
 		a.last, a.at = a.taken, now
 		a.zone -= weight * a.zone
+		a.whole -= weight * a.whole
 		a.largest -= int64(weight * float64(a.largest) / 8)
 	}
 	need := a.used
@@ -385,8 +393,10 @@
 	if part < scarce {
 		return holding{}
 	}
-	// What is idle or lost with all instances stays below what is free.
-	factor := min(part/ample, 1)
+	factor := 1.0
+	if whole := max(a.whole, a.rate) * s.cfg.Horizon.Seconds(); whole > 0 {
+		factor = min(parkedShare*float64(a.free)/whole, 1)
+	}
 	rate, fleet := a.rate, 1/float64(max(s.entries, 1))
 	if s.cfg.Role != nil {
 		if zone, all, known := s.cfg.Role(name); known {
@@ -398,13 +408,11 @@
 			rate, fleet = max(a.zone*zone, a.rate), all
 		}
 	}
-	first, largest := 0.0, 0.0
+	first := 0.0
 	if part > ample {
 		first = firstShare * float64(a.total) * fleet
 	}
-	if part > ample/2 {
-		largest = float64(a.largest)
-	}
+	largest := min(float64(a.largest), largestShare*float64(a.free)*fleet)
 	limit := int64(max(rate*s.cfg.Horizon.Seconds()*factor+largest, first))
 	share := nearTime.Seconds() / s.cfg.Horizon.Seconds()
 	lock := max(int64(share*float64(limit)), int64(rate*nearTime.Seconds())+a.largest)
@@ -420,7 +428,7 @@
 		a := s.account(l.Account)
 		a.limit, a.lock, a.total, a.free, a.spare, a.strand, a.known = l.Limit, l.Lock, l.Total, l.Free, l.Spare, l.Stranded, true
 		// After a partition the leader hears of the demand by and by.
-		a.zone = max(a.zone, float64(l.Demand))
+		a.zone, a.whole = max(a.zone, float64(l.Demand)), max(a.whole, float64(l.Whole))
 	}
 	s.round++
 	close(s.changed)
