Leave a zone alone after connection attempts to three of its targets timed out

Cause: when a zone is cut off, each instance found out about each of its targets by two requests that waited 300 ms for a connection; at the grown size a zone has 20 to 23 engines, and the homes of a quarter of the prompts are in it.

Change: a time-out of a connection attempt is an outcome of its own. Three targets of another zone within 2 s, with no answer from the zone between, keep requests away from it for 2 s, unless nothing else has room. Refused connections don't count: they are crashes.

Test: TestCutZone.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -88,6 +88,7 @@
 	targets map[string]*target
 	pools   map[string][]*target
 	near    map[string][]*target // subsets of pools, by pool
+	zones   map[string]*reach    // other zones
 	kinds   map[string]pool.Pool
 	rates   map[string]float64 // failure rates of pools
 }
@@ -106,7 +107,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Balancer{cfg: cfg, targets: map[string]*target{}, pools: map[string][]*target{}, kinds: map[string]pool.Pool{}, rates: map[string]float64{}}
+	return &Balancer{cfg: cfg, targets: map[string]*target{}, pools: map[string][]*target{}, kinds: map[string]pool.Pool{}, rates: map[string]float64{}, zones: map[string]*reach{}}
 }
 
 // Use takes the pools of a ruleset.
@@ -287,6 +288,9 @@
 		if away {
 			cost += serviceCost
 		}
+		if b.isCut(t.listing.Zone, now) {
+			cost += 50
+		}
 		return cost + t.reluctance(now, 50)
 	}
 	cached := t.cached(q.Parts)
@@ -300,6 +304,9 @@
 	if away {
 		cost += distanceCost
 	}
+	if b.isCut(t.listing.Zone, now) {
+		cost += fullCost
+	}
 	if !b.cfg.Connected(t.listing.Address) {
 		cost += dialCost
 	}
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -263,6 +263,47 @@
 	}
 }
 
+// A zone that is cut off must be left alone once some of its targets were
+// silent: each request that finds out about another one waits for a time-out.
+// It must be tried again later, and crashed targets aren't a cut.
+func TestCutZone(t *testing.T) {
+	for _, test := range []struct {
+		outcome balancer.Outcome
+		want    bool // the far zone is left alone
+	}{{balancer.Silent, true}, {balancer.Unreached, false}} {
+		b, c := newBalancer(8)
+		// The near targets are busy, so that far ones are chosen.
+		for range 8 * 20 {
+			p := choose(t, b, balancer.Query{Pool: "services", Avoid: far(8)})
+			defer p.Done(balancer.Left)
+		}
+		query := balancer.Query{Pool: "services", Avoid: map[string]bool{}}
+		for range 3 {
+			p := choose(t, b, query)
+			query.Avoid[p.ID()] = true
+			p.Done(test.outcome)
+		}
+		p := choose(t, b, query)
+		if got := !far(8)[p.ID()]; got != test.want {
+			t.Errorf("%v at 3 targets: got the choice %s, want far ones left alone: %v", test.outcome, p.ID(), test.want)
+		}
+		p.Done(balancer.Left)
+		c.pass(3 * time.Second)
+		if p := choose(t, b, query); !far(8)[p.ID()] {
+			t.Errorf("%v, 3 s later: got %s, want a far target", test.outcome, p.ID())
+		}
+	}
+}
+
+// far returns the services of the other zone of newBalancer.
+func far(n int) map[string]bool {
+	set := map[string]bool{}
+	for i := range n {
+		set[fmt.Sprint("services-far-", i)] = true
+	}
+	return set
+}
+
 // BenchmarkChoose measures the choice among the targets of a pool.
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{6, 45, 1550} {
--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -58,6 +58,7 @@
 	if p.trial {
 		t.trial = false
 	}
+	p.b.observe(t.listing, o)
 	pool := t.listing.Pool
 	before := t.until
 	t.judge(o, p.b.rates[pool], p.b.cfg.Now())
--- a/internal/balancer/target.go
+++ b/internal/balancer/target.go
@@ -36,6 +36,8 @@
 	Broken
 	// Unreached requests got no connection, so that no target has seen them.
 	Unreached
+	// Silent requests got no connection in time, so that no target has seen them.
+	Silent
 	// Late requests got no answer in time.
 	Late
 	// Left requests were given up by the caller.
@@ -46,7 +48,7 @@
 
 // outcomes are the names of outcomes in the log.
 var outcomes = map[Outcome]string{
-	Served: "served", Refused: "refused", Failed: "failed", Broken: "broken", Unreached: "unreached", Late: "late", Left: "left",
+	Served: "served", Refused: "refused", Failed: "failed", Broken: "broken", Unreached: "unreached", Silent: "silent", Late: "late", Left: "left",
 	Misdirected: "misdirected",
 }
 
@@ -135,11 +137,11 @@
 		t.breaks = 0
 	case Misdirected:
 		t.breaks = breakLimit
-	case Broken, Late, Unreached:
+	case Broken, Late, Unreached, Silent:
 		failed = 1
 		t.breaks++
 	}
-	t.unreached = o == Unreached
+	t.unreached = o == Unreached || o == Silent
 	t.failures += failureWeight * (failed - t.failures)
 	if t.breaks >= breakLimit || t.failures > rate+failureLimit {
 		t.pause = min(max(2*t.pause, firstPause), maxPause)
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -94,13 +94,18 @@
 	return &Exchanger{cfg: cfg, idle: map[string][]*conn{}}
 }
 
+// ErrSilent is the error of a connection attempt that nothing has answered. It
+// wraps fault.Unavailable.
+var ErrSilent = eris.Wrap(fault.Unavailable, "no connection in time")
+
 // ErrUnbegun is the error of a request that was withdrawn, and that the target
 // dropped before it had made a part of an answer.
 var ErrUnbegun = errors.New("request was withdrawn before its answer began")
 
 // Send writes a request and returns the answer once its header has arrived.
 // When ctx ends, the request is withdrawn, also while the body is being read.
-// The error wraps fault.Unavailable if the target can't have seen the request,
+// The error wraps fault.Unavailable if the target can't have seen the request
+// (ErrSilent if the attempt to connect timed out),
 // ErrUnbegun if it dropped it, and fault.Uncertain if it may have run it.
 func (e *Exchanger) Send(ctx context.Context, q *Request) (*Answer, error) {
 	c, err := e.connect(ctx, q)
@@ -142,6 +147,9 @@
 		_ = c.Close()
 	}
 	raw, err := e.cfg.Dial(ctx, q.Address)
+	if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
+		return nil, eris.Wrapf(ErrSilent, "target at %s: %v", q.Address, err)
+	}
 	if err != nil {
 		return nil, eris.Wrapf(fault.Unavailable, "target at %s: %v", q.Address, err)
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -130,7 +130,11 @@
 	a, err := x.f.cfg.Exchanger.Send(ctx, x.request(pick))
 	if err != nil && fault.Of(err) == fault.Unavailable {
 		x.sends++ // bounds the attempts, also those that reach no target
-		pick.Done(x.outcome(ctx, balancer.Unreached))
+		o := balancer.Unreached
+		if errors.Is(err, exchanger.ErrSilent) {
+			o = balancer.Silent
+		}
+		pick.Done(x.outcome(ctx, o))
 		return x.unless(unsent), err
 	}
 	x.sends++
