--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -43,7 +43,8 @@
 	Logger *zap.Logger
 }
 
-// Gossiper is safe for concurrent use.
+// Gossiper reports the work in flight and sums up what others report. It is safe
+// for concurrent use.
 type Gossiper struct {
 	cfg Config
 
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -50,7 +50,8 @@
 	Logger  *zap.Logger
 }
 
-// Lender is safe for concurrent use.
+// Lender asks other entry instances for loans and answers them. It is safe for
+// concurrent use.
 type Lender struct {
 	cfg Config
 
@@ -224,8 +225,8 @@
 }
 
 // Return gives tokens that were taken out of the own allowance to lenders of
-// the zone. What can't be given is lost to this fleet until its incarnation is
-// followed: the lender may have got it.
+// the zone. They stay taken out if the call fails, since the lender may have got
+// them.
 func (l *Lender) Return(ctx context.Context, amounts map[string]int64) {
 	messages := map[string]*wire.RepayRequest{}
 	for _, account := range slices.Sorted(maps.Keys(amounts)) {
