--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -17,9 +17,8 @@
 	// defaultHorizon is the time for which a limit lasts while much is free.
 	// It covers a partition of some seconds.
 	defaultHorizon = 10 * time.Second
-	// ample is the free part of a budget from which a part is held before any
-	// demand is known.
-	ample = 0.18
+	// ample is the free part of a budget from which the whole horizon is held.
+	ample = 0.25
 	// parkedShare is the most that all instances together hold for the demand,
 	// as a part of what is free, and largestShare the most for the largest
 	// request lately. A loss of power of all machines counts both as spent.
@@ -393,9 +392,10 @@
 	if part < scarce {
 		return holding{}
 	}
-	factor := 1.0
+	// The square keeps what a loss of power strands small when little is left.
+	factor := min(part*part/(ample*ample), 1)
 	if whole := max(a.whole, a.rate) * s.cfg.Horizon.Seconds(); whole > 0 {
-		factor = min(parkedShare*float64(a.free)/whole, 1)
+		factor = min(parkedShare*float64(a.free)/whole, factor)
 	}
 	rate, fleet := a.rate, 1/float64(max(s.entries, 1))
 	if s.cfg.Role != nil {
@@ -412,7 +412,10 @@
 	if part > ample {
 		first = firstShare * float64(a.total) * fleet
 	}
-	largest := min(float64(a.largest), largestShare*float64(a.free)*fleet)
+	largest := 0.0
+	if part > ample/2 {
+		largest = min(float64(a.largest), largestShare*float64(a.free)*fleet)
+	}
 	limit := int64(max(rate*s.cfg.Horizon.Seconds()*factor+largest, first))
 	share := nearTime.Seconds() / s.cfg.Horizon.Seconds()
 	lock := max(int64(share*float64(limit)), int64(rate*nearTime.Seconds())+a.largest)
