--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -214,78 +213,6 @@
 	return eris.Wrapf(fault.Overloaded, "account %s: %d tokens are needed, the limit leaves %d", name, tokens, a.limit-a.used)
 }
 
-// borrow reserves tokens with the help of other instances. It returns nil if
-// they don't have enough.
-func (s *Spender) borrow(ctx context.Context, name string, a *account, tokens int64) *Reservation {
-	if s.cfg.Borrow == nil {
-		return nil
-	}
-	for range maxLoans {
-		s.mu.Lock()
-		missing := a.used + tokens - s.bound(a)
-		if missing <= 0 {
-			defer s.mu.Unlock()
-			return s.take(a, tokens)
-		}
-		s.mu.Unlock()
-		if !s.cfg.Borrow(ctx, name, missing) {
-			return nil
-		}
-	}
-	return nil
-}
-
-// Lend takes tokens out of the allowance of an account for another instance, all
-// or none, and reports whether it did.
-func (s *Spender) Lend(name string, tokens int64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a := s.account(name)
-	a.largest = max(a.largest, tokens)
-	if s.closed || a.used+tokens > s.bound(a) {
-		return false
-	}
-	a.used += tokens
-	return true
-}
-
-// Receive adds tokens that another instance has taken out of its allowance.
-func (s *Spender) Receive(name string, tokens int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.account(name).used -= tokens
-}
-
-// Surplus takes out and returns what is borrowed beyond the use, of the accounts
-// for which keep is false.
-func (s *Spender) Surplus(keep func(account string) bool) map[string]int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	amounts := map[string]int64{}
-	for name, a := range s.accounts {
-		if a.used < 0 && !keep(name) {
-			amounts[name] = -a.used
-			a.used = 0
-		}
-	}
-	return amounts
-}
-
-// Empty takes out and returns all that may still be spent.
-func (s *Spender) Empty() map[string]int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	amounts := map[string]int64{}
-	for name, a := range s.accounts {
-		if rest := s.bound(a) - a.used; rest > 0 {
-			amounts[name] = rest
-			a.used += rest
-		}
-	}
-	return amounts
-}
-
 // bound returns what may be spent now. The caller holds mu.
 func (s *Spender) bound(a *account) int64 {
 	if s.cfg.Alone() {
@@ -330,98 +257,6 @@
 	r.s = nil
 }
 
-// Declare returns the limits that are kept until the reply, and those asked
-// for. What is declared lower is given up at once.
-func (s *Spender) Declare() []*wire.Allowance {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.cfg.Now()
-	var list []*wire.Allowance
-	for name, a := range s.accounts {
-		list = append(list, s.declare(name, a, now))
-	}
-	return list
-}
-
-// declare updates the demand of an account and returns its allowance. The
-// caller holds mu.
-func (s *Spender) declare(name string, a *account, now time.Time) *wire.Allowance {
-	if elapsed := now.Sub(a.at).Seconds(); elapsed > 0.02 {
-		weight := 1 - math.Exp(-elapsed/memory.Seconds())
-		if age := now.Sub(a.begun).Seconds(); !a.begun.IsZero() && age < memory.Seconds() {
-			// Until then, the average is over the time since the first request.
-			weight = min(max(weight, elapsed/max(age, 1)), 1)
-		}
-		a.rate += weight * (max(float64(a.taken-a.last), 0)/elapsed - a.rate)
-		a.last, a.at = a.taken, now
-		a.zone -= weight * a.zone
-		a.whole -= weight * a.whole
-		a.largest -= int64(weight * float64(a.largest) / 8)
-	}
-	need := a.used
-	for w := range a.waiting {
-		need += w.tokens
-	}
-	if len(a.waiting) == 0 {
-		need = 0
-	}
-	h := s.hold(name, a)
-	if target := max(a.used+int64(keep*float64(h.limit)), 0); a.limit > target {
-		a.limit = target
-	}
-	q := &wire.Allowance{Account: name, Limit: a.limit, Need: max(need, 0), Used: max(a.used, 0), Rate: int64(a.rate)}
-	if float64(a.limit-a.used) < low*float64(h.limit) || need > a.limit {
-		q.Want = max(a.used+h.limit, need, 0)
-	}
-	q.Lock = max(a.used+h.lock, need, 0)
-	a.lock = min(a.lock, q.Lock)
-	return q
-}
-
-// holding is what is held of an account beyond the use, in tokens: the whole,
-// and the part for the time in which the core instances answer, or until they
-// have been silent for long.
-type holding struct{ limit, lock int64 }
-
-// hold returns what is to be held of an account. The caller holds mu.
-func (s *Spender) hold(name string, a *account) holding {
-	if !a.known || a.total <= 0 {
-		return holding{}
-	}
-	part := float64(a.free) / float64(a.total)
-	if part < scarce {
-		return holding{}
-	}
-	// The square keeps what a loss of power strands small when little is left.
-	factor := min(part*part/(ample*ample), 1)
-	if whole := max(a.whole, a.rate) * s.cfg.Horizon.Seconds(); whole > 0 {
-		factor = min(parkedShare*float64(a.free)/whole, factor)
-	}
-	rate, fleet := a.rate, 1/float64(max(s.entries, 1))
-	if s.cfg.Role != nil {
-		if zone, all, known := s.cfg.Role(name); known {
-			if zone == 0 {
-				// The lenders hold the rest.
-				near := int64(a.rate * nearTime.Seconds() * factor)
-				return holding{near, near}
-			}
-			rate, fleet = max(a.zone*zone, a.rate), all
-		}
-	}
-	first := 0.0
-	if part > ample {
-		first = firstShare * float64(a.total) * fleet
-	}
-	largest := 0.0
-	if part > ample/2 {
-		largest = min(float64(a.largest), largestShare*float64(a.free)*fleet)
-	}
-	limit := int64(max(rate*s.cfg.Horizon.Seconds()*factor+largest, first))
-	share := nearTime.Seconds() / s.cfg.Horizon.Seconds()
-	lock := max(int64(share*float64(limit)), int64(rate*nearTime.Seconds())+a.largest)
-	return holding{limit, min(limit, lock)}
-}
-
 // Learn takes the limits of the reply to the last declaration.
 func (s *Spender) Learn(limits []*wire.Limit, entries int) {
 	s.mu.Lock()
