Log lost elections, unreachable peers and slow storage of the replicated log

Cause: the logs of the incident couldn't tell its hypotheses apart. They said that no leader was known, but not which voter was missing, since when, and why the member with a good disk was not elected.

Change: a leader logs a peer that has not answered for an election timeout, and that it answers again; a candidate logs a lost election with the answers of the voters if they differ from those of the election before; an operation that holds the storage lock for longer than an election timeout is logged with its time and whether the member led. No decision changes.

--- a/internal/replicator/apply.go
+++ b/internal/replicator/apply.go
@@ -94,8 +94,8 @@
 		r.cfg.Logger.Error("failed to encode snapshot", zap.Error(err))
 		return
 	}
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	r.mu.Lock()
 	// A snapshot from the leader may have replaced the log in the meantime.
 	superseded := r.failed != nil || r.log.snapshotIndex >= image.Index
--- a/internal/replicator/ballot.go
+++ b/internal/replicator/ballot.go
@@ -125,8 +125,8 @@
 }
 
 func (r *Replicator) saveCommit() {
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	b := r.copyBallot()
 	r.mu.Lock()
 	due := r.failed == nil && b.Started && r.commit > b.Commit
@@ -138,8 +138,8 @@
 
 // adoptTerm moves to a higher term seen in a reply.
 func (r *Replicator) adoptTerm(term uint64) {
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	if b := r.copyBallot(); term > b.Term {
 		b.Term, b.Vote = term, ""
 		_ = r.saveBallot(b)
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -38,6 +38,7 @@
 	initialMembers []string
 	voterCount     int
 	installs       atomic.Int64
+	logger         *zap.Logger
 	states         map[*Replicator]*state
 	history        [][]byte // commands by index, as first applied
 }
@@ -80,7 +81,7 @@
 }
 
 func newCluster(t testing.TB, seed uint64, names ...string) *cluster {
-	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, names: names, blocked: map[[2]string]bool{}, states: map[*Replicator]*state{}, snapshotEvery: 50, election: defaultElectionTimeout}
+	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, names: names, blocked: map[[2]string]bool{}, states: map[*Replicator]*state{}, snapshotEvery: 50, election: defaultElectionTimeout, logger: zap.NewNop()}
 	for _, name := range names {
 		c.nodes[name] = &node{name: name, disk: newDisk(t, seed), resumed: closedChan()}
 	}
@@ -145,7 +146,7 @@
 		},
 		After:  func(d time.Duration) <-chan time.Time { return c.after(n, d) },
 		Random: c.uint64, Journal: d.open, Load: d.load, Store: d.store,
-		HeartbeatInterval: c.election / 5, ElectionTimeout: c.election, SnapshotEvery: c.snapshotEvery, ChunkSize: 64, Logger: zap.NewNop(),
+		HeartbeatInterval: c.election / 5, ElectionTimeout: c.election, SnapshotEvery: c.snapshotEvery, ChunkSize: 64, Logger: c.logger,
 	})
 	if err != nil {
 		c.t.Fatalf("start %s: %v", name, err)
@@ -361,3 +362,8 @@
 	defer s.mu.Unlock()
 	return s.Applied
 }
+
+// others returns the names of all nodes except the given one.
+func (c *cluster) others(name string) []string {
+	return slices.DeleteFunc(slices.Clone(c.names), func(n string) bool { return n == name })
+}
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -95,8 +96,8 @@
 // becomeCandidate votes for this member in the term after term, unless a
 // leader has made contact since the caller read lastContact.
 func (r *Replicator) becomeCandidate(term uint64, contact time.Time, transfer bool) bool {
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	b := r.copyBallot()
 	r.mu.Lock()
 	stale := b.Term != term || !transfer && r.lastContact.After(contact)
@@ -126,42 +127,67 @@
 	type answer struct {
 		voter   string
 		granted bool
+		err     error
 	}
 	answers := make(chan answer, len(voters))
 	for _, v := range voters {
 		if v == self {
-			answers <- answer{v, true}
+			answers <- answer{v, true, nil}
 			continue
 		}
-		r.group.Go(func() { answers <- answer{v, r.requestVote(ctx, v, q)} })
+		r.group.Go(func() {
+			ok, err := r.requestVote(ctx, v, q)
+			answers <- answer{v, ok, err}
+		})
 	}
 	granted := map[string]bool{}
-	refused := map[string]bool{}
+	refused := map[string]string{}
 	for range voters {
 		a := <-answers
-		granted[a.voter], refused[a.voter] = a.granted, !a.granted
+		switch {
+		case a.granted:
+			granted[a.voter] = true
+		case a.err != nil:
+			refused[a.voter] = a.err.Error()
+		default:
+			refused[a.voter] = "refused"
+		}
 		if hasMajority(voters, func(v string) bool { return granted[v] }) {
+			r.logElection(term, "")
 			return true
 		}
-		if !hasMajority(voters, func(v string) bool { return !refused[v] }) {
+		if !hasMajority(voters, func(v string) bool { return refused[v] == "" }) {
+			r.logElection(term, fmt.Sprint(refused))
 			return false
 		}
 	}
 	return false
 }
 
+// logElection logs a lost election if the answers of the voters differ from
+// those of the one before; refused is "" if the election was won.
+func (r *Replicator) logElection(term uint64, refused string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if refused != "" && refused != r.lastElection {
+		r.cfg.Logger.Info("election lost", zap.String("member", r.ballot.Member), zap.Uint64("term", term),
+			zap.String("leader", r.leader), zap.Time("contact", r.lastContact), zap.String("answers", refused))
+	}
+	r.lastElection = refused
+}
+
 // requestVote asks one voter and reports whether it granted its vote.
-func (r *Replicator) requestVote(ctx context.Context, voter string, q *wire.VoteRequest) bool {
+func (r *Replicator) requestVote(ctx context.Context, voter string, q *wire.VoteRequest) (bool, error) {
 	q = proto.CloneOf(q)
 	q.To = voter
 	reply, err := r.cfg.Vote(ctx, instance(voter), q)
 	if err != nil {
-		return false
+		return false, err
 	}
 	if reply.Term > q.Term || q.Probe && reply.Term == q.Term {
 		r.adoptTerm(reply.Term)
 	}
-	return reply.Granted
+	return reply.Granted, nil
 }
 
 // Vote handles the vote request of a candidate, and the request of a folder
@@ -170,8 +196,8 @@
 	if q.Disk != "" {
 		return r.handshake(q)
 	}
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	r.mu.Lock()
 	b, granted, err := r.decideVote(q)
 	changed := err == nil && (b.Term != r.ballot.Term || b.Vote != r.ballot.Vote)
--- a/internal/replicator/follow.go
+++ b/internal/replicator/follow.go
@@ -12,8 +12,8 @@
 // Append handles entries from the leader. A request without entries is a
 // heartbeat.
 func (r *Replicator) Append(_ context.Context, q *wire.AppendRequest) (*wire.AppendReply, error) {
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	term, err := r.acceptLeader(q.Term, q.Leader, q.To)
 	if err != nil {
 		return nil, err
--- a/internal/replicator/install.go
+++ b/internal/replicator/install.go
@@ -61,8 +61,8 @@
 
 // Install receives a snapshot from the leader in sequential chunks.
 func (r *Replicator) Install(_ context.Context, q *wire.InstallRequest) (*wire.InstallReply, error) {
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	term, err := r.acceptLeader(q.Term, q.Leader, q.To)
 	if err != nil {
 		return nil, err
--- a/internal/replicator/leader_state.go
+++ b/internal/replicator/leader_state.go
@@ -32,14 +32,15 @@
 	matchIndex  uint64    // last entry known to be durable on the peer
 	readRound   uint64    // last heartbeat round acknowledged
 	lastContact time.Time // send time of the last message that was answered
+	unreachable bool      // logged as such
 	wake        chan struct{}
 	cancel      context.CancelFunc
 }
 
 // becomeLeader starts leadership after a won election.
 func (r *Replicator) becomeLeader(term uint64) {
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.failed != nil || !r.candidate || r.ballot.Term != term {
@@ -105,6 +106,7 @@
 func (r *Replicator) replicate(ctx context.Context, ls *leaderState, p *peer) {
 	for ctx.Err() == nil {
 		more, err := r.sendAppend(ctx, ls, p)
+		r.logReachability(ls, p, err)
 		switch {
 		case err != nil:
 			r.pause(ctx, r.cfg.HeartbeatInterval, nil)
@@ -114,6 +116,23 @@
 	}
 }
 
+// logReachability logs that p has not answered for an election timeout, and
+// that it answers again.
+func (r *Replicator) logReachability(ls *leaderState, p *peer, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	silence := r.cfg.Now().Sub(p.lastContact)
+	switch {
+	case r.leading != ls:
+	case err != nil && !p.unreachable && silence > r.cfg.ElectionTimeout:
+		p.unreachable = true
+		r.cfg.Logger.Warn("peer unreachable", zap.String("peer", p.member), zap.Duration("silence", silence), zap.Uint64("index", p.matchIndex), zap.Error(err))
+	case err == nil && p.unreachable:
+		p.unreachable = false
+		r.cfg.Logger.Info("peer reachable again", zap.String("peer", p.member), zap.Uint64("index", p.matchIndex))
+	}
+}
+
 // sendAppend sends one message to p and reports whether there is more to
 // send.
 func (r *Replicator) sendAppend(ctx context.Context, ls *leaderState, p *peer) (bool, error) {
--- a/internal/replicator/propose.go
+++ b/internal/replicator/propose.go
@@ -109,8 +109,8 @@
 }
 
 func (r *Replicator) writeQueued() {
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	r.mu.Lock()
 	ls, batch := r.leading, r.queue
 	r.queue, r.writing, r.writeStart = nil, len(batch) > 0, r.cfg.Now()
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -23,6 +23,8 @@
 	// locked before mu. No file operation runs under mu, so reads and
 	// step-downs never wait for a slow disk.
 	diskMu sync.Mutex
+	// diskSince is when diskMu was acquired; guarded by mu.
+	diskSince time.Time
 	// incoming is the snapshot being received; guarded by diskMu.
 	incoming partialSnapshot
 
@@ -37,8 +39,9 @@
 	electionReset      time.Time // last election, granted vote or step-down
 	commit             uint64
 	applied            uint64
-	bytesSinceSnapshot int   // command bytes applied since the last snapshot
-	failed             error // why this member stopped voting and accepting entries
+	bytesSinceSnapshot int    // command bytes applied since the last snapshot
+	failed             error  // why this member stopped voting and accepting entries
+	lastElection       string // result of the last election as logged
 	leading            *leaderState
 	queue              []*proposal
 	writing            bool      // a batch is being written
@@ -124,8 +127,8 @@
 	r.stepDown("stop")
 	r.mu.Unlock()
 	r.group.Wait()
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	if err := r.log.journal.Close(); err != nil {
 		r.cfg.Logger.Error("failed to close journal", zap.Error(err))
 	}
--- a/internal/replicator/start.go
+++ b/internal/replicator/start.go
@@ -96,8 +96,8 @@
 // saveIdentity stores the member identity of the folder. With rejoin it is a
 // new identity, and the initial members are dropped.
 func (r *Replicator) saveIdentity(disks map[string]string, rejoin bool) {
-	r.diskMu.Lock()
-	defer r.diskMu.Unlock()
+	r.lockDisk()
+	defer r.unlockDisk()
 	b := r.copyBallot()
 	b.Started, b.Member, b.Disks = true, r.cfg.Name, disks
 	if rejoin {
