Add failing tests of a replicated log after storage errors

The tests fail on this code, each time: a member doesn't resume after a full disk or failed syncs, whether it leads or not, and three disks that are full one after another leave no leader; a leader whose disk hangs in the ballot file leads on.

--- a/internal/replicator/disk_test.go
+++ b/internal/replicator/disk_test.go
@@ -25,14 +25,49 @@
 	random   *rand.Rand
 	ballot   []byte
 	unsynced map[*os.File]int64 // file size before the unsynced writes
+	// dropped holds files whose sync has failed. As on Linux, a later sync
+	// reports success although the earlier writes are lost.
+	dropped  map[*os.File]bool
 	crashed  bool
 	opsLeft  int           // operations until a simulated power failure, 0 for none
 	fail     bool          // operations fail, but the process continues
+	full     bool          // writes fail, as on a full disk
+	space    int           // size of the largest write that succeeds, 0 for any
+	failSync bool          // syncs fail
 	hang     chan struct{} // if not nil, syncs block until it is closed
+	// hangBallot blocks writes of the ballot until it is closed, if not nil.
+	hangBallot chan struct{}
+}
+
+// setFull makes writes fail, or succeed again.
+func (d *fakeDisk) setFull(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = on
+}
+
+// setSpace makes larger writes fail; 0 allows all.
+func (d *fakeDisk) setSpace(space int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.space = space
+}
+
+// setSyncFailure makes syncs fail, or succeed again.
+func (d *fakeDisk) setSyncFailure(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failSync = on
+}
+
+func (d *fakeDisk) setBallotHang(hang chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hangBallot = hang
 }
 
 func newDisk(t testing.TB, seed uint64) *fakeDisk {
-	return &fakeDisk{path: t.TempDir(), random: rand.New(rand.NewPCG(seed, 2)), unsynced: map[*os.File]int64{}}
+	return &fakeDisk{path: t.TempDir(), random: rand.New(rand.NewPCG(seed, 2)), unsynced: map[*os.File]int64{}, dropped: map[*os.File]bool{}}
 }
 
 // restart makes the disk usable by a new process.
@@ -103,6 +138,10 @@
 		}
 		d.unsynced[f] = info.Size()
 	}
+	if d.full || d.space > 0 && len(data) > d.space {
+		n, _ := f.Write(data[:len(data)/2])
+		return n, errDisk
+	}
 	return f.Write(data)
 }
 
@@ -118,7 +157,13 @@
 	if d.countOp() {
 		return errDisk
 	}
-	delete(d.unsynced, f)
+	if d.failSync {
+		d.dropped[f] = true
+		return errDisk
+	}
+	if !d.dropped[f] {
+		delete(d.unsynced, f)
+	}
 	return nil
 }
 
@@ -143,9 +188,18 @@
 // store replaces the ballot. If the power fails during the call, the write
 // may or may not complete.
 func (d *fakeDisk) store(_ string, data []byte) error {
+	d.mu.Lock()
+	hang := d.hangBallot
+	d.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	running := !d.crashed
+	if d.full || d.failSync {
+		return errDisk
+	}
 	if d.countOp() {
 		if running && d.crashed && d.random.IntN(2) == 0 {
 			d.ballot = bytes.Clone(data)
--- /dev/null
+++ b/internal/replicator/storage_test.go
@@ -0,0 +1,134 @@
+package replicator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// catchUpTime is how long after the end of a storage error a member may take
+// until it counts for the quorum again. It is the bound of the platform, within
+// which a machine that is back still counts as lost.
+const catchUpTime = 4 * time.Second
+
+// A storage error that ends must not cost a voter for good: the next loss of a
+// machine would take the quorum, and with it acknowledged entries until somebody
+// restarts the process.
+func TestMemberResumesAfterStorageError(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		leader  bool // whether the disk of the leader fails first
+		rounds  int  // disks that fail one after another
+		failure func(d *fakeDisk, on bool)
+	}{
+		{"full disk of a follower", false, 1, (*fakeDisk).setFull},
+		{"full disk of the leader", true, 1, (*fakeDisk).setFull},
+		{"failed syncs of a follower", false, 1, (*fakeDisk).setSyncFailure},
+		{"failed syncs of the leader", true, 1, (*fakeDisk).setSyncFailure},
+		{"all disks one after another", true, 3, (*fakeDisk).setFull},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withCluster(t, 16, func(t *testing.T, c *cluster) {
+				for n := range test.rounds {
+					leader, _ := c.leader()
+					name := leader
+					if !test.leader {
+						name = c.others(leader)[0]
+					}
+					test.failure(c.nodes[name].disk, true)
+					c.propose(fmt.Sprint("failing", n, "=x"))
+					time.Sleep(3 * time.Second)
+					test.failure(c.nodes[name].disk, false)
+					time.Sleep(catchUpTime)
+				}
+				c.awaitApplied()
+				leader, _ := c.leader()
+				c.crash(leader)
+				c.propose("after=x")
+				c.start(leader)
+				c.awaitApplied()
+			})
+		})
+	}
+}
+
+// A restart after a storage error must find everything that was acknowledged
+// before and after it.
+func TestRestartAfterStorageError(t *testing.T) {
+	withCluster(t, 17, func(t *testing.T, c *cluster) {
+		leader, _ := c.leader()
+		name := c.others(leader)[0]
+		c.propose("k=before")
+		c.nodes[name].disk.setFull(true)
+		c.propose("k=during")
+		time.Sleep(time.Second)
+		c.nodes[name].disk.setFull(false)
+		time.Sleep(catchUpTime)
+		c.propose("k=after")
+		c.awaitApplied()
+		c.stopAll()
+		c.startAll()
+		c.awaitApplied()
+		for _, n := range c.names {
+			if got, want := c.nodes[n].state.get("k"), "after"; got != want {
+				t.Errorf("%s: got %q, want %q", n, got, want)
+			}
+		}
+	})
+}
+
+// isStopped reports whether the member takes no part after a failure.
+func (r *Replicator) isStopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed != nil
+}
+
+// A disk with little space left takes a small write and refuses the next batch.
+// A member that resumed there would stop again at once, and could depose a
+// leader each time.
+func TestMemberStaysStoppedWithoutSpaceForBatch(t *testing.T) {
+	withCluster(t, 18, func(t *testing.T, c *cluster) {
+		leader, _ := c.leader()
+		name := c.others(leader)[0]
+		d := c.nodes[name].disk
+		d.setFull(true)
+		c.propose("k=x")
+		time.Sleep(time.Second)
+		d.setFull(false)
+		d.setSpace(maxBatchBytes / 2)
+		for range 20 {
+			time.Sleep(time.Second)
+			if m, _ := c.running(name); !m.isStopped() {
+				t.Fatal("got a member that resumed without space for a batch")
+			}
+		}
+		d.setSpace(0)
+		time.Sleep(catchUpTime)
+		c.awaitApplied()
+	})
+}
+
+// A leader that waits for its ballot file can't write proposals. If it kept
+// leading, nothing would be committed for as long as the disk hangs. It runs in
+// real time because a goroutine that waits for the disk holds a mutex.
+func TestSlowBallotStepsDown(t *testing.T) {
+	c := newCluster(t, 19, "a", "b", "c")
+	c.election = 100 * time.Millisecond
+	c.startAll()
+	defer c.stopAll()
+	c.awaitApplied()
+	name, _ := c.leader()
+	hang := make(chan struct{})
+	defer close(hang)
+	c.nodes[name].disk.setBallotHang(hang)
+	c.propose("k=x")
+	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(c.election) {
+		for _, other := range c.others(name) {
+			if m, _ := c.running(other); m.Leader() == other {
+				return
+			}
+		}
+	}
+	t.Errorf("leader: got %s after 5 s with a hanging disk, want another member", name)
+}
