Resume a member of the log when its storage works again

What callers saw: one disk that was full for 4.5 s, and the loss of another machine 4 s after it was free again, left two of three voters out for good. Rulesets that had been acknowledged could not be read back, later ones were not accepted, targets could not announce themselves, and half of the model requests were refused at the end.

A temporary fault of one machine used up the tolerance of the deployment until somebody restarted the process.

The member then stores its ballot anew and takes part again. What it tried to write when it stopped was neither acknowledged nor sent. Attempts are 0.25 to 1 s apart.

Why it works: the files hold again what the member had promised, as after a restart, so the arguments of docs/consensus.md for restarts hold.

--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -11,7 +11,9 @@
 	records [][]byte
 	done    chan struct{}
 	base    uint64 // position of the first record; set before done is closed
-	err     error
+	// err is set before done is closed, or by Recover for a batch that was
+	// queued before the failure.
+	err error
 }
 
 // Append appends the records, waits until they are durable and returns the
@@ -68,8 +70,13 @@
 	defer j.writeMu.Unlock()
 	defer close(b.done)
 	j.mu.Lock()
-	j.pending, j.syncing = nil, b
-	b.base, b.err = j.next, j.failed
+	if j.pending == b {
+		j.pending = nil
+	}
+	j.syncing, b.base = b, j.next
+	if b.err == nil {
+		b.err = j.failed
+	}
 	j.mu.Unlock()
 	for rest := b.records; len(rest) > 0 && b.err == nil; {
 		n := countForFrame(rest)
--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -108,7 +108,7 @@
 		data = []byte{}
 	}
 	h := header{generation: generation, position: position}
-	file, err := j.replace(snapshotName, encodeFile(snapshotMagic, h, data))
+	file, err := j.replace(snapshotName, encodeFile(snapshotMagic, h, data), 0)
 	if err != nil {
 		return err
 	}
@@ -122,6 +122,12 @@
 // rewrite replaces the log with one that holds the given records, starting at
 // position base. The caller holds writeMu or is Open.
 func (j *Journal) rewrite(base uint64, records [][]byte) error {
+	return j.rewriteWithReserve(base, records, 0)
+}
+
+// rewriteWithReserve is rewrite, and fails if the disk has no room for reserve
+// more bytes.
+func (j *Journal) rewriteWithReserve(base uint64, records [][]byte, reserve int) error {
 	data := encodeFile(logMagic, header{generation: j.generation, position: base}, nil)
 	var frames []frame
 	next := base
@@ -133,11 +139,11 @@
 		next += uint64(n)
 		records = records[n:]
 	}
-	return j.replaceLog(data, frames, base, next)
+	return j.replaceLog(data, frames, base, next, reserve)
 }
 
-func (j *Journal) replaceLog(data []byte, frames []frame, base, next uint64) error {
-	file, err := j.replace(logName, data)
+func (j *Journal) replaceLog(data []byte, frames []frame, base, next uint64, reserve int) error {
+	file, err := j.replace(logName, data, reserve)
 	if err != nil {
 		return err
 	}
@@ -147,13 +153,13 @@
 		_ = j.file.Close()
 	}
 	j.file, j.frames, j.size = file, frames, int64(len(data))
-	j.base, j.next = base, next
+	j.base, j.next, j.logGeneration = base, next, j.generation
 	return nil
 }
 
 // replace atomically replaces a file and returns the new one, open for
-// appending.
-func (j *Journal) replace(name string, data []byte) (*os.File, error) {
+// appending. It fails if the disk has no room for reserve more bytes.
+func (j *Journal) replace(name string, data []byte, reserve int) (*os.File, error) {
 	path := j.path(name + tempSuffix)
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_RDWR|os.O_APPEND, 0o600)
 	if err != nil {
@@ -164,6 +170,11 @@
 		_ = os.Remove(path)
 		return nil, eris.Wrapf(fault.Corrupt, "write %s: %v", path, err)
 	}
+	if err := j.checkReserve(file, len(data), reserve); err != nil {
+		_ = file.Close()
+		_ = os.Remove(path)
+		return nil, eris.Wrapf(fault.Corrupt, "reserve %d bytes in %s: %v", reserve, path, err)
+	}
 	err = j.cfg.Sync(file)
 	if err == nil {
 		err = j.cfg.Rename(path, j.path(name))
--- a/internal/journal/disk_test.go
+++ b/internal/journal/disk_test.go
@@ -22,6 +22,9 @@
 	synced  map[uint64]int64 // by inode
 	renames []rename
 	syncs   int
+	// dropped holds files whose sync has failed. As on Linux, a later
+	// sync reports success although the earlier writes are lost.
+	dropped map[*os.File]bool
 	// Errors that the operations return, if set.
 	writeErr, syncErr, renameErr error
 }
@@ -33,7 +36,7 @@
 }
 
 func newDisk(path string, seed uint64) *disk {
-	return &disk{path: path, random: rand.New(rand.NewPCG(seed, 1)), synced: map[uint64]int64{}}
+	return &disk{path: path, random: rand.New(rand.NewPCG(seed, 1)), synced: map[uint64]int64{}, dropped: map[*os.File]bool{}}
 }
 
 func (d *disk) config() Config {
@@ -54,13 +57,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.syncs++
-	if d.syncErr != nil {
-		return d.syncErr
-	}
 	info, err := f.Stat()
 	if err != nil {
 		return err
 	}
+	if d.syncErr != nil {
+		d.dropped[f] = true
+		return d.syncErr
+	}
+	if d.dropped[f] {
+		return nil
+	}
 	if info.IsDir() && f.Name() == d.path {
 		d.renames = nil
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -39,7 +39,8 @@
 
 // Journal is an append-only sequence of records with a snapshot of the state
 // before them. It is safe for concurrent use. After a failed write or sync it
-// only allows reads, since the operating system may have dropped dirty pages.
+// only allows reads, since the operating system may have dropped dirty pages,
+// until Recover succeeds.
 type Journal struct {
 	cfg Config
 
@@ -54,11 +55,14 @@
 	first      uint64
 	next       uint64
 	generation uint64
-	snapshot   []byte
-	pending    *batch
-	syncing    *batch
-	failed     error
-	tornBytes  int64
+	// logGeneration is the generation of the log. It is lower than that of the
+	// snapshot if a Reset failed halfway.
+	logGeneration uint64
+	snapshot      []byte
+	pending       *batch
+	syncing       *batch
+	failed        error
+	tornBytes     int64
 }
 
 // Open opens the journal in cfg.Path or creates an empty one. It truncates and
@@ -237,7 +241,7 @@
 	if j.tornBytes = int64(len(data) - size); j.tornBytes > 0 {
 		j.cfg.Logger.Warn("torn tail truncated", zap.String("path", j.cfg.Path),
 			zap.Int64("bytes", j.tornBytes), zap.Uint64("position", j.next))
-		if j.replaceLog(data[:size], frames, j.base, j.next) == nil {
+		if j.replaceLog(data[:size], frames, j.base, j.next, 0) == nil {
 			return nil
 		}
 		// On a full disk no new file can be written, but the old one can be
@@ -250,7 +254,7 @@
 	if err != nil {
 		return eris.Wrapf(fault.Corrupt, "open: %v", err)
 	}
-	j.file, j.frames, j.size = file, frames, int64(size)
+	j.file, j.frames, j.size, j.logGeneration = file, frames, int64(size), j.generation
 	if err := j.cfg.Sync(file); err != nil {
 		return eris.Wrapf(fault.Corrupt, "sync: %v", err)
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -31,7 +31,7 @@
 		first, want := uint64(0), [][]byte{} // acknowledged
 		var snapshot []byte
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"append", "append", "fail", "crash", "compact", "truncate", "reset"}).Draw(t, "op") {
+			switch rapid.SampledFrom([]string{"append", "append", "fail", "recover", "crash", "compact", "truncate", "reset"}).Draw(t, "op") {
 			case "append":
 				records := [][]byte{fmt.Appendf(nil, "%d", step), bytes.Repeat([]byte{byte(step)}, step*10)}
 				if _, err := j.Append(records); err != nil {
@@ -49,6 +49,11 @@
 				d.crash(t)
 				j = open(t, d)
 				want = append(want, unacknowledged(t, j, first+uint64(len(want)))...)
+			case "recover":
+				failChange(t, d, j, step)
+				if err := j.Recover(1 << 10); err != nil {
+					t.Fatalf("recover: %v", err)
+				}
 			case "compact":
 				n := rapid.IntRange(0, len(want)).Draw(t, "n")
 				first, want, snapshot = first+uint64(n), want[n:], fmt.Appendf(nil, "snapshot %d", step)
@@ -72,6 +77,22 @@
 	})
 }
 
+// failChange makes a change of the journal fail before it takes effect.
+func failChange(t *rapid.T, d *disk, j *Journal, step int) {
+	t.Helper()
+	change := rapid.SampledFrom([]func() error{
+		func() error { _, err := j.Append([][]byte{fmt.Appendf(nil, "failed %d", step)}); return err },
+		func() error { return j.Compact([]byte("failed"), j.First()) },
+		func() error { return j.Reset([]byte("failed"), 200) },
+	}).Draw(t, "change")
+	target := rapid.SampledFrom([]*error{&d.writeErr, &d.syncErr}).Draw(t, "error")
+	*target = errDisk
+	if err := change(); !errors.Is(err, fault.Corrupt) {
+		t.Fatalf("change with a failing disk: got %v, want %v", err, fault.Corrupt)
+	}
+	*target = nil
+}
+
 // A crash between the two renames of Compact or Reset leaves a new snapshot
 // with an old log. Open must recover the state after the call.
 func TestCrashBetweenRenames(t *testing.T) {
--- /dev/null
+++ b/internal/journal/recover_test.go
@@ -0,0 +1,150 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/papayapond/papayapond/internal/fault"
+)
+
+// A disk that was full or failed a sync must not make a journal unusable until
+// the process restarts, and what was acknowledged before and after must last.
+func TestRecover(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		inject func(*disk)
+		call   func(*Journal) error
+	}{
+		{"sync", func(d *disk) { d.syncErr = errDisk }, func(j *Journal) error { _, err := j.Append([][]byte{{1}}); return err }},
+		{"full disk", func(d *disk) { d.writeErr = errDisk }, func(j *Journal) error { _, err := j.Append([][]byte{{1}}); return err }},
+		{"rename", func(d *disk) { d.renameErr = errDisk }, func(j *Journal) error { return j.Compact(nil, 1) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+			j := open(t, d)
+			if _, err := j.Append([][]byte{[]byte("kept")}); err != nil {
+				t.Fatal(err)
+			}
+			test.inject(d)
+			if err := test.call(j); !errors.Is(err, fault.Corrupt) {
+				t.Errorf("first call: got %v, want %v", err, fault.Corrupt)
+			}
+			if err := j.Recover(1); !errors.Is(err, fault.Corrupt) {
+				t.Errorf("recover with a failing disk: got %v, want %v", err, fault.Corrupt)
+			}
+			d.syncErr, d.writeErr, d.renameErr = nil, nil, nil
+			if err := j.Recover(1); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := j.Append([][]byte{[]byte("after")}); err != nil {
+				t.Fatal(err)
+			}
+			_ = j.Close()
+			d.crash(t)
+			j = open(t, d)
+			defer j.Close()
+			verify(t, j, 0, [][]byte{[]byte("kept"), []byte("after")}, nil)
+		})
+	}
+}
+
+// A Compact or Reset that replaced the snapshot but not the log must be
+// completed, because records before the snapshot don't belong to it.
+func TestRecoverBetweenRenames(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reset %t", reset), func(t *testing.T) {
+			d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+			j := open(t, d)
+			want := [][]byte{[]byte("a"), []byte("b"), []byte("c")}
+			if _, err := j.Append(want); err != nil {
+				t.Fatal(err)
+			}
+			j.cfg.Rename = func(from, to string) error {
+				if filepath.Base(to) == logName {
+					return errDisk
+				}
+				return d.rename(from, to)
+			}
+			change := j.Compact
+			if want = want[2:]; reset {
+				change, want = j.Reset, nil
+			}
+			if err := change([]byte("s"), 2); !errors.Is(err, fault.Corrupt) {
+				t.Fatalf("got %v, want %v", err, fault.Corrupt)
+			}
+			j.cfg.Rename = d.rename
+			if err := j.Recover(0); err != nil {
+				t.Fatal(err)
+			}
+			verify(t, j, 2, want, []byte("s"))
+			if _, err := j.Append([][]byte{[]byte("d")}); err != nil {
+				t.Fatal(err)
+			}
+			_ = j.Close()
+			j = open(t, d)
+			defer j.Close()
+			verify(t, j, 2, append(want, []byte("d")), []byte("s"))
+		})
+	}
+}
+
+// Records that were queued behind a failed batch may depend on it. Written after
+// a recovery they would make a log that no caller has seen.
+func TestRecoverDropsQueuedRecords(t *testing.T) {
+	d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+	j := open(t, d)
+	defer j.Close()
+	d.syncErr = errDisk
+	first := j.Submit([][]byte{[]byte("first")})
+	var second func() (uint64, error)
+	j.cfg.Sync = func(*os.File) error {
+		second = j.Submit([][]byte{[]byte("second")})
+		return errDisk
+	}
+	if _, err := first(); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("first: got %v, want %v", err, fault.Corrupt)
+	}
+	d.syncErr, j.cfg.Sync = nil, d.sync
+	if err := j.Recover(0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := second(); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("second: got %v, want %v", err, fault.Corrupt)
+	}
+	verify(t, j, 0, nil, nil)
+}
+
+// A journal that recovers on a nearly full disk fails again at its next append.
+func TestRecoverNeedsReserve(t *testing.T) {
+	d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+	j := open(t, d)
+	defer j.Close()
+	d.writeErr = errDisk
+	if _, err := j.Append([][]byte{{1}}); !errors.Is(err, fault.Corrupt) {
+		t.Fatalf("append: got %v, want %v", err, fault.Corrupt)
+	}
+	d.writeErr = nil
+	j.cfg.Write = func(f *os.File, data []byte) (int, error) {
+		if len(data) >= 1<<10 {
+			return 0, errDisk
+		}
+		return d.write(f, data)
+	}
+	if err := j.Recover(1 << 10); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("recover: got %v, want %v", err, fault.Corrupt)
+	}
+	if _, err := j.Append([][]byte{{1}}); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("append: got %v, want %v", err, fault.Corrupt)
+	}
+	j.cfg.Write = d.write
+	if err := j.Recover(1 << 10); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := j.Append([][]byte{{1}}); err != nil {
+		t.Error(err)
+	}
+	verify(t, j, 0, [][]byte{{1}}, nil)
+}
--- a/internal/replicator/apply.go
+++ b/internal/replicator/apply.go
@@ -104,13 +104,19 @@
 		return
 	}
 	if err := r.log.journal.Compact(data, image.Index); err != nil {
-		_ = r.fail(eris.Wrapf(fault.Corrupt, "journal: %v", err))
+		_ = r.fail(storageError{eris.Wrapf(fault.Corrupt, "journal: %v", err)})
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.finishCompaction(image.Index)
+}
+
+// finishCompaction drops what the snapshot up to index covers from memory. The
+// caller holds mu.
+func (r *Replicator) finishCompaction(index uint64) {
 	r.bytesSinceSnapshot = 0
-	r.log.snapshotIndex = image.Index
+	r.log.snapshotIndex = index
 	r.log.trim()
-	r.compactMemberships(image.Index)
+	r.compactMemberships(index)
 }
--- a/internal/replicator/ballot.go
+++ b/internal/replicator/ballot.go
@@ -99,12 +99,8 @@
 	if b.Term < old.Term || b.Term == old.Term && old.Vote != "" && b.Vote != old.Vote {
 		return r.fail(eris.Wrapf(fault.Broken, "ballot: term %d with vote %q cannot follow term %d with vote %q", b.Term, b.Vote, old.Term, old.Vote))
 	}
-	data, err := encodeBallot(b)
-	if err == nil {
-		err = r.cfg.Store(filepath.Join(r.cfg.Path, ballotFile), data)
-	}
-	if err != nil {
-		return r.fail(eris.Wrapf(fault.Corrupt, "ballot: %v", err))
+	if err := r.storeBallot(b); err != nil {
+		return r.fail(err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -116,6 +112,18 @@
 	return nil
 }
 
+// storeBallot writes the ballot file.
+func (r *Replicator) storeBallot(b *wire.Ballot) error {
+	data, err := encodeBallot(b)
+	if err != nil {
+		return err
+	}
+	if err := r.cfg.Store(filepath.Join(r.cfg.Path, ballotFile), data); err != nil {
+		return storageError{eris.Wrapf(fault.Corrupt, "ballot: %v", err)}
+	}
+	return nil
+}
+
 // commitSaveLoop periodically stores the commit index, so that a member that
 // restarts without a quorum can apply the entries it knew to be committed.
 func (r *Replicator) commitSaveLoop(ctx context.Context) {
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -148,6 +148,9 @@
 		Random: c.uint64, Journal: d.open, Load: d.load, Store: d.store,
 		HeartbeatInterval: c.election / 5, ElectionTimeout: c.election, SnapshotEvery: c.snapshotEvery, ChunkSize: 64, Logger: c.logger,
 	})
+	if err != nil && d.isFaulty() {
+		return // the process ends, and is started again later
+	}
 	if err != nil {
 		c.t.Fatalf("start %s: %v", name, err)
 	}
--- a/internal/replicator/disk_test.go
+++ b/internal/replicator/disk_test.go
@@ -27,14 +27,15 @@
 	unsynced map[*os.File]int64 // file size before the unsynced writes
 	// dropped holds files whose sync has failed. As on Linux, a later sync
 	// reports success although the earlier writes are lost.
-	dropped  map[*os.File]bool
-	crashed  bool
-	opsLeft  int           // operations until a simulated power failure, 0 for none
-	fail     bool          // operations fail, but the process continues
-	full     bool          // writes fail, as on a full disk
-	space    int           // size of the largest write that succeeds, 0 for any
-	failSync bool          // syncs fail
-	hang     chan struct{} // if not nil, syncs block until it is closed
+	dropped    map[*os.File]bool
+	crashed    bool
+	opsLeft    int           // operations until a simulated power failure, 0 for none
+	fail       bool          // operations fail, but the process continues
+	full       bool          // writes fail, as on a full disk
+	space      int           // size of the largest write that succeeds, 0 for any
+	failSync   bool          // syncs fail
+	hang       chan struct{} // if not nil, syncs block until it is closed
+	failBallot bool          // writes of the ballot fail
 	// hangBallot blocks writes of the ballot until it is closed, if not nil.
 	hangBallot chan struct{}
 }
@@ -60,6 +61,19 @@
 	d.failSync = on
 }
 
+func (d *fakeDisk) setBallotFailure(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failBallot = on
+}
+
+// isFaulty reports whether writes or syncs fail.
+func (d *fakeDisk) isFaulty() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.full || d.failSync
+}
+
 func (d *fakeDisk) setBallotHang(hang chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -197,7 +211,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	running := !d.crashed
-	if d.full || d.failSync {
+	if d.full || d.failSync || d.failBallot {
 		return errDisk
 	}
 	if d.countOp() {
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -17,7 +17,9 @@
 // silent, and makes a leader without a quorum step down.
 func (r *Replicator) electionLoop(ctx context.Context) {
 	for r.isNew() {
-		r.bootstrap(ctx)
+		if !r.hasFailed() {
+			r.bootstrap(ctx)
+		}
 		if r.isNew() && !r.pause(ctx, r.cfg.HeartbeatInterval, nil) {
 			return
 		}
--- a/internal/replicator/follow.go
+++ b/internal/replicator/follow.go
@@ -134,7 +134,7 @@
 		}
 	}
 	if err := r.log.write(batch); err != nil {
-		return eris.Wrapf(fault.Corrupt, "journal: %v", err)
+		return storageError{eris.Wrapf(fault.Corrupt, "journal: %v", err)}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -152,7 +152,7 @@
 		return eris.Wrapf(fault.Broken, "cannot truncate at entry %d: committed up to %d", index, commit)
 	}
 	if err := r.log.journal.Truncate(index - 1); err != nil {
-		return eris.Wrapf(fault.Corrupt, "journal: %v", err)
+		return storageError{eris.Wrapf(fault.Corrupt, "journal: %v", err)}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/replicator/install.go
+++ b/internal/replicator/install.go
@@ -112,13 +112,19 @@
 		return nil
 	}
 	if err := r.log.journal.Reset(data, image.Index); err != nil {
-		return eris.Wrapf(fault.Corrupt, "journal: %v", err)
+		return storageError{eris.Wrapf(fault.Corrupt, "journal: %v", err)}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.finishInstall(image)
+	return nil
+}
+
+// finishInstall replaces the log in memory with a stored snapshot. The caller
+// holds mu.
+func (r *Replicator) finishInstall(image *wire.Image) {
 	r.log.reset(image)
 	r.memberships = []membership{{image.Index, image.Members}}
 	r.pendingRestore = image
 	r.setCommit(image.Index)
-	return nil
 }
--- a/internal/replicator/random_test.go
+++ b/internal/replicator/random_test.go
@@ -74,7 +74,7 @@
 func drawSteps(rt *rapid.T, nodes int) []step {
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
 		return step{
-			Fault: rapid.IntRange(0, 9).Draw(rt, "fault"), Node: rapid.IntRange(0, nodes-1).Draw(rt, "node"),
+			Fault: rapid.IntRange(0, 11).Draw(rt, "fault"), Node: rapid.IntRange(0, nodes-1).Draw(rt, "node"),
 			Other: rapid.IntRange(0, nodes-1).Draw(rt, "other"), Duration: rapid.IntRange(0, 2000).Draw(rt, "ms"),
 			Repair: rapid.IntRange(0, 2).Draw(rt, "repair") == 2,
 		}
@@ -150,6 +150,12 @@
 		}
 	case 9:
 		c.setNetworkFaults(time.Duration(s.Duration)*time.Millisecond/10, 0.2)
+	case 10:
+		c.nodes[name].disk.setFull(true)
+		c.nodes[other].disk.setFull(false)
+	case 11:
+		c.nodes[name].disk.setSyncFailure(true)
+		c.nodes[other].disk.setSyncFailure(false)
 	}
 }
 
@@ -172,6 +178,8 @@
 	for _, name := range c.names {
 		c.unfreeze(name)
 		c.nodes[name].disk.crashAfter(0)
+		c.nodes[name].disk.setFull(false)
+		c.nodes[name].disk.setSyncFailure(false)
 		if c.nodes[name].disk.isCrashed() {
 			c.crash(name)
 		}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -23,7 +23,8 @@
 	// locked before mu. No file operation runs under mu, so reads and
 	// step-downs never wait for a slow disk.
 	diskMu sync.Mutex
-	// diskSince is when diskMu was acquired; guarded by mu.
+	// diskSince is when diskMu was acquired, zero while it is free; guarded by
+	// mu.
 	diskSince time.Time
 	// incoming is the snapshot being received; guarded by diskMu.
 	incoming partialSnapshot
@@ -40,7 +41,8 @@
 	commit             uint64
 	applied            uint64
 	bytesSinceSnapshot int    // command bytes applied since the last snapshot
-	failed             error  // why this member stopped voting and accepting entries
+	failed             error  // why this member doesn't vote or accept entries
+	suspended          bool   // failed is a storage error, after which the member may resume
 	lastElection       string // result of the last election as logged
 	leading            *leaderState
 	queue              []*proposal
@@ -53,6 +55,7 @@
 
 	queued     chan struct{}
 	committed  chan struct{}
+	storage    chan struct{} // signals a storage error
 	timeoutNow chan struct{}
 	group      sync.WaitGroup
 }
@@ -75,6 +78,7 @@
 		changed:    make(chan struct{}),
 		queued:     make(chan struct{}, 1),
 		committed:  make(chan struct{}, 1),
+		storage:    make(chan struct{}, 1),
 		timeoutNow: make(chan struct{}, 1),
 	}
 	if err := r.open(j); err != nil {
@@ -118,12 +122,14 @@
 	r.group.Go(func() { r.writeLoop(ctx) })
 	r.group.Go(func() { r.applyLoop(ctx) })
 	r.group.Go(func() { r.commitSaveLoop(ctx) })
+	r.group.Go(func() { r.resumeLoop(ctx) })
 	<-ctx.Done()
 	r.saveCommit()
 	r.mu.Lock()
 	if r.failed == nil {
 		r.failed = eris.Wrap(fault.Draining, "replicator: stopped")
 	}
+	r.suspended = false
 	r.stepDown("stop")
 	r.mu.Unlock()
 	r.group.Wait()
@@ -186,19 +192,6 @@
 	return eris.Wrap(fault.Isolated, "no leader is known")
 }
 
-// fail permanently stops the member from voting and accepting entries, and
-// returns the first such error.
-func (r *Replicator) fail(err error) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.failed == nil {
-		r.failed = err
-		r.cfg.Logger.Error("member stopped", zap.String("member", r.ballot.Member), zap.Uint64("term", r.ballot.Term), zap.Error(err))
-		r.stepDown("failure")
-	}
-	return r.failed
-}
-
 // notify wakes all callers of await. The caller holds mu.
 func (r *Replicator) notify() {
 	close(r.changed)
--- a/internal/replicator/start.go
+++ b/internal/replicator/start.go
@@ -15,7 +15,15 @@
 func (r *Replicator) isNew() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.ballot.Started && r.failed == nil
+	return !r.ballot.Started
+}
+
+// hasFailed reports whether the member has stopped, for good or until its
+// storage works again.
+func (r *Replicator) hasFailed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed != nil
 }
 
 // initialMembers returns the initial members, or nil if this member is not
--- a/internal/replicator/storage_test.go
+++ b/internal/replicator/storage_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/papayapond/papayapond/internal/wire"
 )
 
 // catchUpTime is how long after the end of a storage error a member may take
@@ -52,6 +55,31 @@
 	}
 }
 
+// A ballot that can't be stored at the first start must not keep the member out
+// for good.
+func TestStartAfterStorageError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 20, "a", "b", "c")
+		c.nodes["c"].disk.ballot = storedBallot(t, &wire.Ballot{Disk: "1"})
+		c.nodes["c"].disk.setBallotFailure(true)
+		c.startAll()
+		defer c.stopAll()
+		time.Sleep(3 * time.Second)
+		c.nodes["c"].disk.setBallotFailure(false)
+		time.Sleep(catchUpTime)
+		c.awaitApplied()
+	})
+}
+
+func storedBallot(t *testing.T, b *wire.Ballot) []byte {
+	t.Helper()
+	data, err := encodeBallot(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
 // A restart after a storage error must find everything that was acknowledged
 // before and after it.
 func TestRestartAfterStorageError(t *testing.T) {
@@ -77,13 +105,6 @@
 	})
 }
 
-// isStopped reports whether the member takes no part after a failure.
-func (r *Replicator) isStopped() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.failed != nil
-}
-
 // A disk with little space left takes a small write and refuses the next batch.
 // A member that resumed there would stop again at once, and could depose a
 // leader each time.
@@ -99,7 +120,7 @@
 		d.setSpace(maxBatchBytes / 2)
 		for range 20 {
 			time.Sleep(time.Second)
-			if m, _ := c.running(name); !m.isStopped() {
+			if m, _ := c.running(name); !m.hasFailed() {
 				t.Fatal("got a member that resumed without space for a batch")
 			}
 		}
