Step down when any storage operation of the leader hangs

Cause: the check for a slow disk looked at the write of a batch of proposals only.

Change: the check looks at how long the storage lock has been held.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -61,7 +61,7 @@
 		switch {
 		case !r.quorumActive(r.members().Voters):
 			r.stepDown("no quorum")
-		case r.writing && now.Sub(r.writeStart) > 2*r.cfg.ElectionTimeout:
+		case !r.diskSince.IsZero() && now.Sub(r.diskSince) > 2*r.cfg.ElectionTimeout:
 			r.stepDown("slow disk")
 		default:
 			r.removeSilentLearner()
--- a/internal/replicator/propose.go
+++ b/internal/replicator/propose.go
@@ -113,7 +113,7 @@
 	defer r.unlockDisk()
 	r.mu.Lock()
 	ls, batch := r.leading, r.queue
-	r.queue, r.writing, r.writeStart = nil, len(batch) > 0, r.cfg.Now()
+	r.queue = nil
 	list := make([]*wire.Entry, len(batch))
 	for i, p := range batch {
 		p.entry.Index, p.entry.Term = r.log.last()+1+uint64(i), ls.term
@@ -132,7 +132,6 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.writing = false
 	if r.leading == ls {
 		r.replicateFrom(list[0].Index)
 	}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -46,8 +46,6 @@
 	lastElection       string // result of the last election as logged
 	leading            *leaderState
 	queue              []*proposal
-	writing            bool      // a batch is being written
-	writeStart         time.Time // when that write started
 	waiting            map[uint64]*proposal
 	joiners            map[string]string // member identities that asked to join, by instance
 	pendingRestore     *wire.Image       // snapshot not yet passed to Restore
