Open the books of a zone again when its storage works again

Change: a copy recovers its journals before the next records, twice a second at most. A sealed ledger neither writes nor compacts.

Tests: TestLedgerResumesAfterStorageError failed before the change of the ledger ('append: no space left on device' 4 s after the disk had space); TestCopyResumesAfterStorageError came with its change and was not run without it. TestRandom of the holders now has full disks among its faults: 200 checks pass, and the package with the race detector. TestFullDisk passed once by itself.

--- a/internal/holder/grant.go
+++ b/internal/holder/grant.go
@@ -88,6 +88,13 @@
 	g.account(name).demand.Add(now, amount)
 }
 
+// start allows background requests again.
+func (g *grants) start() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = false
+}
+
 // stop waits for the background requests and prevents new ones.
 func (g *grants) stop() {
 	g.mu.Lock()
@@ -330,6 +337,8 @@
 		return eris.Wrapf(fault.Corrupt, "read pending grant: %v", err)
 	}
 	if grant.Epoch == epoch {
+		h.grants.sem <- struct{}{}
+		defer func() { <-h.grants.sem }()
 		h.grants.pending, h.grants.nextSequence = grant, grant.Sequence
 	}
 	return nil
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -62,7 +62,28 @@
 	Release func(ctx context.Context, holder string, request *wire.ReleaseRequest) (*wire.ReleaseReply, error)
 	Tally   func(ctx context.Context, holder string, request *wire.TallyRequest) (*wire.TallyReply, error)
 	Now     func() time.Time
-	Logger  *zap.Logger
+	// Journal opens the journal in a folder; nil selects journal.Open.
+	Journal func(path string) (*journal.Journal, error)
+	// RecoveryInterval is the interval between attempts to recover a journal
+	// after a storage error; 0 selects the default.
+	RecoveryInterval time.Duration
+	Logger           *zap.Logger
+}
+
+// defaultRecoveryInterval is the default of Config.RecoveryInterval. Each attempt
+// writes the journal anew.
+const defaultRecoveryInterval = 500 * time.Millisecond
+
+func (cfg Config) withDefaults() Config {
+	if cfg.Journal == nil {
+		cfg.Journal = func(path string) (*journal.Journal, error) {
+			return journal.Open(journal.Config{Path: path, Logger: cfg.Logger})
+		}
+	}
+	if cfg.RecoveryInterval == 0 {
+		cfg.RecoveryInterval = defaultRecoveryInterval
+	}
+	return cfg
 }
 
 // Holder implements wire.DRPCBooksServer. Until Run has opened or restored the
@@ -95,7 +116,8 @@
 
 // New opens the journal of the zone.
 func New(cfg Config) (*Holder, error) {
-	j, err := journal.Open(journal.Config{Path: filepath.Join(cfg.Path, "ledger"), Logger: cfg.Logger})
+	cfg = cfg.withDefaults()
+	j, err := cfg.Journal(filepath.Join(cfg.Path, "ledger"))
 	if err != nil {
 		return nil, eris.Wrap(err, "open journal")
 	}
@@ -115,17 +137,26 @@
 func (h *Holder) Ledger() *ledger.Ledger { return h.ledger.Load() }
 
 // Run opens or restores the ledger, then copies records, requests grants and
-// confirms releases until ctx ends. It closes the journals before it returns.
+// confirms releases until ctx ends. After a storage error it opens the ledger
+// again once storage works. It closes the journals before it returns.
 func (h *Holder) Run(ctx context.Context) {
 	defer h.close()
+	for h.serve(ctx) {
+	}
+}
+
+// serve opens or restores the ledger and runs the tasks that need it, until ctx
+// ends or the journal has recovered from a storage error. It reports whether the
+// ledger has to be opened again.
+func (h *Holder) serve(ctx context.Context) (again bool) {
 	l, err := h.openLedger(ctx)
 	if err != nil {
 		h.cfg.Logger.Info("ledger not opened", zap.Error(err))
-		return
+		return false
 	}
 	if err := h.loadPending(l.Epoch()); err != nil {
 		h.cfg.Logger.Error("failed to open ledger", zap.Error(err))
-		return
+		return false
 	}
 	h.ledger.Store(l)
 	h.cfg.Logger.Info("ledger opened", zap.Uint64("epoch", l.Epoch()), zap.Uint64("position", h.journal.Next()))
@@ -133,10 +164,13 @@
 		h.cfg.Logger.Error("accounts stopped by a violated invariant", zap.Strings("accounts", stopped))
 	}
 	defer h.ledger.Store(nil)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var group sync.WaitGroup
 	defer group.Wait()
 	openPosition := h.journal.Next()
 	s := &seeder{Holder: h}
+	h.grants.start()
 	for _, peer := range h.cfg.Peers {
 		group.Go(func() { h.copyTo(ctx, l, peer, openPosition) })
 	}
@@ -146,8 +180,30 @@
 	group.Go(func() { runEvery(ctx, seedInterval, func() { s.seed(ctx, l) }) })
 	group.Go(func() { runEvery(ctx, provisionInterval, func() { h.provision(ctx, l) }) })
 	group.Go(func() { runEvery(ctx, mergeInterval, func() { h.mergeAll(l) }) })
-	<-ctx.Done()
+	again = h.awaitRecovery(ctx, l)
+	cancel()
 	h.grants.stop()
+	return again
+}
+
+// awaitRecovery returns false when ctx ends, and true when the journal has
+// recovered from a storage error. The state of the ledger may then be ahead of
+// the journal.
+func (h *Holder) awaitRecovery(ctx context.Context, l *ledger.Ledger) bool {
+	for {
+		sleep(ctx, h.cfg.RecoveryInterval)
+		if ctx.Err() != nil {
+			return false
+		}
+		if h.journal.Err() == nil {
+			continue
+		}
+		l.Seal()
+		if h.journal.Recover(recoveryReserve) == nil {
+			h.cfg.Logger.Info("journal accepts records again", zap.String("path", filepath.Join(h.cfg.Path, "ledger")), zap.Uint64("position", h.journal.Next()))
+			return true
+		}
+	}
 }
 
 func (h *Holder) close() {
--- a/internal/holder/merge.go
+++ b/internal/holder/merge.go
@@ -37,7 +37,7 @@
 	if r := h.replicas[zone]; r != nil {
 		return r, nil
 	}
-	r, err := openReplica(filepath.Join(h.cfg.Path, "copy-"+zone), create, h.cfg.Logger)
+	r, err := openReplica(filepath.Join(h.cfg.Path, "copy-"+zone), create, h.cfg)
 	if r != nil && err == nil {
 		h.replicas[zone] = r
 	}
--- a/internal/holder/replica.go
+++ b/internal/holder/replica.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -20,15 +21,21 @@
 // their size.
 const maxFetchRecords = 1024
 
+// recoveryReserve is the space in bytes that a recovery needs beyond the
+// records, so that the next records fit too. It is the most that one call brings.
+const recoveryReserve = 1 << 20
+
 // replica is the copy of another zone's journal. Records of a new epoch go to a
 // standby journal until the sender has no more to send. They may differ from
 // the records of the previous epoch at the same positions, whose copy must stay
 // complete for a restore meanwhile.
 type replica struct {
-	path   string
-	logger *zap.Logger
+	path             string
+	recoveryInterval time.Duration
+	logger           *zap.Logger
 
 	mu             sync.Mutex
+	lastRecovery   int64 // time of the last attempt, in Unix nanoseconds
 	state          state
 	journals       [2]*journal.Journal
 	lastComplete   int64  // time of the last call that confirmed a complete copy
@@ -49,8 +56,8 @@
 
 // openReplica opens the copy of a zone's journal. Without create, it returns
 // nil if there is none.
-func openReplica(path string, create bool, logger *zap.Logger) (*replica, error) {
-	r := &replica{path: path, logger: logger}
+func openReplica(path string, create bool, cfg Config) (*replica, error) {
+	r := &replica{path: path, recoveryInterval: cfg.RecoveryInterval, logger: cfg.Logger}
 	data, err := os.ReadFile(filepath.Join(path, "state"))
 	switch {
 	case errors.Is(err, fs.ErrNotExist) && !create:
@@ -64,7 +71,7 @@
 		}
 	}
 	for i, name := range []string{"0", "1"} {
-		j, err := journal.Open(journal.Config{Path: filepath.Join(path, name), Logger: logger})
+		j, err := cfg.Journal(filepath.Join(path, name))
 		if err != nil {
 			r.close()
 			return nil, err
@@ -80,6 +87,9 @@
 func (r *replica) write(request *wire.CopyRequest, now int64) (uint64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err := r.recover(now); err != nil {
+		return 0, err
+	}
 	j, err := r.journalFor(request.Epoch)
 	if err != nil {
 		return 0, err
@@ -104,6 +114,26 @@
 	return next, nil
 }
 
+// recover makes journals that failed accept records again. Records that were not
+// acknowledged are dropped, and the sender sends them again. The caller holds mu.
+func (r *replica) recover(now int64) error {
+	for _, j := range r.journals {
+		err := j.Err()
+		if err == nil {
+			continue
+		}
+		if now-r.lastRecovery < r.recoveryInterval.Nanoseconds() {
+			return err
+		}
+		r.lastRecovery = now
+		if err := j.Recover(recoveryReserve); err != nil {
+			return err
+		}
+		r.logger.Info("copy accepts records again", zap.String("path", r.path), zap.Uint64("position", j.Next()))
+	}
+	return nil
+}
+
 // journalFor returns the journal of the epoch. It resets the standby journal
 // for a new epoch.
 func (r *replica) journalFor(epoch uint64) (*journal.Journal, error) {
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -7,6 +7,9 @@
 	"github.com/papayapond/papayapond/internal/fault"
 )
 
+// Err returns why the journal refuses changes, or nil.
+func (j *Journal) Err() error { return j.failure() }
+
 // Recover makes the journal accept changes again after a failed write or sync.
 // It writes the durable records to new files, because pages of a file whose sync
 // failed may be lost although a later sync succeeds, and drops the records whose
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -43,7 +43,7 @@
 }
 
 // Ledger keeps the balances of one zone. It is safe for concurrent use. After a
-// failed journal write it rejects all changes with fault.Corrupt.
+// failed journal write or Seal it rejects all changes with fault.Corrupt.
 type Ledger struct {
 	cfg        Config
 	violations atomic.Uint64
@@ -177,6 +177,17 @@
 	return nil
 }
 
+// Seal makes the ledger reject all changes. After a failed write of the journal,
+// the state is ahead of the journal: another ledger must be restored from it once
+// it has recovered, and this one must not write to it any more.
+func (l *Ledger) Seal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failure == nil {
+		l.failure = eris.Wrap(fault.Corrupt, "ledger is sealed")
+	}
+}
+
 // lock locks the ledger, or returns the failure after which it rejects all
 // changes.
 func (l *Ledger) lock() error {
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -20,6 +20,11 @@
 	}
 	defer l.compacting.Unlock()
 	l.mu.Lock()
+	if l.failure != nil {
+		// The state may be ahead of the journal.
+		l.mu.Unlock()
+		return
+	}
 	snapshot, err := l.encodeState()
 	wait := l.cfg.Journal.Submit(nil)
 	// The limit grows with the snapshot, so that the cost of compactions stays
