Answer a request that arrives while idle connections are being closed

Cause, by reading and a test: a server that disables keep-alives or shuts down closes the connections that it takes for idle, and it does so until it has read the whole header of the next request. A request in between is served on a closed connection.

Change: the connection knows from the hook of the server that it is between two requests. A close then does nothing if bytes of a request have been read, and the server closes the connection after the answer; bytes that arrive after a close are dropped, so that nothing is served that can't be answered. A stop waits for the connections that were spared.

Test: TestCloseMeetsRequest; without the hook its case 'within the header' fails (unexpected EOF, not served). The case 'before the server gets the bytes' passes without it too. The daemon of the models' path doesn't use the hook yet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -214,7 +214,7 @@
 		return err
 	}
 	std := zap.NewStdLog(e.cfg.Logger.Named("http"))
-	callers := &http.Server{Handler: e.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: std}
+	callers := &http.Server{Handler: e.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: frontListener.ConnState, ErrorLog: std}
 	checks := &http.Server{Handler: e.readinessHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: std}
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -227,7 +227,7 @@
 	group.Go(func() { e.serve(callers, frontListener) })
 	group.Go(func() { e.serve(checks, checkListener) })
 	<-ctx.Done()
-	e.stop(callers)
+	e.stop(callers, frontListener)
 	stop()
 	if err := checks.Close(); err != nil {
 		e.cfg.Logger.Warn("closing readiness server failed", zap.Error(err))
@@ -248,7 +248,7 @@
 
 // stop waits for the requests in flight and aborts the rest at the end of the
 // grace period.
-func (e *Entry) stop(callers *http.Server) {
+func (e *Entry) stop(callers *http.Server, front *listener.Listener) {
 	started := time.Now()
 	e.stopping.Store(true)
 	e.cfg.Logger.Info("stopping", zap.Int("flight", e.forwarder.InFlight()), zap.Duration("grace", e.cfg.Grace))
@@ -256,13 +256,17 @@
 	time.Sleep(min(drainDelay, e.cfg.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(e.cfg.Grace-stopMargin))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	err := callers.Shutdown(ctx)
+	if err == nil {
+		err = front.Wait(ctx)
+	}
+	if err != nil {
 		e.cfg.Logger.Warn("requests aborted at the end of the grace period", zap.Int("flight", e.forwarder.InFlight()), zap.Error(err))
 		_ = callers.Close()
 	}
 }
 
-func (e *Entry) listen(address string) (net.Listener, error) {
+func (e *Entry) listen(address string) (*listener.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(fault.Unavailable, "listen on %s: %v", address, err)
