Limit what is read of a response without end

Cause: a target in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. The exchanger read heads and lines of heads without a limit, and discarded responses to other requests to their end; one line of an event stream and one JSON answer of an engine were unbounded.

Change: 256 KiB for the heads of a response, 1 MiB for a response to another request, the limit of an event for its lines too, the limit of a body for a JSON answer. Trailers and chunk sizes were bounded by the library.

TestEndlessJSON came with its change.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -16,12 +16,38 @@
 	"github.com/papayapond/papayapond/internal/fault"
 )
 
-// maxInformational is the maximum number of 1xx responses before the final one.
-const maxInformational = 4
+const (
+	// maxInformational is the maximum number of 1xx responses before the final
+	// one.
+	maxInformational = 4
+	// maxHeadBytes is the maximum size of the heads of a response and of the 1xx
+	// responses before it.
+	maxHeadBytes = 256 << 10
+	// maxStaleBytes is the maximum size of a response to another request that is
+	// discarded.
+	maxStaleBytes = 1 << 20
+)
+
+// headReader limits what may be read while the head of a response is due.
+type headReader struct {
+	net.Conn
+	inHead bool
+	left   int // bytes that may still be read in the head
+}
+
+func (r *headReader) Read(b []byte) (int, error) {
+	if r.inHead && r.left <= 0 {
+		return 0, eris.Wrapf(fault.Malformed, "response head exceeds %d bytes", maxHeadBytes)
+	}
+	n, err := r.Conn.Read(b)
+	r.left -= n
+	return n, err
+}
 
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
+	head      *headReader
 	reader    *bufio.Reader
 	uses      int           // previous requests on this connection
 	timeout   time.Duration // idle timeout announced by the target, or 0
@@ -111,19 +137,22 @@
 			written <- err
 		}()
 	}
+	c.head.left = maxHeadBytes
 	for range maxStaleResponses + maxInformational {
+		c.head.inHead = true
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method}) //nolint:bodyclose // Response.Close closes it
 		if err != nil {
 			return nil, eris.Wrap(err, "read")
 		}
+		c.head.inHead = false
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
 		want := q.Header.Get(identity)
 		if got := r.Header.Get(identity); identity != "" && want != "" && got != "" && got != want {
 			// This is the response to an earlier request on this connection.
-			if _, err := io.Copy(io.Discard, r.Body); err != nil {
-				return nil, eris.Wrap(err, "read")
+			if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStaleBytes)); err != nil || n == maxStaleBytes {
+				return nil, eris.Wrapf(errors.Join(fault.Malformed, err), "response to another request, %d bytes discarded", n)
 			}
 			continue
 		}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -156,7 +156,8 @@
 		return nil, eris.Wrapf(fault.Unavailable, "target at %s: %v", q.Address, err)
 	}
 	e.cfg.OnDial()
-	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+	head := &headReader{Conn: raw}
+	return &conn{Conn: raw, head: head, reader: bufio.NewReader(head)}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -86,10 +86,13 @@
 }
 
 func (r *relay) consumeJSON(body io.Reader) error {
-	raw, err := io.ReadAll(body)
+	raw, err := io.ReadAll(io.LimitReader(body, maxBodySize+1))
 	if err != nil {
 		return err
 	}
+	if len(raw) > maxBodySize {
+		return eris.Errorf("response exceeds %d bytes", maxBodySize)
+	}
 	var response struct {
 		Request string `json:"request"`
 		Usage   *usage `json:"usage"`
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -55,3 +55,23 @@
 		}
 	}
 }
+
+// countingReader repeats a byte without end and counts the bytes read.
+type countingReader struct{ read int }
+
+func (r *countingReader) Read(b []byte) (int, error) {
+	r.read += len(b)
+	return len(b), nil
+}
+
+// A target may send a JSON response without end. Read to its end, it would fill
+// the memory of the instance.
+func TestEndlessJSON(t *testing.T) {
+	body := &countingReader{}
+	if err := (&relay{}).consumeJSON(io.LimitReader(body, 8*maxBodySize)); err == nil {
+		t.Error("got no error")
+	}
+	if body.read > 2*maxBodySize {
+		t.Errorf("got %d bytes read, want at most %d", body.read, 2*maxBodySize)
+	}
+}
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -32,10 +32,14 @@
 func (s *Reader) Next() ([]byte, error) {
 	var event []byte
 	id := s.id
+	lineStart := 0
 	for len(event) < maxEvent {
-		line, err := s.reader.ReadBytes('\n')
-		event = append(event, line...)
-		s.bytesRead += len(line)
+		part, err := s.reader.ReadSlice('\n')
+		event = append(event, part...)
+		s.bytesRead += len(part)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue // the line is longer than the buffer
+		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
 				return nil, io.EOF
@@ -45,7 +49,8 @@
 			}
 			return nil, eris.Wrap(errors.Join(fault.Interrupted, err), "stream was interrupted")
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(event[lineStart:], "\r\n")
+		lineStart = len(event)
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id = bytes.TrimSpace(value)
 		}
--- a/internal/streamer/streamer_test.go
+++ b/internal/streamer/streamer_test.go
@@ -46,3 +46,30 @@
 		}
 	}
 }
+
+// endless repeats a text without end and counts the bytes read.
+type endless struct {
+	text string
+	read int
+}
+
+func (e *endless) Read(b []byte) (int, error) {
+	n := copy(b, e.text)
+	e.read += n
+	return n, nil
+}
+
+// A faulty target may send a line or an event without end, which would fill the
+// memory of the instance.
+func TestEndlessEvent(t *testing.T) {
+	const most = 2 << 20
+	for _, text := range []string{"x", "data: x\n", "id: 1\r\n"} {
+		e := &endless{text: strings.Repeat(text, 1<<10)}
+		if _, err := streamer.New(io.LimitReader(e, 8*most)).Next(); !errors.Is(err, fault.Malformed) {
+			t.Errorf("%q: got %v, want %v", text, err, fault.Malformed)
+		}
+		if e.read > most {
+			t.Errorf("%q: got %d bytes read, want at most %d", text, e.read, most)
+		}
+	}
+}
