Replace a lost leader within the time that a successor has

What callers would see: two leaders that are lost for good one after the other, each with a successor that starts at once, leave one voter of three.

With 3 s of silence, the replacement took up to 5 s; the platform gives a successor 4 s.

Change: a new leader counts the silence of the one before from its last message. A request to join waits a quarter of a second.

--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -36,6 +36,7 @@
 	snapshotEvery  uint64 // SnapshotEvery
 	allowJoin      bool   // instances outside initialMembers join on their own
 	initialMembers []string
+	known          []string // instances that all are told of, nil for initialMembers
 	voterCount     int
 	installs       atomic.Int64
 	logger         *zap.Logger
@@ -52,6 +53,7 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	resumed chan struct{} // closed while the process is running
+	joins   bool          // joins although it is an initial member, since its disk was lost
 }
 
 // state is the applied state: key-value registers and a running checksum of
@@ -118,7 +120,7 @@
 	if !slices.Contains(members, name) {
 		members = append(slices.Clone(members), name)
 	}
-	join := c.allowJoin && !slices.Contains(c.initialMembers, name)
+	join := c.allowJoin && (n.joins || !slices.Contains(c.initialMembers, name))
 	if join {
 		members = nil
 	} else if c.allowJoin {
@@ -132,7 +134,7 @@
 	d.restart()
 	member, err := New(Config{
 		Name: name, Members: members, Path: d.path,
-		Join: join, Seeds: func() []string { return c.initialMembers }, VoterCount: c.voterCount, ReplaceAfter: replaceAfter,
+		Join: join, Seeds: c.seeds, VoterCount: c.voterCount, ReplaceAfter: replaceAfter,
 		Apply: s.apply, Snapshot: s.snapshot, Restore: s.restore,
 		Vote: func(ctx context.Context, peer string, q *wire.VoteRequest) (*wire.VoteReply, error) {
 			return send(ctx, c, name, peer, q, (*Replicator).Vote)
@@ -370,3 +372,13 @@
 func (c *cluster) others(name string) []string {
 	return slices.DeleteFunc(slices.Clone(c.names), func(n string) bool { return n == name })
 }
+
+// seeds returns the instances that all instances are told of.
+func (c *cluster) seeds() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known != nil {
+		return slices.Clone(c.known)
+	}
+	return c.initialMembers
+}
--- a/internal/replicator/follow.go
+++ b/internal/replicator/follow.go
@@ -75,6 +75,7 @@
 	known := r.leader
 	if known == "" || known == leader {
 		r.leader, r.lastContact, r.candidate = leader, r.cfg.Now(), false
+		r.previousLeader = leader
 	}
 	r.mu.Unlock()
 	if known != "" && known != leader {
--- a/internal/replicator/install.go
+++ b/internal/replicator/install.go
@@ -47,7 +47,7 @@
 			return eris.Wrapf(fault.Unavailable, "snapshot: peer is at offset %d, want %d", reply.Offset, end)
 		}
 		r.mu.Lock()
-		p.lastContact = sentAt
+		p.lastContact, p.silentSince = sentAt, sentAt
 		if q.Done {
 			p.matchIndex = max(p.matchIndex, image.Index)
 			p.nextIndex = p.matchIndex + 1
--- a/internal/replicator/leader_state.go
+++ b/internal/replicator/leader_state.go
@@ -32,6 +32,7 @@
 	matchIndex  uint64    // last entry known to be durable on the peer
 	readRound   uint64    // last heartbeat round acknowledged
 	lastContact time.Time // send time of the last message that was answered
+	silentSince time.Time // since when the member has not been heard of, by this leader or the one before
 	unreachable bool      // logged as such
 	wake        chan struct{}
 	cancel      context.CancelFunc
@@ -56,6 +57,7 @@
 	r.candidate, r.leader = false, r.ballot.Member
 	r.leading = &leaderState{term: term, peers: map[string]*peer{}, ctx: ctx, cancel: cancel}
 	r.reconcilePeers()
+	r.previousLeader = ""
 	// The empty entry carries the members, so a learner that starts from the
 	// first entry knows them.
 	r.queue = []*proposal{{entry: &wire.Entry{Members: members}, done: make(chan outcome, 1)}}
@@ -85,7 +87,13 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(r.leading.ctx)
-		p := &peer{member: member, nextIndex: r.log.last() + 1, lastContact: r.cfg.Now(), wake: make(chan struct{}, 1), cancel: cancel}
+		now := r.cfg.Now()
+		p := &peer{member: member, nextIndex: r.log.last() + 1, lastContact: now, silentSince: now, wake: make(chan struct{}, 1), cancel: cancel}
+		if member == r.previousLeader {
+			// It has been silent since before the election. Without that time a
+			// lost leader would be replaced later than other voters.
+			p.silentSince = r.lastContact
+		}
 		r.leading.peers[member] = p
 		ls := r.leading
 		r.group.Go(func() { r.replicate(ctx, ls, p) })
@@ -163,7 +171,7 @@
 	if r.leading != ls || reply.Term != q.Term {
 		return false, nil
 	}
-	p.lastContact = sentAt
+	p.lastContact, p.silentSince = sentAt, sentAt
 	p.readRound = max(p.readRound, reply.Round)
 	if !reply.Success && q.Index == p.matchIndex && p.matchIndex > 0 {
 		r.cfg.Logger.Error("peer lost acknowledged entries", zap.String("peer", p.member), zap.Uint64("index", p.matchIndex))
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -102,8 +102,8 @@
 func (r *Replicator) absentVoter() string {
 	oldest, since := "", r.cfg.Now().Add(-r.cfg.ReplaceAfter)
 	for _, v := range r.members().Voters {
-		if p := r.leading.peers[v]; r.cfg.ReplaceAfter > 0 && p != nil && p.lastContact.Before(since) {
-			oldest, since = v, p.lastContact
+		if p := r.leading.peers[v]; r.cfg.ReplaceAfter > 0 && p != nil && p.silentSince.Before(since) {
+			oldest, since = v, p.silentSince
 		}
 	}
 	return oldest
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -35,6 +35,7 @@
 	memberships        []membership
 	candidate          bool      // candidate in the current term
 	leader             string    // leader of the current term, if known
+	previousLeader     string    // last leader that made contact
 	leaderHint         string    // leader reported by others while this member is not a voter
 	lastContact        time.Time // last message from a leader
 	electionReset      time.Time // last election, granted vote or step-down
--- a/internal/replicator/start.go
+++ b/internal/replicator/start.go
@@ -141,7 +141,8 @@
 		if !mustJoin {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, r.cfg.ElectionTimeout)
+		// An instance that is down must not delay the next request to the others.
+		callCtx, cancel := context.WithTimeout(ctx, r.cfg.ElectionTimeout/2)
 		var group sync.WaitGroup
 		for _, name := range seeds {
 			group.Go(func() {
