Ask the leader that followers name when joining

What callers would see: with more core instances than the settings name, an instance that lost its disk or took the place of a lost one might never become a voter again. Two such losses later the log accepts nothing. Found by TestTwoLossesAtATime on a log of 5 voters and 6 instances, in the first 600 checks: an instance with a lost disk asked for 24 s and was never made a learner.

A follower answered with the name of the leader, which was kept for redirecting callers but not asked.

Change: the leader that an answer names is asked in the same round.

Tests: TestJoinFindsLeaderThroughFollower failed before ('got [a b c], want a new identity of c'); 500 checks of TestTwoLossesAtATime and of TestOneLossAtATime pass.

--- a/internal/replicator/join_test.go
+++ b/internal/replicator/join_test.go
@@ -100,6 +100,25 @@
 	})
 }
 
+// An instance is told of a few others only, and the leader may not be among them.
+// If it didn't follow what these answer, it would never join, and the voter that
+// it is to replace would stay lost.
+func TestJoinFindsLeaderThroughFollower(t *testing.T) {
+	withJoiningCluster(t, 36, 3, []string{"a", "b", "c"}, func(t *testing.T, c *cluster) {
+		leader, m := c.leader()
+		followers := c.others(leader)
+		c.known = followers[:1]
+		c.loseDisk(followers[1])
+		c.nodes[followers[1]].joins = true
+		c.start(followers[1])
+		time.Sleep(catchUpTime)
+		_, _, voters := m.Status()
+		if len(voters) != 3 || slices.Contains(voters, followers[1]) {
+			t.Errorf("voters: got %v, want a new identity of %s among three", voters, followers[1])
+		}
+	})
+}
+
 // A joining instance with an empty disk must not start a new log, even if
 // every instance it knows is empty too.
 func TestJoinDoesNotBootstrap(t *testing.T) {
--- a/internal/replicator/start.go
+++ b/internal/replicator/start.go
@@ -141,22 +141,38 @@
 		if !mustJoin {
 			continue
 		}
-		// An instance that is down must not delay the next request to the others.
-		callCtx, cancel := context.WithTimeout(ctx, r.cfg.ElectionTimeout/2)
-		var group sync.WaitGroup
-		for _, name := range seeds {
-			group.Go(func() {
-				q := &wire.VoteRequest{Candidate: b.Member, Disk: b.Disk, To: name, Join: true}
-				// A failed request is repeated on the next iteration.
-				if reply, err := r.cfg.Vote(callCtx, name, q); err == nil && reply.Leader != "" {
-					r.mu.Lock()
-					r.leaderHint = reply.Leader
-					r.mu.Unlock()
-				}
-			})
+		r.askToJoin(ctx, b, seeds)
+	}
+}
+
+// askToJoin asks the seeds, and then the leader that they name if it isn't one of
+// them. A failed request is repeated by the caller.
+func (r *Replicator) askToJoin(ctx context.Context, b *wire.Ballot, seeds []string) {
+	// An instance that is down must not delay the next request to the others.
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.ElectionTimeout/2)
+	defer cancel()
+	leaders := make(chan string, len(seeds))
+	ask := func(name string) string {
+		reply, err := r.cfg.Vote(ctx, name, &wire.VoteRequest{Candidate: b.Member, Disk: b.Disk, To: name, Join: true})
+		if err != nil || reply.Leader == "" {
+			return ""
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.leaderHint = reply.Leader
+		return reply.Leader
+	}
+	var group sync.WaitGroup
+	for _, name := range seeds {
+		group.Go(func() { leaders <- ask(name) })
+	}
+	defer group.Wait()
+	asked := append(slices.Clone(seeds), r.cfg.Name, "")
+	for range seeds {
+		if leader := <-leaders; !slices.Contains(asked, leader) {
+			asked = append(asked, leader)
+			ask(leader)
 		}
-		group.Wait()
-		cancel()
 	}
 }
 
