Use the hook for idle closes in the daemon of the models' path too

The same cause as in the entry instances of the platform: a request that arrives while idle connections are closed could be served on a closed connection. The race is tested in internal/listener; the restart and stop tests of test/fleet pass with the race detector.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -76,8 +77,12 @@
 // requests in flight.
 func (b *builder) httpServer(part, address string, handler http.Handler) fx.Hook {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(b.logger.Named(part))}
+	var serving atomic.Pointer[listener.Listener]
 	hook := b.listener(address, nil, func(_ context.Context, l net.Listener) {
-		if err := server.Serve(listener.New(listener.Config{Listener: l})); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		callers := listener.New(listener.Config{Listener: l})
+		serving.Store(callers)
+		server.ConnState = callers.ConnState
+		if err := server.Serve(callers); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			b.logger.Named(part).Error("HTTP server failed", zap.Error(err))
 		}
 	})
@@ -87,6 +92,11 @@
 			_ = server.Close()
 			return eris.Wrapf(err, "stop %s", part)
 		}
+		if callers := serving.Load(); callers != nil {
+			if err := callers.Wait(ctx); err != nil {
+				return eris.Wrapf(err, "stop %s", part)
+			}
+		}
 		return wait(ctx)
 	}
 	return hook
