Restore from the copy that was confirmed last

Cause: two copies may be equally long while only one of them is confirmed to be complete. A restore from the other one knows no time from which instances must hand over their bills, so that stranded tokens never become free before the dissolution.

Change: of equally long copies, the one that was confirmed last is taken. TestRestorePrefersConfirmedCopy came with it.

--- a/internal/holder/replica_test.go
+++ b/internal/holder/replica_test.go
@@ -109,3 +109,26 @@
 	}
 	return records
 }
+
+// Of two copies that are equally long, one may not be confirmed to be complete
+// yet. A restore from that one knows no time from which instances must hand over
+// their bills, so that its stranded tokens never become free.
+func TestRestorePrefersConfirmedCopy(t *testing.T) {
+	held := source{holder: "b", epoch: 2, next: 7, lastComplete: 5}
+	for _, test := range []struct {
+		other source
+		want  bool
+	}{
+		{source{epoch: 2, next: 7, lastComplete: 6}, true},
+		{source{epoch: 2, next: 7, lastComplete: 5}, false},
+		{source{epoch: 2, next: 7}, false},
+		{source{epoch: 2, next: 8}, true},
+		{source{epoch: 2, next: 6, lastComplete: 9}, false},
+		{source{epoch: 3}, true},
+		{source{epoch: 1, next: 9, lastComplete: 9}, false},
+	} {
+		if got := test.other.isBetterThan(held); got != test.want {
+			t.Errorf("%+v better than %+v: got %t, want %t", test.other, held, got, test.want)
+		}
+	}
+}
--- a/internal/holder/restore.go
+++ b/internal/holder/restore.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -51,6 +52,13 @@
 	lastComplete int64
 }
 
+// isBetterThan reports whether s is of a later epoch, longer, or as long and
+// confirmed to be complete at a later time. The time decides which instances have
+// to hand over their bills before stranded tokens become free.
+func (s source) isBetterThan(other source) bool {
+	return cmp.Or(cmp.Compare(s.epoch, other.epoch), cmp.Compare(s.next, other.next), cmp.Compare(s.lastComplete, other.lastComplete)) > 0
+}
+
 // openLedger opens the ledger from the journal if that is complete, and
 // otherwise from the longest copy in a new epoch. It returns an error only when
 // ctx ends.
@@ -252,8 +260,10 @@
 		case err != nil && fault.Of(err) == fault.Missing:
 		case err != nil:
 			unreachable++
-		case reply.Epoch > best.epoch || reply.Epoch == best.epoch && reply.Position > best.next:
-			best = source{holder: peer, epoch: reply.Epoch, next: reply.Position, lastComplete: reply.Contact}
+		default:
+			if s := (source{holder: peer, epoch: reply.Epoch, next: reply.Position, lastComplete: reply.Contact}); s.isBetterThan(best) {
+				best = s
+			}
 		}
 	}
 	if unreachable > 0 && (best.holder == "" || waited < restoreGracePeriod) {
