--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -112,11 +112,13 @@
 // start runs a process of the node with its existing disk.
 func (c *cluster) start(name string) {
 	c.t.Helper()
-	n := c.nodes[name]
-	if n.cancel != nil {
+	n := c.node(name)
+	c.mu.Lock()
+	running, members := n.cancel != nil, c.names
+	c.mu.Unlock()
+	if running {
 		return
 	}
-	members := c.names
 	if !slices.Contains(members, name) {
 		members = append(slices.Clone(members), name)
 	}
@@ -373,6 +375,12 @@
 	return slices.DeleteFunc(slices.Clone(c.names), func(n string) bool { return n == name })
 }
 
+func (c *cluster) node(name string) *node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name]
+}
+
 // seeds returns the instances that all instances are told of.
 func (c *cluster) seeds() []string {
 	c.mu.Lock()
--- a/internal/replicator/loss_test.go
+++ b/internal/replicator/loss_test.go
@@ -35,14 +35,14 @@
 	run  func(c *cluster, name string, d time.Duration)
 }{
 	{"full disk", func(c *cluster, name string, d time.Duration) {
-		c.nodes[name].disk.setFull(true)
+		c.node(name).disk.setFull(true)
 		time.Sleep(d)
-		c.nodes[name].disk.setFull(false)
+		c.node(name).disk.setFull(false)
 	}},
 	{"failed syncs", func(c *cluster, name string, d time.Duration) {
-		c.nodes[name].disk.setSyncFailure(true)
+		c.node(name).disk.setSyncFailure(true)
 		time.Sleep(d)
-		c.nodes[name].disk.setSyncFailure(false)
+		c.node(name).disk.setSyncFailure(false)
 	}},
 	{"crash", func(c *cluster, name string, d time.Duration) {
 		c.crash(name)
@@ -61,7 +61,7 @@
 	}},
 	{"lost disk", func(c *cluster, name string, d time.Duration) {
 		c.loseDisk(name)
-		c.nodes[name].joins = true
+		c.node(name).joins = true
 		time.Sleep(d)
 		c.start(name)
 	}},
@@ -75,9 +75,9 @@
 // replace starts an empty instance with another name in place of one that is
 // down. The others are told of it with a lag.
 func (c *cluster) replace(name string) {
-	next := fmt.Sprint(name[:1], len(c.nodes))
 	disk := newDisk(c.t, c.uint64())
 	c.mu.Lock()
+	next := fmt.Sprint(name[:1], len(c.nodes))
 	c.nodes[next] = &node{name: next, disk: disk, resumed: closedChan(), joins: true}
 	c.names = append(slices.DeleteFunc(slices.Clone(c.names), func(n string) bool { return n == name }), next)
 	names := slices.Clone(c.names)
