Fix a deadlock between choosing targets and pruning connections

Cause: Balancer.Choose holds the lock of the balancer and calls Exchanger.HasIdle, which takes the lock of the exchanger. Exchanger.PruneIdle held the lock of the exchanger and called Balancer.HasAddress. Two goroutines that take the locks in opposite orders wait for each other forever; pruning runs once a second and with each list of targets.

PruneIdle now collects the addresses, asks for each of them without its lock, and removes the connections after that. The lock of the exchanger is the last one on every path. A connection that becomes idle in between stays until the next pruning.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -207,15 +209,20 @@
 }
 
 // PruneIdle closes idle connections that have expired, and all idle connections
-// to addresses for which wanted returns false.
+// to addresses for which wanted returns false. It calls wanted without holding
+// its lock, since wanted may wait for a caller of HasIdle.
 func (e *Exchanger) PruneIdle(wanted func(address string) bool) {
+	unwanted := map[string]bool{}
+	for _, address := range e.idleAddresses() {
+		unwanted[address] = !wanted(address)
+	}
 	now := e.cfg.Now()
 	var old []*conn
 	e.mu.Lock()
 	for address, list := range e.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if wanted(address) && now.Before(c.expires) {
+			if !unwanted[address] && now.Before(c.expires) {
 				kept = append(kept, c)
 			} else {
 				old = append(old, c)
@@ -232,6 +239,13 @@
 	}
 }
 
+// idleAddresses returns the addresses with idle connections.
+func (e *Exchanger) idleAddresses() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Keys(e.idle))
+}
+
 // CloseIdle closes all idle connections to an address.
 func (e *Exchanger) CloseIdle(address string) {
 	e.mu.Lock()
