Report requests that continue past their deadlines

tracker keeps the requests in flight with their deadlines; time in which a request waits for its caller doesn't count. Past the grace period readiness fails, before any check that takes a lock, so that the balancer in front takes the instance out, and the stacks of all goroutines are logged once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -193,9 +193,10 @@
 	e.forwarder.UpdateCluster(int(reply.Entries), reply.Blocked)
 }
 
-// isReady reports whether this instance should receive new callers.
+// isReady reports whether this instance should receive new callers. It checks for
+// blocked requests first, because the other checks take locks.
 func (e *Entry) isReady() bool {
-	return !e.stopping.Load() && e.sync.Version() > 0 && e.balancer.NumReady() > 0 && !e.shedder.IsSaturated()
+	return !e.stopping.Load() && !e.isBlocked() && e.sync.Version() > 0 && e.balancer.NumReady() > 0 && !e.shedder.IsSaturated()
 }
 
 // Run serves until ctx ends, then lets requests in flight finish within the
@@ -221,6 +222,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { e.sync.Run(running) })
 	group.Go(func() { e.sweep(running) })
+	group.Go(func() { e.watchStalls(running) })
 	group.Go(func() { e.lender.Run(running) })
 	group.Go(func() { e.gossiper.Run(running) })
 	group.Go(func() { e.servePeers(running, peerListener) })
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/papayapond/papayapond/internal/retrier"
 	"github.com/papayapond/papayapond/internal/ruleset"
 	"github.com/papayapond/papayapond/internal/spender"
+	"github.com/papayapond/papayapond/internal/tracker"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -79,15 +80,15 @@
 // Forwarder is an http.Handler that proxies requests to targets. It is safe for
 // concurrent use.
 type Forwarder struct {
-	cfg   Config
-	rules atomic.Pointer[ruleset.Ruleset]
+	cfg      Config
+	rules    atomic.Pointer[ruleset.Ruleset]
+	requests *tracker.Tracker
 
 	mu             sync.Mutex
 	retriers       map[string]*retrier.Retrier // by pool
 	entryInstances int
 	suspects       []*wire.Suspect
 	blocked        map[string]bool
-	inFlight       int
 }
 
 // New returns a forwarder that rejects all requests until it has a ruleset.
@@ -107,7 +108,7 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Report) {}
 	}
-	return &Forwarder{cfg: cfg, retriers: map[string]*retrier.Retrier{}, entryInstances: 1, blocked: map[string]bool{}}
+	return &Forwarder{cfg: cfg, requests: tracker.New(tracker.Config{Now: cfg.Now}), retriers: map[string]*retrier.Retrier{}, entryInstances: 1, blocked: map[string]bool{}}
 }
 
 // SetRuleset activates a ruleset.
@@ -143,11 +144,11 @@
 }
 
 // InFlight returns the number of requests in flight.
-func (f *Forwarder) InFlight() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.inFlight
-}
+func (f *Forwarder) InFlight() int { return f.requests.InFlight() }
+
+// Overdue returns the number of requests that are past their deadline and don't
+// wait for their caller, and the time since the earliest of these deadlines.
+func (f *Forwarder) Overdue() (count int, longest time.Duration) { return f.requests.Overdue() }
 
 // retrier returns the retry budget of a pool.
 func (f *Forwarder) retrier(pool string) *retrier.Retrier {
@@ -177,17 +178,10 @@
 	return f.blocked[digest]
 }
 
-func (f *Forwarder) addInFlight(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.inFlight += n
-}
-
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.addInFlight(1)
-	defer f.addInFlight(-1)
-	x := &exchange{f: f, w: w, r: r, arrived: f.cfg.Now()}
+	x := &exchange{f: f, w: w, r: r, arrived: f.cfg.Now(), tracked: f.requests.Begin()}
+	defer x.tracked.End()
 	if !x.prepare() {
 		return
 	}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -18,6 +18,7 @@
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ruleset"
 	"github.com/papayapond/papayapond/internal/spender"
+	"github.com/papayapond/papayapond/internal/tracker"
 	"github.com/papayapond/papayapond/pkg/pool"
 	"github.com/papayapond/papayapond/pkg/prepaid"
 	"github.com/papayapond/papayapond/pkg/route"
@@ -45,6 +46,7 @@
 	arrived   time.Time
 	deadline  time.Time
 	firstByte time.Time // first byte of the response
+	tracked   *tracker.Request
 
 	rules   *ruleset.Ruleset
 	route   route.Route
@@ -152,6 +154,7 @@
 		x.finish("unread", zap.Error(err))
 		panic(http.ErrAbortHandler)
 	}
+	x.tracked.SetDeadline(x.deadline)
 	x.body = body
 	sum := sha256.New()
 	for _, s := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.account.Name} {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -132,6 +132,7 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(a.Status)
 	x.firstByte = x.f.cfg.Now()
+	x.tracked.AwaitCaller()
 	if _, err := x.w.Write(body); err != nil {
 		x.finish("left", zap.Error(err))
 		return
@@ -174,10 +175,12 @@
 		t.reset()
 		x.sendHeader(a.Header)
 		_ = out.SetWriteDeadline(x.f.cfg.Now().Add(writeTimeout)) // not all writers support deadlines
+		x.tracked.AwaitCaller()
 		_, err = x.w.Write(event)
 		if err == nil {
 			err = out.Flush()
 		}
+		x.tracked.SetDeadline(x.deadline)
 		if err != nil {
 			a.Close(false)
 			x.finish("left", zap.Error(err))
