Check alert rules on the gauges of the general routes

It takes the gauges of the meter from a scrape now, so that a rule on one that doesn't exist still fails.

--- a/test/docs/alerts_test.go
+++ b/test/docs/alerts_test.go
@@ -11,17 +11,33 @@
 	"time"
 
 	"github.com/papayapond/papayapond/internal/gateway"
+	"github.com/papayapond/papayapond/internal/meter"
 	"github.com/papayapond/papayapond/internal/reporter"
 )
 
 var (
 	metricRow = regexp.MustCompile("(?m)^\\| `(papayapond_\\w+)` \\| (\\w+) \\| (.*?) \\|")
+	gaugeType = regexp.MustCompile(`(?m)^# TYPE (papayapond_\w+) gauge$`)
 	selector  = regexp.MustCompile(`(papayapond_\w+)(?:\{([^}]*)\})?`)
 	matcher   = regexp.MustCompile(`(\w+)(?:=~|!=|=)"([^"]*)"`)
 	grouping  = regexp.MustCompile(`(?:by|on) \(([^)]*)\)`)
 	quoted    = regexp.MustCompile("`([a-z]+)`")
 )
 
+// routeGauges returns the names of the gauges of an instance that serves the
+// general routes.
+func routeGauges() map[string]bool {
+	zero := func() float64 { return 0 }
+	w := httptest.NewRecorder()
+	m := meter.New(meter.Config{InFlight: zero, Version: zero, SinceCoreContact: zero, Overdue: zero, LinkUtilization: zero})
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	names := map[string]bool{}
+	for _, row := range gaugeType.FindAllStringSubmatch(w.Body.String(), -1) {
+		names[row[1]] = true
+	}
+	return names
+}
+
 // It guards against rules on metrics, labels, values or bounds that the product
 // doesn't have: such a rule never fires. The tables of metrics and of codes are
 // compared with the product by the tests of reporter and fault.
@@ -35,6 +51,9 @@
 			labels[row[1]+"_count"] = names
 		}
 	}
+	for name := range routeGauges() {
+		labels[name] = nil
+	}
 	var values []string
 	for _, word := range quoted.FindAllStringSubmatch(read(t, "docs/metrics.md")+read(t, "docs/errors.md"), -1) {
 		values = append(values, word[1])
