Read a chosen target without racing with the list of targets

Pick.ID and Pick.Address read the listing of the target, which SetTargets replaces under the balancer's lock. A request whose target announced another address in between could be sent to the new address under the old name, or read a torn value. A pick keeps the listing that it was chosen with, which nobody changes.

Found by TestComponentsTogether, which runs choosing, settling, lists of targets, pruning, gossip, loans and rulesets of an entry instance at once: it reported the race within 1.5 s before and nothing in 3 runs and one of 20 s after.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -347,7 +347,7 @@
 // assign counts a request as in flight on a target. The caller holds mu.
 func (b *Balancer) assign(t *target, q Query) *Pick {
 	pending := max(q.Tokens-t.cached(q.Parts), 0)
-	p := &Pick{b: b, t: t, pendingTokens: pending, prefillTokens: pending, reservedTokens: q.Tokens + q.Output, running: t.running + int(t.remote.Running), backlog: t.pendingTokens + t.remote.Unread}
+	p := &Pick{b: b, t: t, listing: t.listing, pendingTokens: pending, prefillTokens: pending, reservedTokens: q.Tokens + q.Output, running: t.running + int(t.remote.Running), backlog: t.pendingTokens + t.remote.Unread}
 	if t.ejection > 0 {
 		t.probing, p.probe = true, true
 	}
--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -1,11 +1,16 @@
 package balancer
 
-import "go.uber.org/zap"
+import (
+	"go.uber.org/zap"
+
+	"github.com/papayapond/papayapond/internal/wire"
+)
 
 // Pick is a request assigned to a target. Done must be called exactly once.
 type Pick struct {
 	b              *Balancer
 	t              *target
+	listing        *wire.Listing // of the target when it was chosen
 	pendingTokens  int64
 	prefillTokens  int64 // prompt tokens expected to be computed
 	reservedTokens int64
@@ -29,10 +34,10 @@
 }
 
 // ID returns the ID of the target.
-func (p *Pick) ID() string { return p.t.listing.Id }
+func (p *Pick) ID() string { return p.listing.Id }
 
 // Address returns the address of the target.
-func (p *Pick) Address() string { return p.t.listing.Address }
+func (p *Pick) Address() string { return p.listing.Address }
 
 // MarkPrefilled records that the target has processed the prompt.
 func (p *Pick) MarkPrefilled() {
