Log the parts of prompts and whether a target had begun its answer

The hypotheses on the deadly part could not be told apart by the logs. 'attempt failed' has the parts and whether a response header came, 'request ended' the parts.

--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -63,9 +63,10 @@
 	targetHeader http.Header // sent to the target
 	pickFields   []zap.Field // log fields of the last target
 	tried        map[string]bool
-	sends        int // attempts, including failed connections
-	runs         int // attempts that a target may have run
-	events       int // relayed to the caller
+	sends        int  // attempts, including failed connections
+	runs         int  // attempts that a target may have run
+	events       int  // relayed to the caller
+	started      bool // the last target has sent a response header
 	headerSent   bool
 	status       int           // sent to the caller; 0 if none
 	quotaWait    time.Duration // time spent waiting for quota
@@ -127,6 +128,15 @@
 	}
 }
 
+// partIDs returns the ids of the parts of the prompt.
+func (x *exchange) partIDs() []string {
+	ids := make([]string, len(x.parts))
+	for i, p := range x.parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // parseCount parses a non-negative integer. Invalid or missing values are 0,
 // since the headers are optional.
 func parseCount(s string) int64 {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -248,7 +248,7 @@
 	}
 	x.f.cfg.Logger.Log(level, "request ended", append([]zap.Field{
 		zap.String("request", x.requestID()), zap.String("outcome", outcome), zap.Int("status", x.status), zap.String("route", x.route.Name), zap.String("account", x.account.Name),
-		zap.Uint64("ruleset", version), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Int64("cost", x.tokensUsed()), zap.Duration("waited", x.quotaWait),
+		zap.Uint64("ruleset", version), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Strings("parts", x.partIDs()), zap.Int64("cost", x.tokensUsed()), zap.Duration("waited", x.quotaWait),
 		zap.Duration("first", report.FirstByte), zap.Duration("duration", report.Duration),
 	}, append(x.pickFields, fields...)...)...)
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -73,7 +73,8 @@
 			return
 		}
 		x.f.cfg.Logger.Warn("attempt failed", zap.String("request", x.requestID()), zap.String("target", pick.ID()),
-			zap.Stringer("verdict", v), zap.Int("runs", x.runs), zap.Int("events", x.events), zap.Error(err))
+			zap.Stringer("verdict", v), zap.Int("runs", x.runs), zap.Int("events", x.events),
+			zap.Bool("started", x.started), zap.Strings("parts", x.partIDs()), zap.Error(err))
 		if !x.mayRetry(ctx, v) {
 			break
 		}
@@ -126,6 +127,7 @@
 	defer cancel()
 	x.pickFields = pick.LogFields()
 	x.f.cfg.CountBytes(0, len(x.body)+headerBytes)
+	x.started = false
 	watch := x.newStallTimer(cancel)
 	defer watch.stop()
 	a, err := x.f.cfg.Exchanger.Send(ctx, x.request(pick))
@@ -154,6 +156,7 @@
 		}
 		return x.unlessCanceled(connectionLost), err
 	}
+	x.started = true
 	if x.isRefusal(a) {
 		x.runs--
 		o := balancer.Refused
