--- /dev/null
+++ b/internal/forwarder/crash_test.go
@@ -0,0 +1,61 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// crashOn returns a handler of an engine that crashes when it begins to answer a
+// prompt with the part, and streams three events otherwise.
+func crashOn(part string) handler {
+	answer := events("s", 1, 3, false)
+	return func(n int, w io.Writer, r *http.Request) bool {
+		if !strings.Contains(r.Header.Get(headers.Parts), part+":") {
+			return answer(n, w, r)
+		}
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\nX-Sign: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headers.Attempt, r.Header.Get(headers.Attempt))
+		return false
+	}
+}
+
+// withParts sets the parts of a prompt.
+func withParts(parts string) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set(headers.Parts, parts) }
+}
+
+// A part of a prompt that crashes each target must stop reaching targets, though
+// no two of its requests are alike. Requests that share the parts beside it must
+// be served. Blame for whole requests let 47 targets crash one after another.
+func TestCrashingPart(t *testing.T) {
+	const (
+		targets = 16
+		rounds  = 12
+		// maxSent is the number of crashes after which no such request may reach
+		// a target.
+		maxSent = 5
+	)
+	var scripts []handler
+	for range targets {
+		scripts = append(scripts, crashOn("bad"))
+	}
+	f := newFixture(t, scripts...)
+	for i := range rounds {
+		_, _, _ = f.post("/resume/", withParts(fmt.Sprintf("top:5,shop:5,bad:5,own%d:5", i))) // a failure is expected
+		a, body, err := f.post("/resume/", withParts(fmt.Sprintf("top:5,shop:5,other%d:5", i)))
+		if err != nil || a.StatusCode != http.StatusOK || body != stream(1, 3) {
+			t.Errorf("sound request %d: got status %d, body %q, error %v", i, a.StatusCode, body, err)
+		}
+	}
+	sent := 0
+	for _, r := range f.requests() {
+		if strings.Contains(r.Header.Get(headers.Parts), "bad:") {
+			sent++
+		}
+	}
+	if sent > maxSent {
+		t.Errorf("got %d requests with the crashing part at targets, want at most %d", sent, maxSent)
+	}
+}
