Block the part of a prompt that crashes targets

Callers saw streams broken off and 502 and 503 for a third of their requests while one part of a prompt crashed one target after another: the forwarder blamed whole requests, and no two of these are alike.

The new package detector suspects the shared parts of a prompt and the digest of the request alike. What tells a deadly part from the parts beside it and from requests that ran on the same target is that targets answer these. A block has all keys that its crashes have in common and are not cleared, so that sound requests with some of them pass and clear them. Once a target had begun to answer requests, those that only waited there are not suspected. Crashes, clearances and blocks are exchanged with each call to the leader, and between entry instances while the core instances are silent; they only add up, and a new leader gets all of them (before, it forgot what was blocked). Requests that wait on a target are cancelled when their content is blocked. An unframed stream that ends without an event counts as broken off.

Retries did make it worse: they are checked before each attempt now.

--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"strconv"
+
 	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/wire"
@@ -36,6 +38,11 @@
 // ID returns the ID of the target.
 func (p *Pick) ID() string { return p.listing.Id }
 
+// Lifetime returns the ID of the target with the start of its lifetime.
+func (p *Pick) Lifetime() string {
+	return p.listing.Id + "/" + strconv.FormatInt(p.listing.Born, 10)
+}
+
 // Address returns the address of the target.
 func (p *Pick) Address() string { return p.listing.Address }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/papayapond/papayapond/internal/allocator"
+	"github.com/papayapond/papayapond/internal/detector"
 	"github.com/papayapond/papayapond/internal/enroller"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ruleset"
@@ -62,7 +63,7 @@
 	readyTerm     uint64 // term in which all earlier entries are known to be applied
 	lastAnnounced map[string]time.Time
 	entries       map[string]*entry
-	suspects      map[string]*suspect
+	evidence      *detector.Detector // of contents that crash targets
 	summary       *summary
 	fleet         fleet
 	// sequences holds the sequence number of the last call, by incarnation.
@@ -82,7 +83,7 @@
 	}
 	c := &Coordinator{
 		cfg: cfg, targets: enroller.New(),
-		lastAnnounced: map[string]time.Time{}, entries: map[string]*entry{}, suspects: map[string]*suspect{}, sequences: map[string]uint64{},
+		lastAnnounced: map[string]time.Time{}, entries: map[string]*entry{}, evidence: detector.New(detector.Config{Now: cfg.Now}), sequences: map[string]uint64{},
 	}
 	c.budgets = allocator.New(allocator.Config{Budget: c.budget, OnReplaced: c.logReplaced})
 	return c
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 
 	"github.com/papayapond/papayapond/internal/coordinator"
+	"github.com/papayapond/papayapond/internal/detector"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ruleset"
 	"github.com/papayapond/papayapond/internal/wire"
@@ -183,25 +184,51 @@
 	}
 }
 
-// A request that crashes three targets must be blocked everywhere. A request
-// whose connections to a single target broke must not be.
+// A request that crashes three targets must be blocked everywhere, also after a
+// change of the leader. A request whose connections to a single target broke must
+// not be.
 func TestCrashingRequestBlocked(t *testing.T) {
 	l := newLog()
-	a := l.coordinators["a"]
-	report := func(digest, target string) []string {
-		r, err := a.Sync(t.Context(), &wire.SyncRequest{Instance: "e#" + target, Sequence: uint64(l.now.Unix()), Suspects: []*wire.Suspect{{Digest: digest, Target: target}}})
+	now := func() time.Time { return l.now }
+	entries := map[string]*detector.Detector{}
+	sessions := map[string]*detector.Session{}
+	for _, name := range []string{"e1", "e2", "e3", "other"} {
+		entries[name] = detector.New(detector.Config{Now: now})
+		sessions[name] = entries[name].NewSession()
+	}
+	sequence := uint64(0)
+	sync := func(name, leader string) {
+		t.Helper()
+		sequence++
+		q := &wire.SyncRequest{Instance: name + "#1", Sequence: sequence, Evidence: sessions[name].Request()}
+		r, err := l.coordinators[leader].Sync(t.Context(), q)
 		if err != nil || r.Fault.Err() != nil {
 			t.Fatalf("got %v and %v", r, err)
 		}
-		return r.Blocked
+		sessions[name].Apply(q.Evidence, r.Evidence)
+	}
+	isBlocked := func(name, digest string) bool {
+		return entries[name].Blocked(detector.Content{Digest: digest}) != nil
 	}
 	for _, step := range []struct {
-		digest, target string
-		want           string
-	}{{"poison", "t1", "[]"}, {"poison", "t2", "[]"}, {"sound", "t3", "[]"}, {"sound", "t3", "[]"}, {"sound", "t3", "[]"}, {"poison", "t3", "[poison]"}} {
+		entry, digest, target string
+		want                  bool
+	}{{"e1", "poison", "t1", false}, {"e2", "poison", "t2", false}, {"e1", "sound", "t3", false}, {"e2", "sound", "t3", false}, {"e3", "sound", "t3", false}, {"e3", "poison", "t3", true}} {
 		l.now = l.now.Add(time.Second)
-		if got := fmt.Sprint(report(step.digest, step.target)); got != step.want {
-			t.Errorf("%s at %s: got %s, want %s", step.digest, step.target, got, step.want)
+		entries[step.entry].RecordCrash(step.target, detector.Content{Digest: step.digest}, false)
+		sync(step.entry, "a")
+		sync("other", "a")
+		if got := isBlocked("other", step.digest); got != step.want {
+			t.Errorf("%s at %s: got blocked %v, want %v", step.digest, step.target, got, step.want)
 		}
 	}
+	l.leader, l.term = "b", 2
+	entries["new"] = detector.New(detector.Config{Now: now})
+	sessions["new"] = entries["new"].NewSession()
+	for _, name := range []string{"other", "other", "new"} {
+		sync(name, "b")
+	}
+	if !isBlocked("new", "poison") || isBlocked("new", "sound") {
+		t.Errorf("after a change of the leader: got blocked %v and %v, want only the crashing request", isBlocked("new", "poison"), isBlocked("new", "sound"))
+	}
 }
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -12,12 +12,6 @@
 )
 
 const (
-	// crashLimit is the number of target lifetimes that must break the
-	// connection of a request before the request is blocked. A single broken
-	// connection can hit a harmless request too.
-	crashLimit = 3
-	// crashWindow is how long after its last crash a request is remembered.
-	crashWindow = 60 * time.Second
 	// maxPeers limits the entry instances listed in a reply.
 	maxPeers = 4
 	// summaryAge is the maximum age of the summary that replies use.
@@ -36,12 +30,6 @@
 	allowances []*wire.Allowance
 }
 
-// suspect is a request that was in flight when targets broke its connection.
-type suspect struct {
-	lastCrash time.Time
-	targets   map[string]bool
-}
-
 // Sync implements wire.DRPCSteeringServer. Only the leader serves it.
 func (c *Coordinator) Sync(ctx context.Context, q *wire.SyncRequest) (*wire.SyncReply, error) {
 	reply := &wire.SyncReply{Cores: c.cfg.Instances(), Leader: c.cfg.Leader()}
@@ -76,7 +64,7 @@
 	}
 	reply.Loads = c.loads(q)
 	reply.Entries = int32(len(c.entries))
-	reply.Blocked = c.blocked()
+	reply.Evidence = c.evidence.Answer(q.Evidence)
 	reply.Peers = c.peers(q.Instance)
 	reply.Fleet, reply.Members = c.fleet.listFor(q.Fleet, c.cfg.Now())
 	return reply, nil
@@ -128,19 +116,6 @@
 		c.entries[q.Instance] = &entry{lastSync: now, address: q.Address, zone: q.Zone, loads: q.Loads, allowances: q.Allowances}
 		c.fleet.add(q.Address, q.Zone, now)
 	}
-	for _, s := range q.Suspects {
-		known := c.suspects[s.Digest]
-		if known == nil {
-			known = &suspect{targets: map[string]bool{}}
-			c.suspects[s.Digest] = known
-		}
-		known.lastCrash, known.targets[s.Target] = now, true
-	}
-	for digest, k := range c.suspects {
-		if now.Sub(k.lastCrash) > crashWindow {
-			delete(c.suspects, digest)
-		}
-	}
 }
 
 // summary aggregates the reports of all incarnations. Aggregating for each call
@@ -249,15 +224,3 @@
 	}
 	return list
 }
-
-// blocked returns the digests of requests that crash targets. The caller holds
-// mu.
-func (c *Coordinator) blocked() []string {
-	var list []string
-	for digest, k := range c.suspects {
-		if len(k.targets) >= crashLimit {
-			list = append(list, digest)
-		}
-	}
-	return list
-}
--- /dev/null
+++ b/internal/detector/evaluate.go
@@ -0,0 +1,184 @@
+package detector
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// evaluate blocks the contents that explain enough crashes, and returns the new
+// blocks. The caller holds mu.
+func (d *Detector) evaluate() []*block {
+	now := d.cfg.Now()
+	d.expireCrashes()
+	d.expireBlocks(now)
+	lifetimes := d.lifetimes()
+	d.updateBlocks(lifetimes)
+	var added []*block
+	for {
+		b := d.nextBlock(lifetimes, now)
+		if b == nil {
+			return added
+		}
+		d.addBlock(b)
+		d.updateBlocks(lifetimes)
+		added = append(added, b)
+	}
+}
+
+// lifetimes returns the crashes by target. If a target had begun to answer some of
+// its requests, these alone are suspected. The caller holds mu.
+func (d *Detector) lifetimes() map[string][]*crash {
+	all := map[string][]*crash{}
+	for _, c := range d.crashes {
+		list := all[c.target]
+		switch {
+		case len(list) > 0 && c.started && !list[0].started:
+			all[c.target] = []*crash{c}
+		case len(list) == 0 || c.started == list[0].started:
+			all[c.target] = append(list, c)
+		}
+	}
+	return all
+}
+
+// accusation is what the crashes say about one key.
+type accusation struct {
+	crashes []*crash // one of each lifetime
+	common  []string // suspects that all crashes have in common
+}
+
+// count returns the number of crashes, where simultaneous ones of targets that
+// hadn't begun to answer count once.
+func (a *accusation) count() int {
+	n := 0
+	var last time.Time
+	for _, c := range slices.SortedFunc(slices.Values(a.crashes), func(a, b *crash) int { return a.at.Compare(b.at) }) {
+		if n == 0 || c.started || c.at.Sub(last) > simultaneousCrashes {
+			n++
+		}
+		last = c.at
+	}
+	return n
+}
+
+// last returns the time of the last crash.
+func (a *accusation) last() time.Time {
+	return slices.MaxFunc(a.crashes, func(a, b *crash) int { return a.at.Compare(b.at) }).at
+}
+
+// nextBlock returns a block for the key that explains most crashes, or nil if none
+// reaches the limit. The caller holds mu.
+func (d *Detector) nextBlock(lifetimes map[string][]*crash, now time.Time) *block {
+	accused := map[string]*accusation{}
+	for _, target := range slices.Sorted(maps.Keys(lifetimes)) {
+		d.accuse(accused, lifetimes[target], now)
+	}
+	var best *accusation
+	for _, key := range slices.Sorted(maps.Keys(accused)) {
+		a := accused[key]
+		if a.count() >= crashLimit && !d.isCovered(a.common) && (best == nil || a.count() > best.count()) {
+			best = a
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	certain := !slices.ContainsFunc(best.crashes, func(c *crash) bool { return !c.started })
+	return &block{keys: best.common, lastCrash: best.last(), lastSeen: now, told: now, tried: certain, version: d.nextVersion()}
+}
+
+// accuse adds one crashed lifetime to the accusations. The caller holds mu.
+func (d *Detector) accuse(accused map[string]*accusation, list []*crash, now time.Time) {
+	here := map[string]*accusation{}
+	for _, c := range list {
+		suspects := d.suspectsOf(c, list, now)
+		for _, key := range suspects {
+			a := here[key]
+			if a == nil {
+				a = &accusation{crashes: []*crash{c}, common: suspects}
+				here[key] = a
+			}
+			a.common = intersect(a.common, suspects)
+		}
+	}
+	for key, h := range here {
+		a := accused[key]
+		if a == nil {
+			a = &accusation{common: h.common}
+			accused[key] = a
+		}
+		a.crashes = append(a.crashes, h.crashes...)
+		a.common = intersect(a.common, h.common)
+	}
+}
+
+// suspectsOf returns the keys of a crash that aren't cleared, sorted. If a block
+// explains the crash of the target, only keys of that block remain. The caller
+// holds mu.
+func (d *Detector) suspectsOf(c *crash, lifetime []*crash, now time.Time) []string {
+	var explained []string
+	for _, b := range d.blocks {
+		if slices.ContainsFunc(lifetime, func(o *crash) bool { return includes(o.keys, b.keys) }) {
+			explained = append(explained, b.keys...)
+		}
+	}
+	var list []string
+	for _, key := range c.keys {
+		if !d.isCleared(key, now) && (explained == nil || slices.Contains(explained, key)) {
+			list = append(list, key)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// isCovered reports whether a block refuses all requests with the keys. The caller
+// holds mu.
+func (d *Detector) isCovered(keys []string) bool {
+	return slices.ContainsFunc(d.blocks, func(b *block) bool { return includes(keys, b.keys) })
+}
+
+// addBlock adds a block in place of those that it covers. The caller holds mu.
+func (d *Detector) addBlock(b *block) {
+	d.blocks = slices.DeleteFunc(d.blocks, func(o *block) bool { return includes(o.keys, b.keys) })
+	if len(d.blocks) >= maxBlocks {
+		first := slices.MinFunc(d.blocks, func(a, b *block) int { return a.lastSeen.Compare(b.lastSeen) })
+		d.blocks = slices.DeleteFunc(d.blocks, func(o *block) bool { return o == first })
+	}
+	d.blocks = append(d.blocks, b)
+}
+
+// updateBlocks adds crashes to the blocks that explain them. The caller holds mu.
+func (d *Detector) updateBlocks(lifetimes map[string][]*crash) {
+	for _, b := range d.blocks {
+		for target, list := range lifetimes {
+			i := slices.IndexFunc(list, func(c *crash) bool { return includes(c.keys, b.keys) })
+			if i >= 0 {
+				d.addTarget(b, target, list[i].at)
+			}
+		}
+	}
+}
+
+// addTarget adds a crashed target to a block. The caller holds mu.
+func (d *Detector) addTarget(b *block, target string, at time.Time) {
+	if at.After(b.lastCrash) {
+		b.lastCrash = at
+	}
+	if len(b.targets) <= crashLimit && !slices.Contains(b.targets, target) {
+		b.targets = append(b.targets, target)
+		b.version = d.nextVersion()
+	}
+}
+
+// intersect returns the keys that both sorted lists have.
+func intersect(a, b []string) []string {
+	var list []string
+	for _, key := range a {
+		if _, ok := slices.BinarySearch(b, key); ok {
+			list = append(list, key)
+		}
+	}
+	return list
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/papayapond/papayapond/internal/allocator"
 	"github.com/papayapond/papayapond/internal/balancer"
+	"github.com/papayapond/papayapond/internal/detector"
 	"github.com/papayapond/papayapond/internal/dialer"
 	"github.com/papayapond/papayapond/internal/exchanger"
 	"github.com/papayapond/papayapond/internal/fault"
@@ -102,6 +103,7 @@
 	shedder   *shedder.Shedder
 	forwarder *forwarder.Forwarder
 	sync      *synchronizer.Synchronizer
+	evidence  *detector.Session // with the leader
 	stopping  atomic.Bool
 }
 
@@ -128,27 +130,29 @@
 		Observe:          cfg.OnLoan,
 		Logger:           cfg.Logger.Named("lender"),
 	})
-	e.gossiper = gossiper.New(gossiper.Config{
-		Self: cfg.PeerAddress, Zone: cfg.Zone, Loads: e.balancer.LocalLoads, UpdateLoads: e.balancer.SetRemoteLoads, Logger: cfg.Logger.Named("gossiper"),
-		Peer: func(address string) wire.DRPCGossipClient {
-			return wire.NewDRPCGossipClient(e.dialer.Conn(address))
-		},
-		CoresUnreachable: func() bool { return e.sync.SinceContact() > coresUnreachableAfter },
-	})
 	e.shedder = shedder.New(shedder.Config{Capacity: cfg.LinkCapacity, Logger: cfg.Logger.Named("shedder")})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Headers: cfg.Headers, Balancer: e.balancer, Exchanger: e.exchanger, Spender: e.spender,
 		RetryRatio: cfg.RetryShare, MinRetries: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
 		CoreSilence: func() time.Duration { return e.sync.SinceContact() }, Observe: cfg.Observe, Logger: cfg.Logger.Named("forwarder"),
+		OnCrash:    func() { e.sync.Trigger() },
 		CountBytes: e.shedder.CountBytes, CloseConnection: e.shedder.ShouldClose,
 	})
+	e.gossiper = gossiper.New(gossiper.Config{
+		Self: cfg.PeerAddress, Zone: cfg.Zone, Loads: e.balancer.LocalLoads, UpdateLoads: e.balancer.SetRemoteLoads, Detector: e.forwarder.Detector(), Logger: cfg.Logger.Named("gossiper"),
+		Peer: func(address string) wire.DRPCGossipClient {
+			return wire.NewDRPCGossipClient(e.dialer.Conn(address))
+		},
+		CoresUnreachable: func() bool { return e.sync.SinceContact() > coresUnreachableAfter },
+	})
+	e.evidence = e.forwarder.Detector().NewSession()
 	e.sync = synchronizer.New(synchronizer.Config{
 		Instance: cfg.Name + "#" + strconv.FormatUint(rand.Uint64(), 16), Machine: cfg.Name, Zone: cfg.Zone, Seeds: cfg.Seeds,
 		Address: cfg.PeerAddress, Boot: bootID(cfg.Logger), Clock: sinceBoot,
 		Peer: func(name string) wire.DRPCSteeringClient {
 			return wire.NewDRPCSteeringClient(e.dialer.Conn(name))
 		},
-		Allowances: e.spender.Declare, Loads: e.balancer.LocalLoads, Suspects: e.forwarder.TakeSuspects,
+		Allowances: e.spender.Declare, Loads: e.balancer.LocalLoads, Evidence: e.evidence.Request,
 		OnRuleset: e.applyRuleset, OnReply: e.applyReply, Logger: cfg.Logger.Named("synchronizer"),
 	})
 	return e
@@ -163,6 +167,10 @@
 // SinceContact returns the time since the core instances last answered.
 func (e *Entry) SinceContact() time.Duration { return e.sync.SinceContact() }
 
+// BlockedContents returns the number of contents that are blocked because they crash
+// targets.
+func (e *Entry) BlockedContents() int { return e.forwarder.Detector().Blocks() }
+
 // LinkShare returns the utilization of the network link.
 func (e *Entry) LinkShare() float64 { return e.shedder.Utilization() }
 
@@ -179,7 +187,8 @@
 }
 
 // applyReply applies a reply of the leader.
-func (e *Entry) applyReply(reply *wire.SyncReply) {
+func (e *Entry) applyReply(q *wire.SyncRequest, reply *wire.SyncReply) {
+	e.evidence.Apply(q.Evidence, reply.Evidence)
 	e.spender.UpdateLimits(reply.Limits, int(reply.Entries))
 	if reply.Listed {
 		e.balancer.SetTargets(reply.Targets)
@@ -190,7 +199,7 @@
 		e.gossiper.Update(reply.Members)
 	}
 	e.balancer.SetRemoteLoads(reply.Loads)
-	e.forwarder.UpdateCluster(int(reply.Entries), reply.Blocked)
+	e.forwarder.UpdateCluster(int(reply.Entries))
 }
 
 // isReady reports whether this instance should receive new callers. It checks for
--- a/internal/entry/stress_test.go
+++ b/internal/entry/stress_test.go
@@ -45,7 +45,7 @@
 		Listed: true, Targets: []*wire.Listing{{Id: "e1", Born: 1, Pool: "p", Address: address, Zone: "z"}, {Id: "e2", Born: 1, Pool: "p", Address: "127.0.0.1:1", Zone: "y"}},
 		Limits: []*wire.Limit{{Account: "shop", Limit: 1 << 40, Lock: 1 << 40, Total: 1 << 40, Free: 1 << 39}}, Entries: 2,
 		Members: []*wire.Member{{Address: "127.0.0.1:2", Zone: "z"}, {Address: "127.0.0.1:3", Zone: "y"}},
-		Loads:   []*wire.Load{{Target: "e1", Running: 1}}, Blocked: []string{"00"},
+		Loads:   []*wire.Load{{Target: "e1", Running: 1}}, Evidence: &wire.Evidence{Source: 1, Version: 1, Crashes: []*wire.Crash{{Id: "1", Target: "e1/1", Keys: []string{"p/a"}, Started: true}}},
 	}
 }
 
@@ -66,7 +66,7 @@
 		RetryShare: 0.2, RetrySlack: 100, RetryWindow: time.Second, LinkCapacity: 1e9, Observe: func(forwarder.Report) {}, OnDial: func() {}, OnLoan: func(bool) {},
 	})
 	e.applyRuleset(stressRules(t, 1))
-	e.applyReply(stressReply(address))
+	e.applyReply(&wire.SyncRequest{Evidence: e.evidence.Request()}, stressReply(address))
 	ctx, cancel := context.WithTimeout(t.Context(), *stressTime)
 	defer cancel()
 	version := uint64(1)
@@ -79,11 +79,11 @@
 			}
 			e.forwarder.ServeHTTP(httptest.NewRecorder(), r)
 		},
-		"reply":      func() { e.applyReply(stressReply(address)) },
+		"reply":      func() { e.applyReply(&wire.SyncRequest{Evidence: e.evidence.Request()}, stressReply(address)) },
 		"prune":      func() { e.exchanger.PruneIdle(e.balancer.HasAddress) },
 		"close idle": func() { e.exchanger.CloseIdle(address) },
 		"ruleset":    func() { version++; e.applyRuleset(stressRules(t, version)) },
-		"declare":    func() { e.spender.Declare(); e.balancer.LocalLoads(); e.forwarder.TakeSuspects() },
+		"declare":    func() { e.spender.Declare(); e.balancer.LocalLoads() },
 		"surplus":    func() { e.lender.Return(ctx, e.spender.TakeSurplus(func(string) bool { return false })) },
 		"loans": func() {
 			_, _ = e.lender.Lend(ctx, &wire.LendRequest{Account: "shop", Tokens: 1})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,12 +10,12 @@
 	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/balancer"
+	"github.com/papayapond/papayapond/internal/detector"
 	"github.com/papayapond/papayapond/internal/exchanger"
 	"github.com/papayapond/papayapond/internal/retrier"
 	"github.com/papayapond/papayapond/internal/ruleset"
 	"github.com/papayapond/papayapond/internal/spender"
 	"github.com/papayapond/papayapond/internal/tracker"
-	"github.com/papayapond/papayapond/internal/wire"
 )
 
 // Headers holds the names of the headers exchanged with callers and targets.
@@ -48,6 +48,9 @@
 	Balancer  *balancer.Balancer
 	Exchanger *exchanger.Exchanger
 	Spender   *spender.Spender
+	// OnCrash, if not nil, is called after a target has crashed while it answered
+	// a request.
+	OnCrash func()
 	// RetryRatio, MinRetries and RetryWindow define the retry budget, shared by
 	// all instances.
 	RetryRatio  float64
@@ -83,12 +86,12 @@
 	cfg      Config
 	rules    atomic.Pointer[ruleset.Ruleset]
 	requests *tracker.Tracker
+	detector *detector.Detector
 
 	mu             sync.Mutex
 	retriers       map[string]*retrier.Retrier // by pool
 	entryInstances int
-	suspects       []*wire.Suspect
-	blocked        map[string]bool
+	unanswered     map[*exchange]bool // sent to a target that hasn't answered
 }
 
 // New returns a forwarder that rejects all requests until it has a ruleset.
@@ -108,7 +111,9 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Report) {}
 	}
-	return &Forwarder{cfg: cfg, requests: tracker.New(tracker.Config{Now: cfg.Now}), retriers: map[string]*retrier.Retrier{}, entryInstances: 1, blocked: map[string]bool{}}
+	f := &Forwarder{cfg: cfg, requests: tracker.New(tracker.Config{Now: cfg.Now}), retriers: map[string]*retrier.Retrier{}, entryInstances: 1, unanswered: map[*exchange]bool{}}
+	f.detector = detector.New(detector.Config{OnCrash: cfg.OnCrash, OnBlock: f.cancelBlocked, Now: cfg.Now, Logger: cfg.Logger.Named("detector")})
+	return f
 }
 
 // SetRuleset activates a ruleset.
@@ -117,9 +122,8 @@
 	f.rules.Store(r)
 }
 
-// UpdateCluster sets the number of entry instances and the digests of requests
-// that crash targets.
-func (f *Forwarder) UpdateCluster(entries int, blocked []string) {
+// UpdateCluster sets the number of entry instances.
+func (f *Forwarder) UpdateCluster(entries int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if entries > f.entryInstances {
@@ -127,21 +131,11 @@
 		// MinRetries is now divided among more instances.
 		f.retriers = map[string]*retrier.Retrier{}
 	}
-	f.blocked = map[string]bool{}
-	for _, digest := range blocked {
-		f.blocked[digest] = true
-	}
 }
 
-// TakeSuspects returns and clears the list of requests that were in flight when
-// a target dropped their connection.
-func (f *Forwarder) TakeSuspects() []*wire.Suspect {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := f.suspects
-	f.suspects = nil
-	return list
-}
+// Detector returns the detector of contents that crash targets, for the exchange
+// with other instances.
+func (f *Forwarder) Detector() *detector.Detector { return f.detector }
 
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int { return f.requests.InFlight() }
@@ -165,19 +159,6 @@
 	return r
 }
 
-// recordSuspect records that a target dropped the connection of a request.
-func (f *Forwarder) recordSuspect(digest, target string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.suspects = append(f.suspects, &wire.Suspect{Digest: digest, Target: target})
-}
-
-func (f *Forwarder) isBlocked(digest string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.blocked[digest]
-}
-
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{f: f, w: w, r: r, arrived: f.cfg.Now(), tracked: f.requests.Begin()}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/papayapond/papayapond/internal/balancer"
+	"github.com/papayapond/papayapond/internal/detector"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ruleset"
 	"github.com/papayapond/papayapond/internal/spender"
@@ -54,6 +56,7 @@
 	pool    pool.Pool
 	body    []byte
 	digest  string
+	content detector.Content
 
 	parts       []balancer.Part
 	tokens      int64 // of the prompt
@@ -67,10 +70,15 @@
 	runs         int  // attempts that a target may have run
 	events       int  // relayed to the caller
 	started      bool // the last target has sent a response header
-	headerSent   bool
-	status       int           // sent to the caller; 0 if none
-	quotaWait    time.Duration // time spent waiting for quota
-	lastEventID  string        // id of the last relayed event
+	// attemptEvents is the number of events of the last target.
+	attemptEvents int
+	cancel        context.CancelFunc // of the last attempt
+	canceled      atomic.Bool        // the content was blocked during the attempt
+	blockedBy     []string           // keys of the block that refuses the request
+	headerSent    bool
+	status        int           // sent to the caller; 0 if none
+	quotaWait     time.Duration // time spent waiting for quota
+	lastEventID   string        // id of the last relayed event
 }
 
 // prepare authenticates and reads the request and reserves its tokens. If the
@@ -172,8 +180,9 @@
 	}
 	_, _ = sum.Write(body) // a hash doesn't fail
 	x.digest = hex.EncodeToString(sum.Sum(nil)[:12])
-	if x.f.isBlocked(x.digest) {
-		x.reject(http.StatusServiceUnavailable, 0, "request content has crashed several targets")
+	x.content = x.newContent()
+	if x.isBlocked() {
+		x.reject(http.StatusServiceUnavailable, blockedRetryAfter, errBlocked.Error())
 		return false
 	}
 	return true
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -86,6 +86,7 @@
 	}
 	pick.MarkPrefilled()
 	o := balancer.Served
+	x.recordAnswer()
 	if a.Status >= http.StatusInternalServerError {
 		o = balancer.Failed
 		if x.route.Repeatable() && x.runs < x.route.MaxAttempts && x.deadline.Sub(x.f.cfg.Now()) > minTimeLeft && x.f.retrier(x.pool.Name).AllowRetry() {
@@ -157,8 +158,16 @@
 	out := http.NewResponseController(x.w)
 	for {
 		event, err := s.Next()
+		if errors.Is(err, io.EOF) && !a.Framed && !x.headerSent {
+			// A target that ends looks like an answer without events.
+			a.Close(false)
+			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, eris.Wrap(fault.Interrupted, "stream ended with its connection and has no event")
+		}
 		if errors.Is(err, io.EOF) {
 			a.Close(true)
+			if x.attemptEvents > 0 {
+				x.recordAnswer()
+			}
 			x.sendHeader(a.Header)
 			x.finish("answered")
 			return answered, balancer.Served, nil
@@ -188,6 +197,9 @@
 		}
 		x.f.cfg.CountBytes(len(event)+eventBytes, len(event)+eventBytes)
 		x.events++
+		if x.attemptEvents++; x.attemptEvents == answeredEvents {
+			x.recordAnswer()
+		}
 		x.lastEventID = s.LastEventID()
 	}
 }
@@ -238,6 +250,9 @@
 		report.FirstByte = x.firstByte.Sub(x.arrived)
 	}
 	x.f.cfg.Observe(report)
+	if x.blockedBy != nil {
+		fields = append(fields, zap.Strings("blocked", x.blockedBy))
+	}
 	version := uint64(0)
 	if x.rules != nil {
 		version = x.rules.Version()
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -75,6 +75,10 @@
 		x.f.cfg.Logger.Warn("attempt failed", zap.String("request", x.requestID()), zap.String("target", pick.ID()),
 			zap.Stringer("verdict", v), zap.Int("runs", x.runs), zap.Int("events", x.events),
 			zap.Bool("started", x.started), zap.Strings("parts", x.partIDs()), zap.Error(err))
+		if x.isBlocked() {
+			err = errBlocked
+			break
+		}
 		if !x.mayRetry(ctx, v) {
 			break
 		}
@@ -127,7 +131,9 @@
 	defer cancel()
 	x.pickFields = pick.LogFields()
 	x.f.cfg.CountBytes(0, len(x.body)+headerBytes)
-	x.started = false
+	x.started, x.attemptEvents = false, 0
+	x.awaitAnswer(cancel)
+	defer x.endAnswer()
 	watch := x.newStallTimer(cancel)
 	defer watch.stop()
 	a, err := x.f.cfg.Exchanger.Send(ctx, x.request(pick))
@@ -152,7 +158,7 @@
 		o := x.classify(ctx, balancer.ConnectionLost)
 		pick.Done(o)
 		if o == balancer.ConnectionLost {
-			x.f.recordSuspect(x.digest, pick.ID())
+			x.recordCrash(pick)
 		}
 		return x.unlessCanceled(connectionLost), err
 	}
@@ -171,7 +177,7 @@
 	v, o, err := x.relay(requestCtx, a, pick, watch)
 	if o == balancer.ConnectionLost {
 		if o = x.classify(ctx, o); o == balancer.ConnectionLost {
-			x.f.recordSuspect(x.digest, pick.ID())
+			x.recordCrash(pick)
 		}
 	}
 	pick.Done(o)
@@ -215,7 +221,7 @@
 // expired deadline.
 func (x *exchange) classify(ctx context.Context, o balancer.Outcome) balancer.Outcome {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.r.Context().Err() != nil, x.canceled.Load():
 		return balancer.Canceled
 	case ctx.Err() != nil:
 		return balancer.TimedOut
@@ -238,6 +244,8 @@
 	case x.headerSent:
 		x.finish("cut", zap.Error(err))
 		panic(http.ErrAbortHandler)
+	case x.runs == 0 && x.blockedBy != nil:
+		x.reject(http.StatusServiceUnavailable, blockedRetryAfter, reason(err))
 	case x.runs == 0:
 		x.reject(http.StatusServiceUnavailable, busyRetryAfter, reason(err))
 	case ctx.Err() != nil:
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/detector"
 	"github.com/papayapond/papayapond/internal/ranker"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -39,8 +40,10 @@
 	Loads func() []*wire.Load
 	// UpdateLoads receives the load of all other instances.
 	UpdateLoads func([]*wire.Load)
-	Now         func() time.Time
-	Logger      *zap.Logger
+	// Detector, if not nil, exchanges evidence of contents that crash targets.
+	Detector *detector.Detector
+	Now      func() time.Time
+	Logger   *zap.Logger
 }
 
 // Gossiper reports this instance's load and aggregates the reports of others.
@@ -52,6 +55,13 @@
 	zones           map[string][]string // addresses by zone, hubs first
 	instanceReports map[string]report   // of instances in this zone, by address
 	zoneReports     map[string]report   // of other zones, by zone
+	sessions        map[string]*session // by address
+}
+
+// session is the exchange of evidence with one hub.
+type session struct {
+	mu sync.Mutex
+	s  *detector.Session
 }
 
 // report is a load and the time it was received.
@@ -68,7 +78,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Gossiper{cfg: cfg, zones: map[string][]string{}, instanceReports: map[string]report{}, zoneReports: map[string]report{}}
+	return &Gossiper{cfg: cfg, zones: map[string][]string{}, instanceReports: map[string]report{}, zoneReports: map[string]report{}, sessions: map[string]*session{}}
 }
 
 // Update replaces the list of entry instances.
@@ -155,9 +165,7 @@
 		if address == g.cfg.Self {
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		reply, err := g.cfg.Peer(address).Report(call, q)
-		cancel()
+		reply, err := g.report(ctx, address, q)
 		if err == nil {
 			return reply
 		}
@@ -166,6 +174,44 @@
 	return nil
 }
 
+// report makes one call to a hub.
+func (g *Gossiper) report(ctx context.Context, address string, q *wire.ReportRequest) (*wire.ReportReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if g.cfg.Detector == nil {
+		return g.cfg.Peer(address).Report(ctx, q)
+	}
+	s := g.session(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.Evidence = s.s.Request()
+	reply, err := g.cfg.Peer(address).Report(ctx, q)
+	if err == nil {
+		s.s.Apply(q.Evidence, reply.Evidence)
+	}
+	return reply, err
+}
+
+// session returns the exchange of evidence with a hub.
+func (g *Gossiper) session(address string) *session {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.sessions[address]
+	if s == nil {
+		s = &session{s: g.cfg.Detector.NewSession()}
+		g.sessions[address] = s
+	}
+	return s
+}
+
+// answer returns the evidence that a caller doesn't hold.
+func (g *Gossiper) answer(e *wire.Evidence) *wire.Evidence {
+	if g.cfg.Detector == nil {
+		return nil
+	}
+	return g.cfg.Detector.Answer(e)
+}
+
 func (g *Gossiper) recordInstance(address string, loads []*wire.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -217,8 +263,8 @@
 func (g *Gossiper) Report(_ context.Context, q *wire.ReportRequest) (*wire.ReportReply, error) {
 	if q.Whole {
 		g.recordZone(q.Zone, q.Loads)
-		return &wire.ReportReply{Loads: g.aggregate("", false)}, nil
+		return &wire.ReportReply{Loads: g.aggregate("", false), Evidence: g.answer(q.Evidence)}, nil
 	}
 	g.recordInstance(q.Address, q.Loads)
-	return &wire.ReportReply{Loads: g.aggregate(q.Address, true)}, nil
+	return &wire.ReportReply{Loads: g.aggregate(q.Address, true), Evidence: g.answer(q.Evidence)}, nil
 }
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/gateway"
+	"github.com/papayapond/papayapond/internal/meter"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -110,7 +111,7 @@
 		kind := strings.ToLower(f.GetType().String())
 		want = append(want, fmt.Sprintf("| `%s` | %s | %s | %s |", f.GetName(), kind, strings.Join(labels, ", "), f.GetHelp()))
 	}
-	checkAlertRules(t, strings.Join(want, "\n"))
+	checkAlertRules(t, strings.Join(append(want, routeGauges()), "\n"))
 	page, err := os.ReadFile("../../docs/metrics.md")
 	if err != nil {
 		t.Fatal(err)
@@ -126,6 +127,22 @@
 	}
 }
 
+// routeGauges returns rows for the gauges of an instance that serves the general
+// routes; test/docs checks the rules on these.
+func routeGauges() string {
+	zero := func() float64 { return 0 }
+	w := httptest.NewRecorder()
+	m := meter.New(meter.Config{InFlight: zero, Version: zero, SinceCoreContact: zero, Overdue: zero, LinkUtilization: zero, BlockedContents: zero})
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	var rows strings.Builder
+	for l := range strings.Lines(w.Body.String()) {
+		if name, kind, ok := strings.Cut(strings.TrimPrefix(strings.TrimSpace(l), "# TYPE "), " "); ok && kind == "gauge" {
+			fmt.Fprintf(&rows, "| `%s` | gauge |\n", name)
+		}
+	}
+	return rows.String()
+}
+
 // checkAlertRules reports metrics in the alert rules that don't exist.
 func checkAlertRules(t *testing.T, rows string) {
 	t.Helper()
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -55,14 +55,14 @@
 	Seeds func() []string
 	// Peer returns a client for the named core instance.
 	Peer func(name string) wire.DRPCSteeringClient
-	// Allowances, Loads and Suspects return what to report.
+	// Allowances, Loads and Evidence return what to report.
 	Allowances func() []*wire.Allowance
 	Loads      func() []*wire.Load
-	Suspects   func() []*wire.Suspect
+	Evidence   func() *wire.Evidence
 	// OnRuleset is called with each ruleset of a higher version.
 	OnRuleset func(*ruleset.Ruleset)
-	// OnReply is called with each reply.
-	OnReply func(*wire.SyncReply)
+	// OnReply is called with each reply and its request.
+	OnReply func(*wire.SyncRequest, *wire.SyncReply)
 	// Interval is the pause between two calls; 0 selects the default.
 	Interval time.Duration
 	Logger   *zap.Logger
@@ -86,7 +86,6 @@
 	lastContact  time.Time     // last successful call
 	started      time.Duration // by the boot clock
 	lastAnswered time.Duration // when the last answered request was sent
-	suspects     []*wire.Suspect
 	unreachable  bool
 	entries      int // entry instances in contact
 }
@@ -192,15 +191,12 @@
 // round makes one call and applies the reply.
 func (s *Synchronizer) round(ctx context.Context) error {
 	q := s.request()
-	q.Allowances, q.Loads = s.cfg.Allowances(), s.cfg.Loads()
-	s.suspects = append(s.suspects, s.cfg.Suspects()...)
-	q.Suspects = s.suspects
+	q.Allowances, q.Loads, q.Evidence = s.cfg.Allowances(), s.cfg.Loads(), s.cfg.Evidence()
 	reply, err := s.send(ctx, q)
 	if err != nil {
 		return err
 	}
-	s.suspects = nil
-	return s.apply(reply)
+	return s.apply(q, reply)
 }
 
 // send calls the leader if it is known. If that fails, it calls all other core
@@ -321,7 +317,7 @@
 }
 
 // apply applies whatever in the reply is newer.
-func (s *Synchronizer) apply(reply *wire.SyncReply) error {
+func (s *Synchronizer) apply(q *wire.SyncRequest, reply *wire.SyncReply) error {
 	s.mu.Lock()
 	version, wasUnreachable := s.version, s.unreachable
 	s.unreachable = false
@@ -337,7 +333,7 @@
 		s.cfg.OnRuleset(rules)
 		s.cfg.Logger.Info("ruleset in force", zap.Uint64("version", reply.Version), zap.Uint64("before", version))
 	}
-	s.cfg.OnReply(reply)
+	s.cfg.OnReply(q, reply)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version = max(s.version, reply.Version)
