Count a request as run once a response header has come

When a request is canceled after the response header and before the first event, the target ends the stream with nothing in it; the forwarder took that for a request that had waited. Engines send nothing while a request waits, so a header means that it runs. Blocking contents cancels requests at that moment, which made an old fault show; a stream that stalls does the same.

TestCanceledAfterHeader: 503 before, 502 after.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -88,18 +88,12 @@
 	// connection.
 	Framed bool
 
-	conn    *conn
 	body    io.Closer
 	written chan error
 	closing bool
 	release func(reuse bool)
 }
 
-// IsNotStarted reports whether a read error of Body means that the target ended
-// the response cleanly after the request was canceled, so that no data was lost
-// in transit.
-func (a *Response) IsNotStarted(err error) bool { return a.conn.isNotStarted(err) }
-
 // Close ends the exchange. The connection is reused only if the request was
 // fully written and the body was read to its end, as reported by complete.
 func (a *Response) Close(complete bool) {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -126,7 +126,6 @@
 		}
 		return nil, eris.Wrapf(fault.Uncertain, "target at %s, connection used %d times before: %v", q.Address, c.uses, err)
 	}
-	a.conn = c
 	a.release = func(reuse bool) {
 		if stop() && reuse {
 			e.putIdle(q.Address, c)
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // crashOn returns a handler of an engine that crashes when it begins to answer a
@@ -59,3 +60,22 @@
 		t.Errorf("got %d requests with the crashing part at targets, want at most %d", sent, maxSent)
 	}
 }
+
+// A target that sent a response header has begun to run the request. If it ends
+// after the request was canceled, the caller must not be told that nothing has run:
+// it would be told so of a run that was cut.
+func TestCanceledAfterHeader(t *testing.T) {
+	begin := func(_ int, w io.Writer, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\nX-Sign: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headers.Attempt, r.Header.Get(headers.Attempt))
+		time.Sleep(900 * time.Millisecond) // longer than the timeout for the first event
+		return false
+	}
+	f := newFixture(t, begin, respond(http.StatusServiceUnavailable, "X-Refused: 1\r\n", ""))
+	a, _, err := f.post("/resume/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := a.StatusCode, http.StatusBadGateway; got != want {
+		t.Errorf("got status %d, want %d: the first target has begun", got, want)
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -174,10 +174,6 @@
 		}
 		if err != nil {
 			a.Close(false)
-			if a.IsNotStarted(err) && s.IsEmpty() {
-				x.runs--
-				return x.unlessCanceled(refused), balancer.ConnectionLost, err
-			}
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, err
 		}
 		pick.MarkPrefilled()
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -16,9 +16,8 @@
 
 // Reader reads events from a stream.
 type Reader struct {
-	reader    *bufio.Reader
-	bytesRead int
-	id        []byte
+	reader *bufio.Reader
+	id     []byte
 }
 
 // New returns a Reader that reads from r.
@@ -36,7 +35,6 @@
 	for len(event) < maxEvent {
 		part, err := s.reader.ReadSlice('\n')
 		event = append(event, part...)
-		s.bytesRead += len(part)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue // the line is longer than the buffer
 		}
@@ -64,6 +62,3 @@
 
 // LastEventID returns the id of the last complete event, or "".
 func (s *Reader) LastEventID() string { return string(s.id) }
-
-// IsEmpty reports whether nothing has been read.
-func (s *Reader) IsEmpty() bool { return s.bytesRead == 0 }
