--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -79,3 +79,35 @@
 		t.Errorf("got status %d, want %d: the first target has begun", got, want)
 	}
 }
+
+// unframed returns a handler of a target that ends its answer with the connection.
+func unframed(body string) handler {
+	return func(_ int, w io.Writer, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\nX-Sign: s\r\nContent-Type: text/event-stream\r\n\r\n%s", headers.Attempt, r.Header.Get(headers.Attempt), body)
+		return false
+	}
+}
+
+// A stream without a length and without chunks ends with its connection, and so
+// does one of a target that crashes. One that ends inside an event, or before the
+// first one, must not look complete to the caller.
+func TestUnframedStream(t *testing.T) {
+	for _, test := range []struct {
+		name, body string
+		wantStatus int
+		wantBody   string
+		wantWhole  bool
+	}{
+		{"complete", stream(1, 3), http.StatusOK, stream(1, 3), true},
+		{"ends inside an event", stream(1, 2) + "id: 3\ndata:", http.StatusOK, stream(1, 2), false},
+		{"ends before the first event", "", http.StatusBadGateway, "", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, unframed(test.body))
+			a, body, err := f.post("/stream/", nil)
+			if a.StatusCode != test.wantStatus || body != test.wantBody || (err == nil) != test.wantWhole {
+				t.Errorf("got status %d, body %q, error %v, want status %d, body %q, whole %v", a.StatusCode, body, err, test.wantStatus, test.wantBody, test.wantWhole)
+			}
+		})
+	}
+}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -9,6 +9,7 @@
 
 	"storj.io/drpc"
 
+	"github.com/papayapond/papayapond/internal/detector"
 	"github.com/papayapond/papayapond/internal/gossiper"
 	"github.com/papayapond/papayapond/internal/wire"
 )
@@ -20,6 +21,7 @@
 	running   map[string]int32 // requests of the instance itself, by address
 	others    map[string]int32 // requests of all others, by address
 	down      map[string]bool
+	detectors map[string]*detector.Detector
 }
 
 type client struct {
@@ -40,6 +42,7 @@
 func newFleet(n int) *fleet {
 	f := &fleet{
 		now: time.Unix(1000, 0), gossipers: map[string]*gossiper.Gossiper{}, running: map[string]int32{}, others: map[string]int32{}, down: map[string]bool{},
+		detectors: map[string]*detector.Detector{},
 	}
 	var members []*wire.Member
 	for i := range n {
@@ -47,8 +50,9 @@
 	}
 	for _, m := range members {
 		f.running[m.Address] = 1
+		f.detectors[m.Address] = detector.New(detector.Config{Now: func() time.Time { return f.now }})
 		f.gossipers[m.Address] = gossiper.New(gossiper.Config{
-			Self: m.Address, Zone: m.Zone, Now: func() time.Time { return f.now },
+			Self: m.Address, Zone: m.Zone, Now: func() time.Time { return f.now }, Detector: f.detectors[m.Address],
 			Peer:  func(address string) wire.DRPCGossipClient { return client{f, address} },
 			Loads: func() []*wire.Load { return []*wire.Load{{Target: "a", Running: f.running[m.Address]}} },
 			UpdateLoads: func(loads []*wire.Load) {
@@ -113,3 +117,29 @@
 		}
 	}
 }
+
+// While the core instances are silent, crashes that instances of different zones
+// see must add up at all instances: nothing else tells them of a deadly content.
+func TestEvidence(t *testing.T) {
+	f := newFleet(9)
+	bad := detector.Content{Parts: []string{"bad"}}
+	for i := range 3 {
+		bad.Digest = fmt.Sprint("d", i)
+		f.detectors[fmt.Sprint("e", i)].RecordCrash(fmt.Sprint("t", i), bad, true)
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	for range 4 {
+		for _, g := range f.gossipers {
+			g.Round(t.Context())
+		}
+		f.now = f.now.Add(400 * time.Millisecond)
+	}
+	for name, d := range f.detectors {
+		if d.Blocked(detector.Content{Parts: []string{"bad"}, Digest: "d9"}) == nil {
+			t.Errorf("%s passes the part, want it refused", name)
+		}
+		if got := d.Blocked(detector.Content{Parts: []string{"other"}, Digest: "d8"}); got != nil {
+			t.Errorf("%s refuses another part for %v, want it passed", name, got)
+		}
+	}
+}
