--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -28,6 +28,9 @@
 	Signature string
 	// Refused marks a response to a request that the target did not run.
 	Refused string
+	// Limit is set on responses of a target that limits the requests a second
+	// from all instances together, for as long as it does.
+	Limit string
 	// Target names the intended target.
 	Target string
 	// Account tells targets the client account.
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -66,10 +66,11 @@
 	targetHeader http.Header // sent to the target
 	pickFields   []zap.Field // log fields of the last target
 	tried        map[string]bool
-	sends        int  // attempts, including failed connections
-	runs         int  // attempts that a target may have run
-	events       int  // relayed to the caller
-	started      bool // the last target has sent a response header
+	sends        int    // attempts, including failed connections
+	runs         int    // attempts that a target may have run
+	events       int    // relayed to the caller
+	started      bool   // the last target has sent a response header
+	limit        string // named by the last target
 	// attemptEvents is the number of events of the last target.
 	attemptEvents int
 	cancel        context.CancelFunc // of the last attempt
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -246,6 +246,9 @@
 		report.FirstByte = x.firstByte.Sub(x.arrived)
 	}
 	x.f.cfg.Observe(report)
+	if x.limit != "" {
+		fields = append(fields, zap.String("limit", x.limit))
+	}
 	if x.blockedBy != nil {
 		fields = append(fields, zap.Strings("blocked", x.blockedBy))
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -162,7 +162,7 @@
 		}
 		return x.unlessCanceled(connectionLost), err
 	}
-	x.started = true
+	x.started, x.limit = true, a.Header.Get(x.f.cfg.Headers.Limit)
 	if x.isRefusal(a) {
 		x.runs--
 		o := balancer.Refused
