Call other instances without a lock when exchanging evidence

The gossiper held the lock of a session during the call to a hub. TestCallsUnderLock reported it. A session is taken out of the table during its call instead.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -55,13 +55,9 @@
 	zones           map[string][]string // addresses by zone, hubs first
 	instanceReports map[string]report   // of instances in this zone, by address
 	zoneReports     map[string]report   // of other zones, by zone
-	sessions        map[string]*session // by address
-}
-
-// session is the exchange of evidence with one hub.
-type session struct {
-	mu sync.Mutex
-	s  *detector.Session
+	// sessions holds the exchanges of evidence with hubs that are not in use, by
+	// address.
+	sessions map[string]*detector.Session
 }
 
 // report is a load and the time it was received.
@@ -78,7 +74,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Gossiper{cfg: cfg, zones: map[string][]string{}, instanceReports: map[string]report{}, zoneReports: map[string]report{}, sessions: map[string]*session{}}
+	return &Gossiper{cfg: cfg, zones: map[string][]string{}, instanceReports: map[string]report{}, zoneReports: map[string]report{}, sessions: map[string]*detector.Session{}}
 }
 
 // Update replaces the list of entry instances.
@@ -181,29 +177,35 @@
 	if g.cfg.Detector == nil {
 		return g.cfg.Peer(address).Report(ctx, q)
 	}
-	s := g.session(address)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	q.Evidence = s.s.Request()
+	s := g.takeSession(address)
+	defer g.putSession(address, s)
+	q.Evidence = s.Request()
 	reply, err := g.cfg.Peer(address).Report(ctx, q)
 	if err == nil {
-		s.s.Apply(q.Evidence, reply.Evidence)
+		s.Apply(q.Evidence, reply.Evidence)
 	}
 	return reply, err
 }
 
-// session returns the exchange of evidence with a hub.
-func (g *Gossiper) session(address string) *session {
+// takeSession returns the exchange of evidence with a hub, or a new one.
+func (g *Gossiper) takeSession(address string) *detector.Session {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.sessions[address]
+	delete(g.sessions, address)
 	if s == nil {
-		s = &session{s: g.cfg.Detector.NewSession()}
-		g.sessions[address] = s
+		return g.cfg.Detector.NewSession()
 	}
 	return s
 }
 
+// putSession keeps the exchange of evidence with a hub for the next call.
+func (g *Gossiper) putSession(address string, s *detector.Session) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sessions[address] = s
+}
+
 // answer returns the evidence that a caller doesn't hold.
 func (g *Gossiper) answer(e *wire.Evidence) *wire.Evidence {
 	if g.cfg.Detector == nil {
