Tell requests apart by the prompt that their headers declare

The digest has the declared usage and parts. Requests that targets have answered are remembered as parts are, so that identical ones of many callers aren't blocked after three targets are lost. TestDigestHasPrompt and a case of TestBlocked failed before.

--- a/internal/detector/answered.go
+++ b/internal/detector/answered.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// answered holds when parts were last answered, in two generations: the older one
+// answered holds when keys were last answered, in two generations: the older one
 // is dropped when the newer one is full, so that lookups and memory are bounded.
 type answered struct {
 	newer, older map[string]time.Time
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -78,7 +78,9 @@
 	suspects map[string]int  // number of crashes, by key
 	cleared  map[string]*clearance
 	blocks   []*block
-	answered answered
+	// answered holds the answered parts, and requests the answered digests: one
+	// must not displace the other.
+	answered, requests answered
 }
 
 // crash is a request that was in flight when its target ended.
@@ -151,6 +153,7 @@
 		d.answered.add(key, now)
 		d.clearSuspect(key, now)
 	}
+	d.requests.add(c.Digest, now)
 	d.clearSuspect(c.Digest, now)
 }
 
@@ -227,7 +230,7 @@
 	d.known[c.id] = true
 	for _, key := range c.keys {
 		d.suspects[key]++
-		if at, ok := d.answered.last(key, d.cfg.Now()); ok {
+		if at, ok := d.lastAnswer(key, d.cfg.Now()); ok {
 			d.setCleared(key, at)
 		}
 	}
@@ -326,10 +329,19 @@
 	if c := d.cleared[key]; c != nil && now.Sub(c.at) <= answerMemory {
 		return true
 	}
-	_, ok := d.answered.last(key, now)
+	_, ok := d.lastAnswer(key, now)
 	return ok
 }
 
+// lastAnswer returns the time of the last answer to a request with the key, if it
+// still counts. The caller holds mu.
+func (d *Detector) lastAnswer(key string, now time.Time) (time.Time, bool) {
+	if at, ok := d.answered.last(key, now); ok {
+		return at, true
+	}
+	return d.requests.last(key, now)
+}
+
 // announce logs new blocks and tells OnBlock. The caller doesn't hold mu.
 func (d *Detector) announce(added []*block) {
 	for _, b := range added {
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -91,6 +91,11 @@
 			[]string{"crash t1 #1", "crash t2 #1", "crash t3 #1"},
 			[]string{"#1"}, []string{"#2"},
 		},
+		{
+			"request that others send too, answered before",
+			[]string{"answer #1", "crash t1 #1", "crash t2 #1", "crash t3 #1"},
+			nil, []string{"#1"},
+		},
 		{
 			"requests that waited on the same targets",
 			[]string{"began t1 d #1", "crash t1 x #2", "began t2 d #3", "crash t2 x #4", "began t3 d #5", "crash t3 x #6"},
--- a/internal/detector/doc.go
+++ b/internal/detector/doc.go
@@ -2,7 +2,7 @@
 // part of a prompt, or a whole request.
 //
 // A content is a set of keys: the parts of the prompt without the last one, which
-// belongs to the request alone, and the digest of the request. When a target ends,
+// belongs to the request alone, and the digest of the request with its prompt. When a target ends,
 // the keys of each request that it hadn't answered yet are suspected; if it had
 // begun to answer some of them, only those. A key that a target has answered is
 // cleared: a deadly one is never answered. Keys that stay suspected over several
--- a/internal/detector/evidence.go
+++ b/internal/detector/evidence.go
@@ -83,7 +83,7 @@
 func (d *Detector) mergeBlock(q *wire.Block, now time.Time) *block {
 	var keys []string
 	for _, key := range q.Keys {
-		if at, ok := d.answered.last(key, now); ok {
+		if at, ok := d.lastAnswer(key, now); ok {
 			d.setCleared(key, at) // tells the peer
 		}
 		if !d.isCleared(key, now) {
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -111,3 +111,25 @@
 		})
 	}
 }
+
+// Requests that differ only in the prompt that their headers declare are different
+// requests. Taken for the same one, those of an account that broke on different
+// targets got all others of the account refused.
+func TestDigestHasPrompt(t *testing.T) {
+	crash := crashOn("bad")
+	var scripts []handler
+	for range 8 {
+		scripts = append(scripts, func(n int, w io.Writer, r *http.Request) bool {
+			return !strings.Contains(r.Header.Get(headers.Parts), "unlucky:") && crash(n, w, r)
+		})
+	}
+	f := newFixture(t, scripts...)
+	for _, parts := range []string{"bad:5,own1:5", "unlucky:5,own2:5", "bad:5,own3:5"} {
+		_, _, _ = f.post("/resume/", withParts(parts)) // a failure is expected
+		time.Sleep(60 * time.Millisecond)              // the crashes aren't simultaneous
+	}
+	a, body, err := f.post("/resume/", withParts("sound:5,own4:5"))
+	if err != nil || a.StatusCode != http.StatusOK || body != stream(1, 3) {
+		t.Errorf("sound request: got status %d, body %q, error %v, want its stream", a.StatusCode, body, err)
+	}
+}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -176,7 +176,8 @@
 	x.tracked.SetDeadline(x.deadline)
 	x.body = body
 	sum := sha256.New()
-	for _, s := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.account.Name} {
+	names := x.f.cfg.Headers
+	for _, s := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.account.Name, x.r.Header.Get(names.Usage), x.r.Header.Get(names.Parts)} {
 		_, _ = sum.Write([]byte(s + "\n")) // a hash doesn't fail
 	}
 	_, _ = sum.Write(body) // a hash doesn't fail
