--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -89,6 +89,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.zones = zones
+	maps.DeleteFunc(g.sessions, func(address string, _ *detector.Session) bool {
+		return !slices.ContainsFunc(members, func(m *wire.Member) bool { return m.Address == address })
+	})
 }
 
 // Run makes a round per interval while the core instances are unreachable,
