Keep callers' connections during a planned stop until an answer closes them

A stop disabled keep-alives at once. net/http then closes idle connections, and also each connection whose request has just been answered, though the answer didn't say so: a caller that sends its next request before the server has found the connection idle loses it. On a machine whose processor is shared, that takes 100 ms and more.

The instance says Connection: close in each answer once it is stopping, refusals included, and closes idle connections only with the shutdown after the drain delay.

An answer that began before the stop and ends after the drain delay still meets the old way.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -142,7 +142,7 @@
 		CoreSilence: func() time.Duration { return e.sync.SinceContact() }, Observe: cfg.Observe, Logger: cfg.Logger.Named("forwarder"),
 		Regulator:  e.regulator,
 		OnCrash:    func() { e.sync.Trigger() },
-		CountBytes: e.shedder.CountBytes, CloseConnection: e.shedder.ShouldClose,
+		CountBytes: e.shedder.CountBytes, CloseConnection: func() bool { return e.stopping.Load() || e.shedder.ShouldClose() },
 	})
 	e.gossiper = gossiper.New(gossiper.Config{
 		Self: cfg.PeerAddress, Zone: cfg.Zone, Loads: e.balancer.LocalLoads, UpdateLoads: e.balancer.SetRemoteLoads, Detector: e.forwarder.Detector(), Logger: cfg.Logger.Named("gossiper"),
@@ -274,7 +274,6 @@
 	started := time.Now()
 	e.stopping.Store(true)
 	e.cfg.Logger.Info("stopping", zap.Int("flight", e.forwarder.InFlight()), zap.Duration("grace", e.cfg.Grace))
-	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(min(drainDelay, e.cfg.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(e.cfg.Grace-stopMargin))
 	defer cancel()
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -147,6 +147,13 @@
 	for name, values := range withoutHopHeaders(h) {
 		x.w.Header()[name] = values
 	}
+	x.closeConnection()
+}
+
+// closeConnection tells the caller in the response that its connection is closed
+// after it, if that is due. A server that closes without telling loses requests that
+// the caller has sent meanwhile.
+func (x *exchange) closeConnection() {
 	if x.f.cfg.CloseConnection() {
 		x.w.Header().Set("Connection", "close")
 	}
@@ -230,6 +237,7 @@
 		h.Set(x.f.cfg.Headers.Attempt, id)
 	}
 	h.Set("Content-Length", "0")
+	x.closeConnection()
 	x.w.WriteHeader(status)
 	x.status = status
 	x.finish("refused", zap.String("reason", why))
