Bound the parts of a content that are suspected and the blocks of one crash

Found by reading: a caller can compose prompts of many parts so that hundreds of different sets of parts are in three crashes each. The search for blocks then adds and evicts blocks without end, under the lock that each request takes.

--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -32,6 +32,12 @@
 	// idlePrecision is how much the time of the last request with a blocked
 	// content must change to be told to other instances.
 	idlePrecision = time.Minute
+	// maxParts is the number of parts of a content that are suspected.
+	maxParts = 32
+	// maxNewBlocks is the number of blocks that one crash may lead to. A caller
+	// that composes prompts for it could make many, for each of which all crashes
+	// are looked through.
+	maxNewBlocks = 4
 	// maxCrashes, maxCrashesPerTarget, maxBlocks, maxCleared and maxAnswered bound
 	// the memory.
 	maxCrashes          = 256
@@ -49,8 +55,10 @@
 	Digest string
 }
 
-// keys returns all keys of the content.
-func (c Content) keys() []string { return append(slices.Clone(c.Parts), c.Digest) }
+// keys returns the keys of the content, with the first parts if there are many.
+func (c Content) keys() []string {
+	return append(slices.Clone(c.Parts[:min(len(c.Parts), maxParts)]), c.Digest)
+}
 
 // Config configures a Detector.
 type Config struct {
@@ -149,7 +157,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
-	for _, key := range c.Parts {
+	for _, key := range c.Parts[:min(len(c.Parts), maxParts)] {
 		d.answered.add(key, now)
 		d.clearSuspect(key, now)
 	}
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -297,6 +297,32 @@
 	}
 }
 
+// A caller that crashes targets with prompts of very many parts, composed so that
+// each part is in three crashes beside others, must not occupy the instance: the
+// search for blocks would not end, and requests wait for it.
+func TestComposedPrompts(t *testing.T) {
+	c := newClock()
+	d := c.detector()
+	begun := time.Now()
+	for i := range 120 {
+		parts := ""
+		for n := range 200 {
+			parts += fmt.Sprintf("p%d-%d ", (i+n)%40, n)
+		}
+		d.RecordCrash(fmt.Sprint("t", i), content(fmt.Sprint(parts, "#", i)), true)
+		c.pass(100 * time.Millisecond)
+	}
+	if took := time.Since(begun); took > 20*time.Second {
+		t.Errorf("120 crashes took %v", took)
+	}
+	if got, want := d.Blocks(), maxBlocks; got > want {
+		t.Errorf("got %d blocks, want at most %d", got, want)
+	}
+	if got, want := len(d.NewSession().Request().Crashes[0].Keys), maxParts+1; got > want {
+		t.Errorf("got %d keys of a crash, want at most %d", got, want)
+	}
+}
+
 // Peers that send no evidence, or broken one, must be borne.
 func TestBrokenEvidence(t *testing.T) {
 	d := newClock().detector()
--- a/internal/detector/evaluate.go
+++ b/internal/detector/evaluate.go
@@ -15,15 +15,16 @@
 	lifetimes := d.lifetimes()
 	d.updateBlocks(lifetimes)
 	var added []*block
-	for {
+	for range maxNewBlocks {
 		b := d.nextBlock(lifetimes, now)
 		if b == nil {
-			return added
+			break
 		}
 		d.addBlock(b)
 		d.updateBlocks(lifetimes)
 		added = append(added, b)
 	}
+	return added
 }
 
 // lifetimes returns the crashes by target. If a target had begun to answer some of
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -24,7 +24,7 @@
 // errBlocked is the reason for rejecting a content that crashes targets.
 var errBlocked = eris.Wrap(fault.Crashed, "content has crashed several targets")
 
-// content returns what the request may crash targets with. Parts are told apart by
+// newContent returns what the request may crash targets with. Parts are told apart by
 // pool, since engines of other pools may bear them. The last part of a prompt
 // belongs to the request alone.
 func (x *exchange) newContent() detector.Content {
