--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -65,7 +65,7 @@
 	reply.Loads = c.loads(q)
 	reply.Entries = int32(len(c.entries))
 	reply.Evidence = c.evidence.Answer(q.Evidence)
-	reply.Ceilings = c.divider.Shares(q.Instance)
+	reply.TargetLimits = c.divider.Shares(q.Instance)
 	reply.Peers = c.peers(q.Instance)
 	reply.Fleet, reply.Members = c.fleet.listFor(q.Fleet, c.cfg.Now())
 	return reply, nil
@@ -116,7 +116,7 @@
 		c.fleet.remove(q.Address)
 	} else {
 		c.entries[q.Instance] = &entry{lastSync: now, address: q.Address, zone: q.Zone, loads: q.Loads, allowances: q.Allowances}
-		c.divider.Report(q.Instance, q.Ceilings)
+		c.divider.Report(q.Instance, q.TargetLimits)
 		c.fleet.add(q.Address, q.Zone, now)
 	}
 }
--- a/internal/divider/bench_test.go
+++ b/internal/divider/bench_test.go
@@ -26,5 +26,5 @@
 		d.Shares(name)
 		now = now.Add(time.Second * 2 / 4 / instances)
 	}
-	b.ReportMetric(float64(proto.Size(&wire.SyncReply{Ceilings: d.Shares("e1")})), "B/reply")
+	b.ReportMetric(float64(proto.Size(&wire.SyncReply{TargetLimits: d.Shares("e1")})), "B/reply")
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -158,7 +158,7 @@
 		Peer: func(name string) wire.DRPCSteeringClient {
 			return wire.NewDRPCSteeringClient(e.dialer.Conn(name))
 		},
-		Allowances: e.spender.Declare, Loads: e.balancer.LocalLoads, Evidence: e.evidence.Request, Ceilings: e.regulator.Report,
+		Allowances: e.spender.Declare, Loads: e.balancer.LocalLoads, Evidence: e.evidence.Request, TargetLimits: e.regulator.Report,
 		OnRuleset: e.applyRuleset, OnReply: e.applyReply, Logger: cfg.Logger.Named("synchronizer"),
 	})
 	return e
@@ -198,7 +198,7 @@
 // applyReply applies a reply of the leader.
 func (e *Entry) applyReply(q *wire.SyncRequest, reply *wire.SyncReply) {
 	e.evidence.Apply(q.Evidence, reply.Evidence)
-	e.regulator.Apply(reply.Ceilings)
+	e.regulator.Apply(reply.TargetLimits)
 	e.spender.UpdateLimits(reply.Limits, int(reply.Entries))
 	if reply.Listed {
 		e.balancer.SetTargets(reply.Targets)
--- a/internal/regulator/regulator.go
+++ b/internal/regulator/regulator.go
@@ -61,7 +61,7 @@
 type Regulator struct {
 	cfg Config
 
-	any atomic.Bool // limits may hold some
+	hasLimits atomic.Bool // limits may hold some; spares the lock otherwise
 
 	mu      sync.Mutex
 	limits  map[string]*limit // by target with its lifetime
@@ -103,7 +103,7 @@
 // means that the answer names none. Only an answer to a request that was sent after
 // the limit was named lifts it, since earlier answers may still be under way.
 func (r *Regulator) Observe(target, named string, sent time.Time) {
-	if named == "" && !r.any.Load() {
+	if named == "" && !r.hasLimits.Load() {
 		return
 	}
 	now := r.cfg.Now()
@@ -136,7 +136,7 @@
 		}
 		l = &limit{lifted: true, filled: r.cfg.Now(), measured: r.cfg.Now()}
 		r.limits[target] = l
-		r.any.Store(true)
+		r.hasLimits.Store(true)
 	}
 	if at.Before(l.named) {
 		return false
@@ -204,7 +204,7 @@
 // Admits reports whether the target may get a request now. It counts the request
 // towards the demand for the target.
 func (r *Regulator) Admits(target string) bool {
-	if !r.any.Load() {
+	if !r.hasLimits.Load() {
 		return true
 	}
 	r.mu.Lock()
@@ -226,7 +226,7 @@
 
 // Take records that the target gets a request.
 func (r *Regulator) Take(target string) {
-	if !r.any.Load() {
+	if !r.hasLimits.Load() {
 		return
 	}
 	r.mu.Lock()
@@ -290,7 +290,7 @@
 func (r *Regulator) Report() []*wire.TargetLimit {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.any.Store(len(r.limits) > 0)
+	r.hasLimits.Store(len(r.limits) > 0)
 	now := r.cfg.Now()
 	var list []*wire.TargetLimit
 	for _, target := range slices.Sorted(maps.Keys(r.limits)) {
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -55,11 +55,11 @@
 	Seeds func() []string
 	// Peer returns a client for the named core instance.
 	Peer func(name string) wire.DRPCSteeringClient
-	// Allowances, Loads, Evidence and Ceilings return what to report.
-	Allowances func() []*wire.Allowance
-	Loads      func() []*wire.Load
-	Evidence   func() *wire.Evidence
-	Ceilings   func() []*wire.TargetLimit
+	// Allowances, Loads, Evidence and TargetLimits return what to report.
+	Allowances   func() []*wire.Allowance
+	Loads        func() []*wire.Load
+	Evidence     func() *wire.Evidence
+	TargetLimits func() []*wire.TargetLimit
 	// OnRuleset is called with each ruleset of a higher version.
 	OnRuleset func(*ruleset.Ruleset)
 	// OnReply is called with each reply and its request.
@@ -192,7 +192,7 @@
 // round makes one call and applies the reply.
 func (s *Synchronizer) round(ctx context.Context) error {
 	q := s.request()
-	q.Allowances, q.Loads, q.Evidence, q.Ceilings = s.cfg.Allowances(), s.cfg.Loads(), s.cfg.Evidence(), s.cfg.Ceilings()
+	q.Allowances, q.Loads, q.Evidence, q.TargetLimits = s.cfg.Allowances(), s.cfg.Loads(), s.cfg.Evidence(), s.cfg.TargetLimits()
 	reply, err := s.send(ctx, q)
 	if err != nil {
 		return err
--- a/internal/synchronizer/synchronizer_test.go
+++ b/internal/synchronizer/synchronizer_test.go
@@ -79,7 +79,7 @@
 	return synchronizer.New(synchronizer.Config{
 		Instance: "e1#1", Machine: "e1", Address: "e1", Seeds: func() []string { return []string{"b"} }, Peer: n.client,
 		Clock:      func() time.Duration { return time.Since(started) },
-		Allowances: func() []*wire.Allowance { return nil }, Loads: func() []*wire.Load { return nil }, Evidence: func() *wire.Evidence { return nil }, Ceilings: func() []*wire.TargetLimit { return nil },
+		Allowances: func() []*wire.Allowance { return nil }, Loads: func() []*wire.Load { return nil }, Evidence: func() *wire.Evidence { return nil }, TargetLimits: func() []*wire.TargetLimit { return nil },
 		OnRuleset: func(*ruleset.Ruleset) {}, OnReply: func(*wire.SyncRequest, *wire.SyncReply) {},
 	})
 }
