--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -38,6 +38,9 @@
 	front   *httptest.Server
 	spender *spender.Spender
 
+	balancer *balancer.Balancer
+	listings []*wire.Listing
+
 	mu       sync.Mutex
 	received []*http.Request
 	silence  time.Duration // outage of the core instances, as seen by the spender
@@ -60,16 +63,16 @@
 	f.spender = spender.New(spender.Config{CoresUnreachable: func() bool { return f.silence > time.Second }})
 	limits := regulator.New(regulator.Config{})
 	b := balancer.New(balancer.Config{Zone: "z", Admits: limits.Admits, Take: limits.Take})
-	var listings []*wire.Listing
+	f.balancer = b
 	for i, s := range scripts {
 		// Only the first target is local, so that it is chosen first.
 		zone := "z"
 		if i > 0 {
 			zone = fmt.Sprint("z", i)
 		}
-		listings = append(listings, &wire.Listing{Id: string(rune('a' + i)), Born: 1, Pool: "p", Address: f.target(s), Zone: zone})
+		f.listings = append(f.listings, &wire.Listing{Id: string(rune('a' + i)), Born: 1, Pool: "p", Address: f.target(s), Zone: zone})
 	}
-	b.SetTargets(listings)
+	b.SetTargets(f.listings)
 	cfg := forwarder.Config{
 		Headers: headers, Balancer: b, Exchanger: exchanger.New(exchanger.Config{EchoHeader: headers.Attempt}), Spender: f.spender,
 		Regulator: limits, RetryRatio: 0.2, MinRetries: 20, RetryWindow: 10 * time.Second, CoreSilence: func() time.Duration { return 0 },
