Go on with a stream only at the software version that began it

What callers saw: whole answers with events of two software versions. A target failed in the middle of a stream and the entry instance went on with it at any other one.

Cause: the choice of a target knew nothing of its software version, which announcements carry. A stream is bound to the version of the lifetime whose event was relayed first, as it was listed when that lifetime was chosen; a later announcement doesn't change it. If no target has the version, the answer ends incomplete, so that the caller can tell. A target whose connection broke within the last second isn't used to go on: it may have started again with another version before its announcement arrives. The log has the version of the target of each attempt (software).

Streams that callers take up again are still sent to any version.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -46,6 +46,10 @@
 	// cacheRatio is the fraction of engine memory assumed to hold cached prompt
 	// parts.
 	cacheRatio = 0.6
+	// restartWindow is how long a target gets no request that needs a software
+	// version after a connection to it was lost: it may have started again with
+	// another one, and its announcement takes that long to arrive.
+	restartWindow = time.Second
 )
 
 // Part is a segment of a prompt. The parts of a prompt are in order, from its
@@ -67,6 +71,16 @@
 	Retryable bool
 	// Exclude holds the IDs of targets that must not be chosen.
 	Exclude map[string]bool
+	// Version, if not nil, is the software version that the target must have.
+	Version *string
+}
+
+// permits reports whether the query allows a target.
+func (q Query) permits(t *target, now time.Time) bool {
+	if q.Exclude[t.listing.Id] {
+		return false
+	}
+	return q.Version == nil || t.listing.Version == *q.Version && now.Sub(t.lostAt) >= restartWindow
 }
 
 // Config configures a Balancer.
@@ -216,6 +230,10 @@
 	return list
 }
 
+// ErrVersionGone is returned if no target has the software version of a query. It
+// wraps fault.Unavailable.
+var ErrVersionGone = eris.Wrap(fault.Unavailable, "no target has the software version")
+
 // Choose returns the target with the lowest expected time to start the request.
 // The error wraps fault.Unavailable if there is none, and fault.Overloaded if
 // targets are left out only because they are at their limits.
@@ -230,7 +248,7 @@
 	homeCost := math.Inf(1)
 	limited := 0
 	try := func(t *target) {
-		if t == nil || q.Exclude[t.listing.Id] || !t.isAvailable(now, q.Retryable) {
+		if t == nil || !q.permits(t, now) || !t.isAvailable(now, q.Retryable) {
 			return
 		}
 		if !b.cfg.Admits(t.lifetime) {
@@ -254,27 +272,44 @@
 		}
 	}
 	if best == nil {
-		best = b.fallback(list, q)
+		best = b.fallback(list, q, now)
 	}
 	if best == nil && limited > 0 {
 		return nil, eris.Wrapf(fault.Overloaded, "the targets of pool %s that accept requests are at their limits, out of %d", q.Pool, len(list))
 	}
 	if best == nil {
-		return nil, eris.Wrapf(fault.Unavailable, "no target of pool %s accepts requests, out of %d", q.Pool, len(list))
+		return nil, q.unavailable(list)
 	}
 	p := b.assign(best, q)
 	p.cost, p.homeCost, p.home = lowest, homeCost, best == home
 	return p, nil
 }
 
+// unavailable returns the error for a query that no target of the list can serve.
+func (q Query) unavailable(list []*target) error {
+	if q.Version == nil {
+		return eris.Wrapf(fault.Unavailable, "no target of pool %s accepts requests, out of %d", q.Pool, len(list))
+	}
+	same := 0
+	for _, t := range list {
+		if t.listing.Version == *q.Version {
+			same++
+		}
+	}
+	if same == 0 {
+		return eris.Wrapf(ErrVersionGone, "pool %s has no target of version %q, out of %d", q.Pool, *q.Version, len(list))
+	}
+	return eris.Wrapf(fault.Unavailable, "no target of pool %s with version %q accepts requests, out of %d", q.Pool, *q.Version, same)
+}
+
 // fallback returns the live target whose ejection ends first, for use if all
 // targets are ejected. A momentarily full accept queue must not disable a whole
 // pool, and a request that gets no connection can be retried safely. The caller
 // holds mu.
-func (b *Balancer) fallback(list []*target, q Query) *target {
+func (b *Balancer) fallback(list []*target, q Query, now time.Time) *target {
 	var best *target
 	for _, t := range list {
-		if q.Exclude[t.listing.Id] || t.remote.Silence > 0 || !t.connectFailed && !q.Retryable || !b.cfg.Admits(t.lifetime) {
+		if !q.permits(t, now) || t.remote.Silence > 0 || !t.connectFailed && !q.Retryable || !b.cfg.Admits(t.lifetime) {
 			continue
 		}
 		if best == nil || t.ejectedUntil.Before(best.ejectedUntil) {
--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -23,12 +23,13 @@
 	backlog        int64
 }
 
-// LogFields returns the inputs of the choice as log fields: the costs of the
+// LogFields returns the inputs of the choice as log fields: the software version
+// and the costs of the
 // target and of the home target, the requests in flight and pending prompt
 // tokens at the target, and the prompt tokens it is expected to compute.
 func (p *Pick) LogFields() []zap.Field {
 	return []zap.Field{
-		zap.String("target", p.ID()), zap.Bool("home", p.home), zap.Float64("score", p.cost), zap.Float64("homescore", p.homeCost),
+		zap.String("target", p.ID()), zap.String("software", p.Version()), zap.Bool("home", p.home), zap.Float64("score", p.cost), zap.Float64("homescore", p.homeCost),
 		zap.Int("running", p.running), zap.Int64("backlog", p.backlog), zap.Int64("reads", p.prefillTokens),
 	}
 }
@@ -41,6 +42,9 @@
 	return p.t.lifetime
 }
 
+// Version returns the software version of the target's lifetime, "" if unknown.
+func (p *Pick) Version() string { return p.listing.Version }
+
 // Address returns the address of the target.
 func (p *Pick) Address() string { return p.listing.Address }
 
--- a/internal/balancer/target.go
+++ b/internal/balancer/target.go
@@ -79,6 +79,7 @@
 	// connectFailed is set if the last request failed to connect.
 	connectFailed bool
 	busySince     time.Time
+	lostAt        time.Time // time of the last lost or failed connection
 }
 
 // part is a cached prompt part.
@@ -148,6 +149,9 @@
 		failed = 1
 		t.connectionLosses++
 	}
+	if o == ConnectionLost || o == ConnectionFailed {
+		t.lostAt = now
+	}
 	t.connectFailed = o == ConnectionFailed || o == ConnectTimeout
 	t.failureRate += failureWeight * (failed - t.failureRate)
 	if t.connectionLosses >= connectionLossLimit || t.failureRate > rate+failureMargin {
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -80,6 +80,7 @@
 	status        int           // sent to the caller; 0 if none
 	quotaWait     time.Duration // time spent waiting for quota
 	lastEventID   string        // id of the last relayed event
+	version       *string       // software version that the stream is bound to; nil if none
 }
 
 // prepare authenticates and reads the request and reserves its tokens. If the
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -185,6 +185,7 @@
 		}
 		pick.MarkPrefilled()
 		t.reset()
+		x.bindVersion(pick)
 		x.sendHeader(a.Header)
 		_ = out.SetWriteDeadline(x.f.cfg.Now().Add(writeTimeout)) // not all writers support deadlines
 		x.tracked.AwaitCaller()
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -73,7 +73,7 @@
 			return
 		}
 		x.f.cfg.Logger.Warn("attempt failed", zap.String("request", x.requestID()), zap.String("target", pick.ID()),
-			zap.Stringer("verdict", v), zap.Int("runs", x.runs), zap.Int("events", x.events),
+			zap.String("software", pick.Version()), zap.Stringer("verdict", v), zap.Int("runs", x.runs), zap.Int("events", x.events),
 			zap.Bool("started", x.started), zap.Strings("parts", x.partIDs()), zap.Error(err))
 		if x.isBlocked() {
 			err = errBlocked
@@ -90,7 +90,7 @@
 func (x *exchange) query() balancer.Query {
 	return balancer.Query{
 		Pool: x.pool.Name, Parts: x.parts, Tokens: x.tokens, Output: x.output,
-		Retryable: x.route.Repeatable(), Exclude: x.tried,
+		Retryable: x.route.Repeatable(), Exclude: x.tried, Version: x.version,
 	}
 }
 
