Keep which software version began a stream, and look it up

Cause: a caller takes up a broken stream with a new request at any entry instance, and no instance kept which software version had begun it. Streams were joined from two versions after kills of entry instances. Ruled out: records at entry instances only, which may all be killed at once; to tell the version from the list of targets at hand, which may be older than the stream. Change: tracer holds a record per stream, made when its first event is relayed. Trace finds a record at any core instance; that there is none counts from the leader after a read barrier. Without a record the history tells: if the pool had one version in the window, at least 10 min, and the host the same routes. Core instances observe the history as they apply the log, and entry instances take it over with lists and rulesets. finder asks: own records, core instances, and while these are silent the zone; its own history comes last. Conclusion: entry has RecordOrigin and Trace; the forwarder doesn't call them yet.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"github.com/papayapond/papayapond/internal/enroller"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/ruleset"
+	"github.com/papayapond/papayapond/internal/tracer"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -60,6 +61,9 @@
 	source  []byte // rules as sent by the operator
 	targets *enroller.Enroller
 	budgets *allocator.Allocator
+	tracer  *tracer.Tracer
+	// observed is the revision of the targets that the tracer has observed last.
+	observed uint64
 
 	readyTerm     uint64 // term in which all earlier entries are known to be applied
 	lastAnnounced map[string]time.Time
@@ -87,6 +91,7 @@
 		cfg: cfg, targets: enroller.New(),
 		lastAnnounced: map[string]time.Time{}, entries: map[string]*entry{}, evidence: detector.New(detector.Config{Now: cfg.Now}), divider: divider.New(divider.Config{Now: cfg.Now}), sequences: map[string]uint64{},
 	}
+	c.tracer = tracer.New(tracer.Config{Now: cfg.Now, Complete: true})
 	c.budgets = allocator.New(allocator.Config{Budget: c.budget, OnReplaced: c.logReplaced})
 	return c
 }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -91,6 +91,10 @@
 	return p.c.Newest(ctx, q)
 }
 
+func (p peer) Trace(ctx context.Context, q *wire.TraceRequest) (*wire.TraceReply, error) {
+	return p.c.Trace(ctx, q)
+}
+
 func rules(t *testing.T, version uint64, tokens int64) *ruleset.Ruleset {
 	t.Helper()
 	r, err := ruleset.New(ruleset.Config{
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -19,11 +19,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// No result depends on the records: their expiry follows the local clock, so that
+	// instances may hold different ones.
+	c.tracer.Merge(d.Origins)
 	switch change := d.Change.(type) {
 	case *wire.Directive_Publish:
 		c.publish(change.Publish)
 	case *wire.Directive_Enlist:
-		c.targets.Apply(change.Enlist)
+		before := c.targets.Revision()
+		if c.targets.Apply(change.Enlist); c.targets.Revision() != before {
+			c.tracer.Observe(change.Enlist)
+		}
 	case *wire.Directive_Allot:
 		data, err := proto.Marshal(c.budgets.Apply(change.Allot))
 		if err != nil {
@@ -45,6 +51,7 @@
 		return
 	}
 	c.rules, c.encoded, c.source = rules, q.Ruleset, q.Source
+	c.tracer.ObserveRoutings(rules.Routings())
 	c.cfg.Logger.Info("ruleset in force", zap.Uint64("version", q.Version), zap.Int("routes", len(rules.Config().Routes)))
 }
 
@@ -58,6 +65,8 @@
 	}
 	c.targets.Save(s)
 	c.budgets.Save(s)
+	c.observeTargets()
+	c.tracer.Save(s)
 	data, err := proto.Marshal(s)
 	if err != nil {
 		c.cfg.Logger.Error("encoding snapshot failed", zap.Error(err))
@@ -84,5 +93,11 @@
 	c.rules, c.encoded, c.source = rules, s.Ruleset, s.Source
 	c.targets.Load(s)
 	c.budgets.Load(s)
+	c.tracer.Load(s)
+	c.observed = c.targets.Revision()
+	c.tracer.ObserveAll(c.targets.List())
+	if rules != nil {
+		c.tracer.ObserveRoutings(rules.Routings())
+	}
 	return nil
 }
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -62,6 +62,10 @@
 	if reply.Roster != q.Roster {
 		reply.Targets, reply.Listed = c.targets.List(), true
 	}
+	if reply.Listed || len(reply.Ruleset) > 0 {
+		c.observeTargets()
+		reply.History = c.tracer.History()
+	}
 	reply.Loads = c.loads(q)
 	reply.Entries = int32(len(c.entries))
 	reply.Evidence = c.evidence.Answer(q.Evidence)
@@ -82,10 +86,10 @@
 	return false
 }
 
-// allot commits the allowances that the incarnation declares and requests, and
-// the time of its last answer.
+// allot commits the allowances that the incarnation declares and requests, the
+// time of its last answer, and the streams that targets have begun for it.
 func (c *Coordinator) allot(ctx context.Context, q *wire.SyncRequest) ([]*wire.Limit, error) {
-	data, err := c.commit(ctx, &wire.Directive{Change: &wire.Directive_Allot{Allot: &wire.Allotment{
+	data, err := c.commit(ctx, &wire.Directive{Origins: q.Origins, Change: &wire.Directive_Allot{Allot: &wire.Allotment{
 		Instance: q.Instance, Sequence: q.Sequence, Allowances: q.Allowances, Closing: q.Closing, Tenure: q.Tenure,
 	}}})
 	if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/papayapond/papayapond/internal/dialer"
 	"github.com/papayapond/papayapond/internal/exchanger"
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/finder"
 	"github.com/papayapond/papayapond/internal/forwarder"
 	"github.com/papayapond/papayapond/internal/gossiper"
 	"github.com/papayapond/papayapond/internal/lender"
@@ -31,6 +32,7 @@
 	"github.com/papayapond/papayapond/internal/shedder"
 	"github.com/papayapond/papayapond/internal/spender"
 	"github.com/papayapond/papayapond/internal/synchronizer"
+	"github.com/papayapond/papayapond/internal/tracer"
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -89,7 +91,10 @@
 	// OnLoan is called with the outcome of each loan that this instance
 	// requests.
 	OnLoan func(granted bool)
-	Logger *zap.Logger
+	// OnLookup is called with the source of what is known of a stream that a caller
+	// takes up.
+	OnLookup func(source string)
+	Logger   *zap.Logger
 }
 
 // Entry is one entry instance.
@@ -106,12 +111,15 @@
 	sync      *synchronizer.Synchronizer
 	evidence  *detector.Session // with the leader
 	regulator *regulator.Regulator
+	tracer    *tracer.Tracer // of the versions that began streams
+	finder    *finder.Finder
+	rules     atomic.Pointer[ruleset.Ruleset]
 	stopping  atomic.Bool
 }
 
 // New returns an entry instance with a new incarnation.
 func New(cfg Config) *Entry {
-	e := &Entry{cfg: cfg, dialer: dialer.New(dialer.Config{})}
+	e := &Entry{cfg: cfg, dialer: dialer.New(dialer.Config{}), tracer: tracer.New(tracer.Config{})}
 	e.exchanger = exchanger.New(exchanger.Config{EchoHeader: cfg.Headers.Attempt, OnDial: cfg.OnDial})
 	e.regulator = regulator.New(regulator.Config{Self: cfg.PeerAddress, Logger: cfg.Logger.Named("regulator")})
 	e.balancer = balancer.New(balancer.Config{
@@ -158,9 +166,10 @@
 		Peer: func(name string) wire.DRPCSteeringClient {
 			return wire.NewDRPCSteeringClient(e.dialer.Conn(name))
 		},
-		Allowances: e.spender.Declare, Loads: e.balancer.LocalLoads, Evidence: e.evidence.Request, TargetLimits: e.regulator.Report,
+		Allowances: e.spender.Declare, Loads: e.balancer.LocalLoads, Evidence: e.evidence.Request, TargetLimits: e.regulator.Report, Origins: e.tracer.Unsent,
 		OnRuleset: e.applyRuleset, OnReply: e.applyReply, Logger: cfg.Logger.Named("synchronizer"),
 	})
+	e.finder = e.newFinder()
 	return e
 }
 
@@ -192,14 +201,19 @@
 		}
 	}
 	e.spender.AddAccounts(names)
+	e.rules.Store(r)
 	e.forwarder.SetRuleset(r)
 }
 
 // applyReply applies a reply of the leader.
 func (e *Entry) applyReply(q *wire.SyncRequest, reply *wire.SyncReply) {
 	e.evidence.Apply(q.Evidence, reply.Evidence)
+	e.tracer.Acknowledge(q.Origins)
 	e.regulator.Apply(reply.TargetLimits)
 	e.spender.UpdateLimits(reply.Limits, int(reply.Entries))
+	if reply.Listed || len(reply.Ruleset) > 0 {
+		e.tracer.Inherit(reply.History)
+	}
 	if reply.Listed {
 		e.balancer.SetTargets(reply.Targets)
 		e.exchanger.PruneIdle(e.balancer.HasAddress)
--- a/internal/entry/stress_test.go
+++ b/internal/entry/stress_test.go
@@ -93,6 +93,11 @@
 			_, _ = e.gossiper.Report(ctx, &wire.ReportRequest{Address: "127.0.0.1:4", Zone: "z", Loads: []*wire.Load{{Target: "e1", Running: 1}}})
 			e.gossiper.Round(ctx)
 		},
+		"record": func() { e.RecordOrigin("shop", "1", "p", "v1"); e.tracer.Unsent() },
+		"trace": func() {
+			_, _, _ = e.Trace(ctx, "shop", "2", e.rules.Load().Config().Routes[0], time.Second)
+			_, _ = relayServer{e}.Trace(ctx, &wire.TraceRequest{Attempt: 3, Pool: "p", Relay: true})
+		},
 		"readiness": func() { e.isReady(); e.LinkShare(); e.SinceContact() },
 		"sync":      func() { e.sync.Trigger(); _, _ = e.sync.Relay(ctx, &wire.SyncRequest{}) },
 	}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -150,6 +150,13 @@
 	return list[:min(len(list), maxHubs)]
 }
 
+// Neighbors returns the other instances of the zone, the hubs first.
+func (g *Gossiper) Neighbors() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(g.zones[g.cfg.Zone]), func(address string) bool { return address == g.cfg.Self })
+}
+
 // otherZones returns all zones but this one.
 func (g *Gossiper) otherZones() []string {
 	g.mu.Lock()
--- a/internal/ruleset/ruleset.go
+++ b/internal/ruleset/ruleset.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"cmp"
 	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -167,6 +170,36 @@
 	return route.Route{}, false
 }
 
+// Routing returns a digest of the prefixes of a host and of the pools that each of
+// them leads to, or "" for an unknown host. A weight counts only as 0 or not.
+func (r *Ruleset) Routing(host string) string {
+	routes := r.byHost[strings.ToLower(host)]
+	if len(routes) == 0 {
+		return ""
+	}
+	h := sha256.New()
+	for _, t := range routes {
+		var pools []string
+		for _, s := range t.Split {
+			if s.Weight > 0 {
+				pools = append(pools, s.Pool)
+			}
+		}
+		slices.Sort(pools)
+		_, _ = fmt.Fprintf(h, "%q %q\n", t.Prefix, slices.Compact(pools)) // never returns an error
+	}
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
+// Routings returns the digest of each host, by its name in lower case.
+func (r *Ruleset) Routings() map[string]string {
+	digests := make(map[string]string, len(r.byHost))
+	for host := range r.byHost {
+		digests[host] = r.Routing(host)
+	}
+	return digests
+}
+
 // Pool returns the pool with a name.
 func (r *Ruleset) Pool(name string) (pool.Pool, bool) {
 	p, ok := r.pools[name]
--- a/internal/ruleset/ruleset_test.go
+++ b/internal/ruleset/ruleset_test.go
@@ -40,6 +40,49 @@
 	}
 }
 
+// The digest of a host must change whenever its requests may go to other pools, and
+// with nothing else: a look-up of the software version of a stream relies on it.
+func TestRouting(t *testing.T) {
+	digest := func(routes ...route.Route) string {
+		t.Helper()
+		r, err := ruleset.New(ruleset.Config{Pools: []pool.Pool{{Name: "p"}, {Name: "q"}}, Routes: routes})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := r.Routings()["h"], r.Routing("H"); got != want {
+			t.Errorf("got digest %s among all, want %s", got, want)
+		}
+		return r.Routing("h")
+	}
+	p, q := route.Share{Pool: "p", Weight: 1}, route.Share{Pool: "q", Weight: 1}
+	base := routeAt("r", "h", "/a/").WithSplit(p, q)
+	want := digest(base)
+	for name, same := range map[string][]route.Route{
+		"other weights":     {base.WithSplit(route.Share{Pool: "p", Weight: 7}, q)},
+		"other order":       {base.WithSplit(q, p)},
+		"twice the pool":    {base.WithSplit(p, q, p)},
+		"other timeout":     {base.WithTimeout(time.Hour)},
+		"other name":        {routeAt("s", "H", "/a/").WithSplit(p, q)},
+		"another host, too": {base, routeAt("s", "i", "/")},
+	} {
+		if got := digest(same...); got != want {
+			t.Errorf("%s: got another digest, want the same", name)
+		}
+	}
+	for name, other := range map[string][]route.Route{
+		"one pool":            {base.WithSplit(p)},
+		"a pool of weight 0":  {base.WithSplit(p, route.Share{Pool: "q"})},
+		"other prefix":        {routeAt("r", "h", "/b/").WithSplit(p, q)},
+		"longer prefix, too":  {base, routeAt("s", "h", "/a/b/")},
+		"no route":            nil,
+		"prefix and pool mix": {routeAt("r", "h", "/a/").WithSplit(q)},
+	} {
+		if got := digest(other...); got == want {
+			t.Errorf("%s: got the same digest, want another", name)
+		}
+	}
+}
+
 // A version that could route or bill incorrectly must be rejected as a whole.
 func TestNewRefuses(t *testing.T) {
 	pools := []pool.Pool{{Name: "p"}}
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -60,6 +60,8 @@
 	Loads        func() []*wire.Load
 	Evidence     func() *wire.Evidence
 	TargetLimits func() []*wire.TargetLimit
+	// Origins, if not nil, returns which versions began streams.
+	Origins func() []*wire.Origins
 	// OnRuleset is called with each ruleset of a higher version.
 	OnRuleset func(*ruleset.Ruleset)
 	// OnReply is called with each reply and its request.
@@ -99,6 +101,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
+	if cfg.Origins == nil {
+		cfg.Origins = func() []*wire.Origins { return nil }
+	}
 	s := &Synchronizer{cfg: cfg, trigger: make(chan struct{}, 1), started: cfg.Clock()}
 	s.lastAnswered = s.started
 	return s
@@ -112,6 +117,20 @@
 	return s.cfg.Clock() - s.lastAnswered
 }
 
+// Cores returns the core instances, the leader first if it is known.
+func (s *Synchronizer) Cores() []string {
+	s.mu.Lock()
+	known := append([]string{s.leader}, s.cores...)
+	s.mu.Unlock()
+	var names []string
+	for _, name := range append(known, s.cfg.Seeds()...) {
+		if name != "" && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Trigger makes the next call happen without waiting for the interval.
 func (s *Synchronizer) Trigger() {
 	select {
@@ -173,7 +192,7 @@
 // nothing after it.
 func (s *Synchronizer) Close(ctx context.Context, last []*wire.Allowance) error {
 	q := s.request()
-	q.Allowances, q.Closing = last, true
+	q.Allowances, q.Closing, q.Origins = last, true, s.cfg.Origins()
 	_, err := s.send(ctx, q)
 	return err
 }
@@ -193,6 +212,7 @@
 func (s *Synchronizer) round(ctx context.Context) error {
 	q := s.request()
 	q.Allowances, q.Loads, q.Evidence, q.TargetLimits = s.cfg.Allowances(), s.cfg.Loads(), s.cfg.Evidence(), s.cfg.TargetLimits()
+	q.Origins = s.cfg.Origins()
 	reply, err := s.send(ctx, q)
 	if err != nil {
 		return err
--- a/internal/synchronizer/synchronizer_test.go
+++ b/internal/synchronizer/synchronizer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -62,6 +63,10 @@
 	return nil, errors.ErrUnsupported
 }
 
+func (client) Trace(context.Context, *wire.TraceRequest) (*wire.TraceReply, error) {
+	return nil, errors.ErrUnsupported
+}
+
 // leaderReply answers like leader a with peers e2 and e3.
 func leaderReply(*wire.SyncRequest) *wire.SyncReply {
 	return &wire.SyncReply{Leader: "a", Cores: []string{"a", "b", "c"}, Peers: []string{"e2", "e3"}}
@@ -154,3 +159,44 @@
 		synctest.Wait()
 	})
 }
+
+// Records of streams must go with each call, the last one of a planned stop included,
+// and a look-up must find the core instances by then, the leader first.
+func TestOrigins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{answers: map[string]func(*wire.SyncRequest) *wire.SyncReply{}}
+		closing := map[bool]int{}
+		n.set("b", followerReply("a"))
+		n.set("a", func(q *wire.SyncRequest) *wire.SyncReply {
+			if len(q.Origins) == 1 {
+				closing[q.Closing]++
+			}
+			return leaderReply(q)
+		})
+		started := time.Now()
+		s := synchronizer.New(synchronizer.Config{
+			Instance: "e1#1", Machine: "e1", Address: "e1", Seeds: func() []string { return []string{"b"} }, Peer: n.client,
+			Clock:      func() time.Duration { return time.Since(started) },
+			Allowances: func() []*wire.Allowance { return nil }, Loads: func() []*wire.Load { return nil }, Evidence: func() *wire.Evidence { return nil }, TargetLimits: func() []*wire.TargetLimit { return nil },
+			Origins:   func() []*wire.Origins { return []*wire.Origins{{Pool: "p", Attempts: []uint64{1}}} },
+			OnRuleset: func(*ruleset.Ruleset) {}, OnReply: func(*wire.SyncRequest, *wire.SyncReply) {},
+		})
+		if got, want := s.Cores(), []string{"b"}; !slices.Equal(got, want) {
+			t.Errorf("before the first call: got core instances %v, want %v", got, want)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		if got, want := s.Cores(), []string{"a", "b", "c"}; !slices.Equal(got, want) {
+			t.Errorf("got core instances %v, want %v", got, want)
+		}
+		if err := s.Close(t.Context(), nil); err != nil {
+			t.Fatal(err)
+		}
+		if closing[false] < 4 || closing[true] != 1 {
+			t.Errorf("got %d calls with records and %d last ones, want at least 4 and 1", closing[false], closing[true])
+		}
+	})
+}
