Take streams up only at the software version that began them

Cause: nothing kept which version had begun a stream, and the header that names its first attempt wasn't read. The forwarder records pool and version of a stream before its first event is relayed, and looks them up for a request that takes a stream up. The stream goes on in that pool, at targets of that version, or the request is refused at once: with a time to come back if the record may still be on its way, without one if no target has the version any more.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,6 +149,8 @@
 		RetryRatio: cfg.RetryShare, MinRetries: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
 		CoreSilence: func() time.Duration { return e.sync.SinceContact() }, Observe: cfg.Observe, Logger: cfg.Logger.Named("forwarder"),
 		Regulator:  e.regulator,
+		Trace:      e.Trace,
+		Record:     e.RecordOrigin,
 		OnCrash:    func() { e.sync.Trigger() },
 		CountBytes: e.shedder.CountBytes, CloseConnection: func() bool { return e.stopping.Load() || e.shedder.ShouldClose() },
 	})
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -113,13 +113,13 @@
 	}
 	x.pool, _ = x.rules.Pool(t.Pool(x.splitPosition()))
 	x.parsePrompt()
-	return x.readBody() && x.reserveTokens()
+	return x.readBody() && x.traceOrigin() && x.reserveTokens()
 }
 
-// splitPosition returns a number in [0, 1) that is stable across retries by the
-// caller.
+// splitPosition returns a number in [0, 1) that is the same for a stream and the
+// requests that take it up.
 func (x *exchange) splitPosition() float64 {
-	sum := sha256.Sum256([]byte(x.r.Header.Get(x.f.cfg.Headers.Attempt) + x.r.RequestURI))
+	sum := sha256.Sum256([]byte(x.originAttempt() + x.r.RequestURI))
 	return float64(uint32(sum[0])<<16|uint32(sum[1])<<8|uint32(sum[2])) / (1 << 24)
 }
 
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -193,7 +193,7 @@
 	h.Set(x.f.cfg.Headers.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	h.Set(x.f.cfg.Headers.Target, pick.ID())
 	if x.lastEventID != "" {
-		h.Set("Last-Event-Id", x.lastEventID)
+		h.Set(lastEventHeader, x.lastEventID)
 	}
 	return &exchanger.Request{
 		Address: pick.Address(), Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
@@ -246,6 +246,8 @@
 	case x.headerSent:
 		x.finish("cut", zap.Error(err))
 		panic(http.ErrAbortHandler)
+	case x.runs == 0 && errors.Is(err, balancer.ErrVersionGone):
+		x.reject(http.StatusServiceUnavailable, 0, reason(err)) // coming back doesn't help
 	case x.runs == 0 && x.blockedBy != nil:
 		x.reject(http.StatusServiceUnavailable, blockedRetryAfter, reason(err))
 	case x.runs == 0 && fault.Of(err) == fault.Overloaded && x.sends == 0:
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -59,6 +60,11 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resume
 }
 
+// Uses reports whether the route sends requests to a pool.
+func (r Route) Uses(pool string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Pool == pool && s.Weight > 0 })
+}
+
 // Pool returns the pool for a fraction in [0, 1), according to the weights of
 // the split.
 func (r Route) Pool(fraction float64) string {
