Log what ended an attempt and why no other target went on

LOST can't be explained from the log of an entry instance: a stream that was ended because its target was silent looked like one that the target broke off, and nothing told why no other target was tried.

Ruled out by reading: the write deadline of one stream doesn't reach the next request of its connection, since net/http resets it after each answer.

"attempt failed" has ended (target, silence, deadline, caller or block), the time since the target was last heard, and denied (targets, budget, attempts, deadline, route or block); "request ended" has the latter two unless the request was answered. A request that has used all its sends no longer takes a retry from the budget that it can't use.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -150,6 +150,19 @@
 	return f.received
 }
 
+// dial opens a connection to the forwarder and writes to it.
+func (f *fixture) dial(text string) net.Conn {
+	f.t.Helper()
+	c, err := net.Dial("tcp", f.front.Listener.Addr().String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, text); err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
 // response is the status and header of a response.
 type response struct {
 	StatusCode int
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -73,6 +73,9 @@
 	limit        string // named by the last target
 	// attemptEvents is the number of events of the last target.
 	attemptEvents int
+	heard         time.Time          // last event of the last target, or the start of its attempt
+	stalled       bool               // the last attempt was canceled because its target was silent
+	denied        string             // why no other target gets the request; "" if one may
 	cancel        context.CancelFunc // of the last attempt
 	canceled      atomic.Bool        // the content was blocked during the attempt
 	blockedBy     []string           // keys of the block that refuses the request
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -17,7 +17,6 @@
 	"github.com/papayapond/papayapond/internal/exchanger"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/streamer"
-	"github.com/papayapond/papayapond/pkg/route"
 )
 
 const (
@@ -25,48 +24,8 @@
 	maxResponseBytes = 16 << 20
 	// writeTimeout bounds a write to a caller that does not read.
 	writeTimeout = 10 * time.Second
-	// firstEventFactor times the latency objective is the timeout for the first
-	// event of a resumable stream.
-	firstEventFactor = 2
-	// stallFactor times the expected pause is the timeout between events of a
-	// resumable stream.
-	stallFactor = 3
-	// minStallTimeout is the lower bound of both timeouts.
-	minStallTimeout = 700 * time.Millisecond
 )
 
-// stallTimer cancels an attempt whose target stops sending.
-type stallTimer struct {
-	timer *time.Timer
-	pause time.Duration
-}
-
-// newStallTimer returns an active timer for a stream that another target can
-// resume. Other requests are bounded only by their deadline.
-func (x *exchange) newStallTimer(cancel func()) *stallTimer {
-	if x.route.Kind != route.Stream || !x.route.Resume || x.runs+1 >= x.route.MaxAttempts {
-		return &stallTimer{}
-	}
-	first := max(firstEventFactor*x.route.FirstByteObjective, minStallTimeout)
-	if x.headerSent {
-		first = max(first, stallFactor*x.route.EventGapObjective)
-	}
-	return &stallTimer{timer: time.AfterFunc(first, cancel), pause: max(stallFactor*x.route.EventGapObjective, minStallTimeout)}
-}
-
-// reset restarts the timeout after an event.
-func (t *stallTimer) reset() {
-	if t.timer != nil {
-		t.timer.Reset(t.pause)
-	}
-}
-
-func (t *stallTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
 // relay forwards a target's response to the caller.
 func (x *exchange) relay(ctx context.Context, a *exchanger.Response, pick *balancer.Pick, t *stallTimer) (attemptResult, balancer.Outcome, error) {
 	if a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices && a.Header.Get(x.f.cfg.Headers.Signature) == "" {
@@ -186,6 +145,7 @@
 		pick.MarkPrefilled()
 		t.reset()
 		x.bindVersion(pick)
+		x.heard = x.f.cfg.Now()
 		x.sendHeader(a.Header)
 		_ = out.SetWriteDeadline(x.f.cfg.Now().Add(writeTimeout)) // not all writers support deadlines
 		x.tracked.AwaitCaller()
@@ -255,6 +215,9 @@
 		report.FirstByte = x.firstByte.Sub(x.arrived)
 	}
 	x.f.cfg.Observe(report)
+	if outcome != "answered" {
+		fields = append(fields, x.silenceField(), x.deniedField())
+	}
 	if x.limit != "" {
 		fields = append(fields, zap.String("limit", x.limit))
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -64,6 +64,7 @@
 			if err == nil {
 				err = chooseErr
 			}
+			x.denied = deniedByTargets
 			break
 		}
 		var v attemptResult
@@ -72,14 +73,15 @@
 		if v == answered || v == callerGone {
 			return
 		}
+		ended, silence := x.endedBy(ctx), x.silenceField()
+		retry := x.mayRetry(ctx, v)
 		x.f.cfg.Logger.Warn("attempt failed", zap.String("request", x.requestID()), zap.String("target", pick.ID()),
 			zap.String("software", pick.Version()), zap.Stringer("verdict", v), zap.Int("runs", x.runs), zap.Int("events", x.events),
-			zap.Bool("started", x.started), zap.Strings("parts", x.partIDs()), zap.Error(err))
-		if x.isBlocked() {
+			zap.Bool("started", x.started), zap.Strings("parts", x.partIDs()), zap.String("ended", ended), silence, x.deniedField(), zap.Error(err))
+		if x.denied == deniedByBlock {
 			err = errBlocked
-			break
 		}
-		if !x.mayRetry(ctx, v) {
+		if !retry {
 			break
 		}
 	}
@@ -97,19 +99,26 @@
 // mayRetry reports whether the request may be sent to another target, and takes
 // a retry from the budget.
 func (x *exchange) mayRetry(ctx context.Context, v attemptResult) bool {
-	if ctx.Err() != nil || x.deadline.Sub(x.f.cfg.Now()) < minTimeLeft {
-		return false
-	}
-	switch v {
-	case notSent:
-		return true
-	case refused:
-	default:
-		if !x.route.Repeatable() || x.runs >= x.route.MaxAttempts {
-			return false
-		}
+	x.denied = x.retryDenied(ctx, v)
+	return x.denied == ""
+}
+
+// retryDenied returns why the request may not be sent to another target, or "".
+func (x *exchange) retryDenied(ctx context.Context, v attemptResult) string {
+	mayHaveRun := v != notSent && v != refused
+	switch {
+	case x.isBlocked():
+		return deniedByBlock
+	case ctx.Err() != nil, x.deadline.Sub(x.f.cfg.Now()) < minTimeLeft:
+		return deniedByDeadline
+	case x.sends >= maxSends, mayHaveRun && x.runs >= x.route.MaxAttempts:
+		return deniedByAttempts
+	case mayHaveRun && !x.route.Repeatable():
+		return deniedByRoute
+	case v != notSent && !x.f.retrier(x.pool.Name).AllowRetry():
+		return deniedByBudget
 	}
-	return x.f.retrier(x.pool.Name).AllowRetry()
+	return ""
 }
 
 // tokensUsed returns the tokens to charge: the prompt if a target may have
@@ -131,12 +140,16 @@
 	defer cancel()
 	x.pickFields = pick.LogFields()
 	x.f.cfg.CountBytes(0, len(x.body)+headerBytes)
-	x.started, x.attemptEvents = false, 0
+	x.started, x.stalled, x.attemptEvents = false, false, 0
 	x.awaitAnswer(cancel)
 	defer x.endAnswer()
 	watch := x.newStallTimer(cancel)
-	defer watch.stop()
+	defer func() {
+		watch.stop()
+		x.stalled = watch.fired.Load()
+	}()
 	sent := x.f.cfg.Now()
+	x.heard = sent
 	a, err := x.f.cfg.Exchanger.Send(ctx, x.request(pick))
 	if err != nil && fault.Of(err) == fault.Unavailable {
 		x.sends++ // failed connections count towards maxSends
