Keep a stream at its silent target until another one is secured

A caller that didn't read for that long had its stream moved, too, since the time of a blocked write counted as silence of the target.

Now a stream is moved only after half of the time that callers wait, at least 1.5 s, and only once a retry is taken from the budget and a healthy target with room is chosen, with time left for its first event. Until then the stream waits for its target. If the second target refuses the stream and there is no third one, it returns to the first one after the last relayed event. A retry that isn't made goes back to the budget.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -30,6 +30,9 @@
 	crossZoneServiceCost = 2.5
 	// queueCost is the cost of waiting for a free slot, in prompt tokens.
 	queueCost = 20000
+	// serviceQueueCost is the cost of a plain service that is likely to let a request
+	// wait, in requests in flight.
+	serviceQueueCost = 50
 	// homeCachedRatio is the fraction of a prompt's shared tokens assumed to be
 	// cached at its home target, even if this instance has not sent them there.
 	homeCachedRatio = 0.9
@@ -69,6 +72,9 @@
 	Tokens, Output int64
 	// Retryable requests may probe a target after its ejection.
 	Retryable bool
+	// Spare requests get only a target that is healthy and has room. They are worth
+	// sending only if they are likely to be served at once.
+	Spare bool
 	// Exclude holds the IDs of targets that must not be chosen.
 	Exclude map[string]bool
 	// Version, if not nil, is the software version that the target must have.
@@ -248,7 +254,7 @@
 	homeCost := math.Inf(1)
 	limited := 0
 	try := func(t *target) {
-		if t == nil || !q.permits(t, now) || !t.isAvailable(now, q.Retryable) {
+		if t == nil || !q.permits(t, now) || !t.isAvailable(now, q.Retryable && !q.Spare) {
 			return
 		}
 		if !b.cfg.Admits(t.lifetime) {
@@ -271,7 +277,9 @@
 			try(t)
 		}
 	}
-	if best == nil {
+	if q.Spare {
+		best = b.withRoom(best, lowest, q)
+	} else if best == nil {
 		best = b.fallback(list, q, now)
 	}
 	if best == nil && limited > 0 {
@@ -319,6 +327,19 @@
 	return best
 }
 
+// withRoom returns the target if a request to it is likely to start at once, else nil.
+// The caller holds mu.
+func (b *Balancer) withRoom(t *target, cost float64, q Query) *target {
+	limit := float64(queueCost)
+	if b.poolConfigs[q.Pool].Engine == nil {
+		limit = serviceQueueCost
+	}
+	if cost >= limit {
+		return nil
+	}
+	return t
+}
+
 // isAvailable reports whether a target may get a request. After its ejection,
 // one retryable request probes it.
 func (t *target) isAvailable(now time.Time, repeatable bool) bool {
@@ -357,9 +378,9 @@
 			cost += crossZoneServiceCost
 		}
 		if b.isUnreachable(t.listing.Zone, now) {
-			cost += 50
+			cost += serviceQueueCost
 		}
-		return cost + t.penalty(now, 50)
+		return cost + t.penalty(now, serviceQueueCost)
 	}
 	cached := t.cached(q.Parts)
 	if home && cached == 0 {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -321,3 +321,32 @@
 		})
 	}
 }
+
+// A stream must be moved only to a target that is likely to serve it at once: not to
+// one that was ejected or just refused a request, as a last resort or to probe it.
+func TestSpareTarget(t *testing.T) {
+	for _, pool := range []string{"engines", "services"} {
+		b, now := newBalancer(1)
+		q := balancer.Query{Pool: pool, Retryable: true, Exclude: map[string]bool{pool + "-far-0": true}}
+		spare := q
+		spare.Spare = true
+		choose(t, b, spare).Done(balancer.Served)
+		choose(t, b, q).Done(balancer.Refused)
+		if p, err := b.Choose(spare); err == nil {
+			t.Errorf("%s: got %s, which is busy, want none", pool, p.ID())
+		}
+		now.advance(time.Second)
+		for range 2 {
+			choose(t, b, q).Done(balancer.ConnectionFailed)
+		}
+		if p, err := b.Choose(spare); err == nil {
+			t.Errorf("%s: got the ejected target %s, want none", pool, p.ID())
+		}
+		now.advance(10 * time.Second)
+		if p, err := b.Choose(spare); err == nil {
+			t.Errorf("%s: got a probe of %s, want none", pool, p.ID())
+		}
+		choose(t, b, q).Done(balancer.Served)
+		choose(t, b, spare).Done(balancer.Served)
+	}
+}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -75,6 +75,8 @@
 	attemptEvents int
 	heard         time.Time          // last event of the last target, or the start of its attempt
 	stalled       bool               // the last attempt was canceled because its target was silent
+	silentTarget  string             // target of that attempt, to which the stream may return
+	secured       *balancer.Pick     // target that was chosen before that attempt was canceled
 	denied        string             // why no other target gets the request; "" if one may
 	cancel        context.CancelFunc // of the last attempt
 	canceled      atomic.Bool        // the content was blocked during the attempt
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -36,6 +36,7 @@
 		return x.relayStream(a, pick, t)
 	}
 	body, err := x.readAll(a)
+	t.pause()
 	a.Close(err == nil)
 	if err != nil {
 		return x.unlessCanceled(connectionLost), balancer.ConnectionLost, eris.Wrap(err, "response was truncated")
@@ -61,9 +62,13 @@
 func (x *exchange) retryAfterError(ctx context.Context, a *exchanger.Response, body []byte, pick *balancer.Pick) (attemptResult, balancer.Outcome, error) {
 	x.tried[pick.ID()] = true
 	next, err := x.f.cfg.Balancer.Choose(x.query())
-	if err == nil {
+	if err != nil {
+		x.f.retrier(x.pool.Name).Refund()
+	}
+	for ; next != nil; next = x.takeSecured() {
 		x.f.cfg.Logger.Info("retrying request after target error", zap.String("request", x.requestID()),
 			zap.String("target", pick.ID()), zap.Int("status", a.Status), zap.String("next", next.ID()))
+		x.tried[next.ID()] = true
 		var v attemptResult
 		if v, err = x.attempt(ctx, next); v == answered || v == callerGone {
 			return v, balancer.Failed, err
@@ -143,9 +148,8 @@
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, err
 		}
 		pick.MarkPrefilled()
-		t.reset()
+		t.pause()
 		x.bindVersion(pick)
-		x.heard = x.f.cfg.Now()
 		x.sendHeader(a.Header)
 		_ = out.SetWriteDeadline(x.f.cfg.Now().Add(writeTimeout)) // not all writers support deadlines
 		x.tracked.AwaitCaller()
@@ -165,6 +169,7 @@
 			x.recordAnswer()
 		}
 		x.lastEventID = s.LastEventID()
+		t.await()
 	}
 }
 
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -52,6 +52,7 @@
 // serve tries targets until the request is answered or may not be retried.
 func (x *exchange) serve(ctx context.Context) {
 	defer func() { x.reservation.Settle(x.tokensUsed()) }()
+	defer x.releaseSecured()
 	x.f.retrier(x.pool.Name).RecordRequest()
 	x.targetHeader = x.targetHeaders()
 	x.tried = map[string]bool{}
@@ -59,7 +60,7 @@
 	for x.sends < maxSends {
 		var pick *balancer.Pick
 		var chooseErr error
-		pick, chooseErr = x.f.cfg.Balancer.Choose(x.query())
+		pick, chooseErr = x.nextTarget()
 		if chooseErr != nil {
 			if err == nil {
 				err = chooseErr
@@ -111,6 +112,8 @@
 		return deniedByBlock
 	case ctx.Err() != nil, x.deadline.Sub(x.f.cfg.Now()) < minTimeLeft:
 		return deniedByDeadline
+	case x.secured != nil:
+		return ""
 	case x.sends >= maxSends, mayHaveRun && x.runs >= x.route.MaxAttempts:
 		return deniedByAttempts
 	case mayHaveRun && !x.route.Repeatable():
@@ -143,13 +146,9 @@
 	x.started, x.stalled, x.attemptEvents = false, false, 0
 	x.awaitAnswer(cancel)
 	defer x.endAnswer()
-	watch := x.newStallTimer(cancel)
-	defer func() {
-		watch.stop()
-		x.stalled = watch.fired.Load()
-	}()
+	watch := x.newStallTimer(pick.ID(), cancel)
+	defer x.endWait(watch)
 	sent := x.f.cfg.Now()
-	x.heard = sent
 	a, err := x.f.cfg.Exchanger.Send(ctx, x.request(pick))
 	if err != nil && fault.Of(err) == fault.Unavailable {
 		x.sends++ // failed connections count towards maxSends
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -2,61 +2,198 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"maps"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/papayapond/papayapond/internal/balancer"
 	"github.com/papayapond/papayapond/pkg/route"
 )
 
 const (
-	// firstEventFactor times the latency objective is the timeout for the first
-	// event of a resumable stream.
-	firstEventFactor = 2
-	// stallFactor times the expected pause is the timeout between events of a
-	// resumable stream.
-	stallFactor = 3
-	// minStallTimeout is the lower bound of both timeouts.
-	minStallTimeout = 700 * time.Millisecond
+	// Callers give up a stream after a gap of the longest of minPatience, four
+	// latency objectives and eight expected pauses. A stream is moved after half of
+	// that, so that another target has the other half to process the prompt.
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+	// minSilence is the least silence after which a stream is moved. A sound target
+	// may be silent for about a second and go on.
+	minSilence = 1500 * time.Millisecond
+	// recheckInterval is the time between two attempts to find another target for
+	// the stream of a silent one.
+	recheckInterval = 250 * time.Millisecond
 )
 
-// stallTimer cancels an attempt whose target stops sending.
+// stallTimer moves a resumable stream away from a target that stays silent. It
+// cancels the attempt only once another target is chosen and a retry is taken from
+// the budget; until then the stream waits for its target.
 type stallTimer struct {
-	timer *time.Timer
-	pause time.Duration
-	fired atomic.Bool
+	x      *exchange
+	target string
+	limit  time.Duration
+	cancel context.CancelFunc
+	timer  *time.Timer // nil if the stream can't be moved
+
+	mu       sync.Mutex // not held during calls of other components
+	query    balancer.Query
+	heard    time.Time      // last event, or the start of the attempt
+	waits    int            // number of times that an event was awaited
+	waiting  bool           // an event is awaited
+	next     *balancer.Pick // target that goes on with the stream
+	reported bool
+}
+
+// silenceLimit returns the silence of a target after which its stream may be moved.
+func (x *exchange) silenceLimit() time.Duration {
+	patience := max(minPatience, objectivePatience*x.route.FirstByteObjective, gapPatience*x.route.EventGapObjective)
+	return max(patience/2, minSilence)
 }
 
 // newStallTimer returns an active timer for a stream that another target can
-// resume. Other requests are bounded only by their deadline.
-func (x *exchange) newStallTimer(cancel func()) *stallTimer {
-	t := &stallTimer{pause: max(stallFactor*x.route.EventGapObjective, minStallTimeout)}
-	if x.route.Kind != route.Stream || !x.route.Resume || x.runs+1 >= x.route.MaxAttempts {
-		return t
-	}
-	first := max(firstEventFactor*x.route.FirstByteObjective, minStallTimeout)
-	if x.headerSent {
-		first = max(first, stallFactor*x.route.EventGapObjective)
-	}
-	t.timer = time.AfterFunc(first, func() {
-		t.fired.Store(true)
-		cancel()
-	})
+// resume. Other requests are bounded only by their deadline. It must be stopped.
+func (x *exchange) newStallTimer(target string, cancel context.CancelFunc) *stallTimer {
+	t := &stallTimer{x: x, target: target, limit: x.silenceLimit(), cancel: cancel}
+	x.heard = x.f.cfg.Now()
+	if x.route.Kind == route.Stream && x.route.Resume && x.runs+1 < x.route.MaxAttempts && x.sends+1 < maxSends {
+		t.timer = time.AfterFunc(t.limit, t.check)
+		t.await()
+	}
 	return t
 }
 
-// reset restarts the timeout after an event.
-func (t *stallTimer) reset() {
-	if t.timer != nil {
-		t.timer.Reset(t.pause)
+// await starts to wait for an event.
+func (t *stallTimer) await() {
+	t.x.heard = t.x.f.cfg.Now()
+	if t.timer == nil {
+		return
+	}
+	q := t.x.query()
+	q.Spare, q.Exclude = true, maps.Clone(q.Exclude)
+	q.Exclude[t.target] = true
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.query, t.heard, t.waiting = q, t.x.heard, true
+	t.waits++
+	t.timer.Reset(t.limit)
+}
+
+// pause ends the wait, so that the time in which the caller doesn't read isn't
+// taken for a silence of the target.
+func (t *stallTimer) pause() {
+	if t.timer == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting = false
+	t.timer.Stop()
+}
+
+// stop ends the timer and returns the target that goes on with the stream, nil if
+// the stream isn't moved.
+func (t *stallTimer) stop() *balancer.Pick {
+	t.pause()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := t.next
+	t.next = nil
+	return next
+}
+
+// check moves the stream if its target has been silent for too long.
+func (t *stallTimer) check() {
+	t.mu.Lock()
+	q, waits, silence := t.query, t.waits, t.x.f.cfg.Now().Sub(t.heard)
+	due := t.waiting && t.next == nil && silence >= t.limit
+	t.mu.Unlock()
+	if !due {
+		return
+	}
+	next, denied := t.x.f.secureTarget(q, t.x.route, t.x.deadline)
+	t.mu.Lock()
+	current := t.waiting && t.waits == waits
+	first := !t.reported
+	switch {
+	case !current:
+	case next != nil:
+		t.next = next
+	default:
+		t.reported = true
+		t.timer.Reset(recheckInterval)
+	}
+	t.mu.Unlock()
+	switch {
+	case !current && next != nil:
+		t.x.f.release(next, q.Pool)
+	case current && next != nil:
+		t.cancel()
+	case current && first:
+		t.x.f.cfg.Logger.Info("stream waits for its silent target", zap.String("request", t.x.requestID()), zap.String("target", t.target),
+			zap.Duration("silence", silence), zap.String("denied", denied))
+	}
+}
+
+// secureTarget chooses a target that can go on with a stream at once, and takes a
+// retry from the budget. It returns nil and the reason if there is none.
+func (f *Forwarder) secureTarget(q balancer.Query, r route.Route, deadline time.Time) (next *balancer.Pick, denied string) {
+	if deadline.Sub(f.cfg.Now()) < max(r.FirstByteObjective, minTimeLeft) {
+		return nil, deniedByDeadline
+	}
+	if !f.retrier(q.Pool).AllowRetry() {
+		return nil, deniedByBudget
+	}
+	next, err := f.cfg.Balancer.Choose(q)
+	if err != nil {
+		f.retrier(q.Pool).Refund()
+		return nil, deniedByTargets
+	}
+	return next, ""
+}
+
+// release gives back a target that was secured and isn't used.
+func (f *Forwarder) release(next *balancer.Pick, pool string) {
+	next.Done(balancer.Canceled)
+	f.retrier(pool).Refund()
+}
+
+// endWait stops the timer of an attempt and keeps the target that it has secured.
+func (x *exchange) endWait(t *stallTimer) {
+	if next := t.stop(); next != nil {
+		x.releaseSecured()
+		x.secured, x.stalled, x.silentTarget = next, true, t.target
+	}
+}
+
+// releaseSecured gives back the secured target if it wasn't used.
+func (x *exchange) releaseSecured() {
+	if next := x.takeSecured(); next != nil {
+		x.f.release(next, x.pool.Name)
 	}
 }
 
-func (t *stallTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
+// takeSecured returns the target that was secured for the next attempt, or nil.
+func (x *exchange) takeSecured() *balancer.Pick {
+	next := x.secured
+	x.secured = nil
+	return next
+}
+
+// nextTarget chooses the target of the next attempt. If no other target is left, a
+// stream returns to the target that was silent: that one hasn't failed.
+func (x *exchange) nextTarget() (*balancer.Pick, error) {
+	if next := x.takeSecured(); next != nil {
+		return next, nil
+	}
+	next, err := x.f.cfg.Balancer.Choose(x.query())
+	if err != nil && x.silentTarget != "" {
+		delete(x.tried, x.silentTarget)
+		x.silentTarget = ""
+		next, err = x.f.cfg.Balancer.Choose(x.query())
 	}
+	return next, err
 }
 
 // Values of the log field "ended": what has ended an attempt.
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -83,6 +83,19 @@
 	return true
 }
 
+// Refund takes back a retry that AllowRetry has counted and that wasn't made.
+func (r *Retrier) Refund() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.currentCount()
+	for i := range int64(buckets) {
+		if c := &r.counts[(r.current-i)%buckets]; c.retries > 0 {
+			c.retries--
+			return
+		}
+	}
+}
+
 // Denied returns the number of denied retries.
 func (r *Retrier) Denied() uint64 {
 	r.mu.Lock()
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -37,3 +37,19 @@
 		t.Errorf("in a new window: got %d retries, want %d", got, want)
 	}
 }
+
+// A retry that wasn't made must not use up the budget, also if the window has moved on
+// meanwhile, and must not add to it after the window.
+func TestRefund(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Config{MinRetries: 1, Now: func() time.Time { return now }})
+	if !r.AllowRetry() || r.AllowRetry() {
+		t.Fatal("want one retry allowed")
+	}
+	now = now.Add(DefaultWindow / 2)
+	r.Refund()
+	r.Refund()
+	if !r.AllowRetry() || r.AllowRetry() {
+		t.Error("want one retry allowed after it was taken back")
+	}
+}
