Test that a change of the configuration doesn't end answers in flight

TestChangeInFlight drops the account, the route, the pool and the listing of the target while it works on plain requests and streams; TestResumeAfterChange lets a target break off after the change.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -38,8 +38,11 @@
 	front   *httptest.Server
 	spender *spender.Spender
 
-	balancer *balancer.Balancer
-	listings []*wire.Listing
+	forwarder *forwarder.Forwarder
+	balancer  *balancer.Balancer
+	exchanger *exchanger.Exchanger
+	listings  []*wire.Listing
+	rules     ruleset.Config
 
 	mu       sync.Mutex
 	received []*http.Request
@@ -63,7 +66,6 @@
 	f.spender = spender.New(spender.Config{CoresUnreachable: func() bool { return f.silence > time.Second }})
 	limits := regulator.New(regulator.Config{})
 	b := balancer.New(balancer.Config{Zone: "z", Admits: limits.Admits, Take: limits.Take})
-	f.balancer = b
 	for i, s := range scripts {
 		// Only the first target is local, so that it is chosen first.
 		zone := "z"
@@ -78,7 +80,7 @@
 		Regulator: limits, RetryRatio: 0.2, MinRetries: 20, RetryWindow: 10 * time.Second, CoreSilence: func() time.Duration { return 0 },
 	}
 	change(&cfg)
-	fw := forwarder.New(cfg)
+	f.forwarder, f.balancer, f.exchanger = forwarder.New(cfg), cfg.Balancer, cfg.Exchanger
 	tokens := int64(1000)
 	base := route.Route{Host: "h", Timeout: 2 * time.Second, FirstByteObjective: 200 * time.Millisecond, EventGapObjective: 100 * time.Millisecond, MaxAttempts: 2, Split: []route.Share{{Pool: "p", Weight: 1}}}
 	with := func(prefix string, kind route.Kind, resume bool) route.Route {
@@ -86,21 +88,28 @@
 		r.Name, r.Prefix, r.Kind, r.Resume = prefix, prefix, kind, resume
 		return r
 	}
-	rules, err := ruleset.New(ruleset.Config{
+	f.rules = ruleset.Config{
 		Version: 1, Pools: []pool.Pool{pool.Pool{Name: "p"}.WithEngine(pool.Engine{Batch: 4, CacheTokens: 100000, TokensPerEvent: 5})},
 		Routes:   []route.Route{with("/once/", route.Single, false), with("/again/", route.Idempotent, false), with("/resume/", route.Stream, true), with("/stream/", route.Stream, false), with("/long/", route.Stream, true).WithTimeout(10 * time.Second)},
 		Accounts: []prepaid.Prepaid{{Name: "shop", Keys: []string{"key"}, Tokens: &tokens}},
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
-	fw.SetRuleset(rules)
+	f.setRules(f.rules)
 	f.spender.UpdateLimits([]*wire.Limit{{Account: "shop", Limit: tokens, Lock: tokens, Total: tokens}}, 1)
-	f.front = httptest.NewServer(fw)
+	f.front = httptest.NewServer(f.forwarder)
 	t.Cleanup(f.front.Close)
 	return f
 }
 
+// setRules activates a ruleset.
+func (f *fixture) setRules(c ruleset.Config) {
+	f.t.Helper()
+	rules, err := ruleset.New(c)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.forwarder.SetRuleset(rules)
+}
+
 // target starts a target and returns its address.
 func (f *fixture) target(s handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
