Give the end of a stream the whole time for a write

A stream whose target took more than 10 s from its last event to its end was cut: the deadline of the last write still held for the end. Found by reading, in search of other places where this instance ends an answer on its own initiative.

TestWriteDeadlineOfEnd failed before: the deadline was last set 0.2 s before the end, when the last event was written.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -140,6 +140,7 @@
 				x.recordAnswer()
 			}
 			x.sendHeader(a.Header)
+			_ = out.SetWriteDeadline(x.f.cfg.Now().Add(writeTimeout)) // the end of the stream is written later
 			x.finish("answered")
 			return answered, balancer.Served, nil
 		}
--- a/internal/forwarder/stall_test.go
+++ b/internal/forwarder/stall_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,7 +16,7 @@
 )
 
 // silent returns a handler that streams a number of events and is silent for a while
-// after pauseAfter of them. It sends the header before the silence if headerFirst is
+// after pauseAfter of them, which may be all. It sends the header before the silence if headerFirst is
 // set or events precede it.
 func silent(to, pauseAfter int, silence time.Duration, headerFirst bool) handler {
 	return func(_ int, w io.Writer, r *http.Request) bool {
@@ -37,6 +38,9 @@
 				return false
 			}
 		}
+		if pauseAfter == to {
+			time.Sleep(silence)
+		}
 		_, _ = io.WriteString(w, "0\r\n\r\n")
 		return true
 	}
@@ -205,3 +209,34 @@
 		t.Errorf("got %d requests at targets, want 1", got)
 	}
 }
+
+// deadlineWriter records when the deadline for writes was last set.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	set time.Time
+}
+
+// SetWriteDeadline implements the method that http.ResponseController looks for.
+func (w *deadlineWriter) SetWriteDeadline(time.Time) error {
+	w.set = time.Now()
+	return nil
+}
+
+// The end of a stream must have the whole time for a write, also if its target takes
+// long from the last event to the end. The deadline of the last event would cut it.
+func TestWriteDeadlineOfEnd(t *testing.T) {
+	const wait = 200 * time.Millisecond
+	f := newFixture(t, silent(3, 3, wait, true))
+	r := httptest.NewRequest(http.MethodPost, "/stream/", strings.NewReader("question"))
+	r.Host = "h"
+	r.Header.Set("Authorization", "Bearer key")
+	r.Header.Set(headers.Attempt, "id1")
+	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+	f.forwarder.ServeHTTP(w, r)
+	if got := w.Body.String(); got != stream(3) {
+		t.Errorf("got %q, want the whole stream", got)
+	}
+	if got := time.Since(w.set); got > wait/2 {
+		t.Errorf("the deadline was last set %v before the end, want it set at the end", got)
+	}
+}
