--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -65,7 +65,7 @@
 			if err == nil {
 				err = chooseErr
 			}
-			x.denied = deniedByTargets
+			x.denied = deniedByChoice(chooseErr)
 			break
 		}
 		var v attemptResult
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -148,11 +149,19 @@
 	next, err := f.cfg.Balancer.Choose(q)
 	if err != nil {
 		f.retrier(q.Pool).Refund()
-		return nil, deniedByTargets
+		return nil, deniedByChoice(err)
 	}
 	return next, ""
 }
 
+// deniedByChoice returns the reason for an error of the choice of a target.
+func deniedByChoice(err error) string {
+	if errors.Is(err, balancer.ErrVersionGone) {
+		return deniedByVersion
+	}
+	return deniedByTargets
+}
+
 // release gives back a target that was secured and isn't used.
 func (f *Forwarder) release(next *balancer.Pick, pool string) {
 	next.Done(balancer.Canceled)
@@ -212,6 +221,7 @@
 	deniedByAttempts = "attempts"
 	deniedByBudget   = "budget" // of retries
 	deniedByTargets  = "targets"
+	deniedByVersion  = "version" // no target has the software version of the stream
 	deniedByBlock    = "block"
 )
 
