Heed targets that leave or want no requests for a time

Targets that leave say so in their answers, and a target that turns a request away with 503 may add Retry-After.

Now the instance that got the answer leaves the lifetime out at once: of each choice, as the home of a prompt, for the probe after an ejection, as the last resort and for streams that go on. It doesn't depend on the list of targets: what a lifetime has said is kept for 5 min after it is no longer listed, in at most 4096 entries, and a new lifetime under its name begins anew. A rest is at most 10 min; values that aren't positive numbers are ignored. If all targets of a pool rest, requests are refused as soon as they are read, with a Retry-After after the end of the first rest.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -83,7 +83,7 @@
 
 // permits reports whether the query allows a target.
 func (q Query) permits(t *target, now time.Time) bool {
-	if q.Exclude[t.listing.Id] {
+	if q.Exclude[t.listing.Id] || t.isLeaving() || t.isResting(now) {
 		return false
 	}
 	return q.Version == nil || t.listing.Version == *q.Version && now.Sub(t.lostAt) >= restartWindow
@@ -114,6 +114,9 @@
 
 	mu           sync.Mutex
 	targets      map[string]*target
+	order        []string           // IDs of the targets as listed
+	notices      map[string]*notice // by lifetime
+	pruned       time.Time          // time of the last search for old notices
 	pools        map[string][]*target
 	subsets      map[string][]*target   // sampled targets, by pool
 	zones        map[string]*zoneHealth // other zones, by name
@@ -138,7 +141,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Balancer{cfg: cfg, targets: map[string]*target{}, pools: map[string][]*target{}, poolConfigs: map[string]pool.Pool{}, failureRates: map[string]float64{}, zones: map[string]*zoneHealth{}}
+	return &Balancer{cfg: cfg, targets: map[string]*target{}, pools: map[string][]*target{}, poolConfigs: map[string]pool.Pool{}, failureRates: map[string]float64{}, zones: map[string]*zoneHealth{}, notices: map[string]*notice{}}
 }
 
 // SetPools sets the pools of a ruleset.
@@ -155,24 +158,20 @@
 func (b *Balancer) SetTargets(listings []*wire.Listing) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.keepNotices()
 	targets := map[string]*target{}
-	b.pools = map[string][]*target{}
+	b.order = b.order[:0]
 	for _, l := range listings {
 		t := b.targets[l.Id]
 		if t == nil || t.listing.Born != l.Born || t.listing.Address != l.Address {
 			t = newTarget(l)
 		}
-		t.listing = l
+		t.listing, t.notice = l, b.notices[t.lifetime]
 		targets[l.Id] = t
-		if !l.Leaving && !l.Gone {
-			b.pools[l.Pool] = append(b.pools[l.Pool], t)
-		}
+		b.order = append(b.order, l.Id)
 	}
 	b.targets = targets
-	b.subsets = map[string][]*target{}
-	for name, list := range b.pools {
-		b.subsets[name] = b.subset(list)
-	}
+	b.groupByPool()
 }
 
 // SetRemoteLoads replaces the loads reported by all other instances.
@@ -249,8 +248,8 @@
 	list := b.pools[q.Pool]
 	var best *target
 	lowest := math.Inf(1)
-	home := b.home(list, q.Parts)
 	now := b.cfg.Now()
+	home := b.home(list, q.Parts, now)
 	homeCost := math.Inf(1)
 	limited := 0
 	try := func(t *target) {
@@ -286,7 +285,7 @@
 		return nil, eris.Wrapf(fault.Overloaded, "the targets of pool %s that accept requests are at their limits, out of %d", q.Pool, len(list))
 	}
 	if best == nil {
-		return nil, q.unavailable(list)
+		return nil, q.unavailable(list, now)
 	}
 	p := b.assign(best, q)
 	p.cost, p.homeCost, p.home = lowest, homeCost, best == home
@@ -294,17 +293,20 @@
 }
 
 // unavailable returns the error for a query that no target of the list can serve.
-func (q Query) unavailable(list []*target) error {
-	if q.Version == nil {
-		return eris.Wrapf(fault.Unavailable, "no target of pool %s accepts requests, out of %d", q.Pool, len(list))
-	}
-	same := 0
+func (q Query) unavailable(list []*target, now time.Time) error {
+	same, resting := 0, 0
 	for _, t := range list {
-		if t.listing.Version == *q.Version {
+		if t.isResting(now) {
+			resting++
+		}
+		if q.Version != nil && t.listing.Version == *q.Version {
 			same++
 		}
 	}
-	if same == 0 {
+	switch {
+	case q.Version == nil:
+		return eris.Wrapf(fault.Unavailable, "no target of pool %s accepts requests, out of %d, %d of which want none for a time", q.Pool, len(list), resting)
+	case same == 0:
 		return eris.Wrapf(ErrVersionGone, "pool %s has no target of version %q, out of %d", q.Pool, *q.Version, len(list))
 	}
 	return eris.Wrapf(fault.Unavailable, "no target of pool %s with version %q accepts requests, out of %d", q.Pool, *q.Version, same)
@@ -327,19 +329,6 @@
 	return best
 }
 
-// withRoom returns the target if a request to it is likely to start at once, else nil.
-// The caller holds mu.
-func (b *Balancer) withRoom(t *target, cost float64, q Query) *target {
-	limit := float64(queueCost)
-	if b.poolConfigs[q.Pool].Engine == nil {
-		limit = serviceQueueCost
-	}
-	if cost >= limit {
-		return nil
-	}
-	return t
-}
-
 // isAvailable reports whether a target may get a request. After its ejection,
 // one retryable request probes it.
 func (t *target) isAvailable(now time.Time, repeatable bool) bool {
@@ -351,7 +340,7 @@
 
 // home returns the target that all instances prefer for the shared parts of a
 // prompt, by rendezvous hashing.
-func (b *Balancer) home(list []*target, parts []Part) *target {
+func (b *Balancer) home(list []*target, parts []Part, now time.Time) *target {
 	if len(parts) < 2 {
 		return nil
 	}
@@ -359,7 +348,7 @@
 	highest := uint64(0)
 	rank := ranker.New(parts[len(parts)-2].ID)
 	for _, t := range list {
-		if sum := rank.Score(t.listing.Id); best == nil || sum > highest {
+		if sum := rank.Score(t.listing.Id); !t.isResting(now) && (best == nil || sum > highest) {
 			best, highest = t, sum
 		}
 	}
--- a/internal/balancer/target.go
+++ b/internal/balancer/target.go
@@ -79,6 +79,7 @@
 	// connectFailed is set if the last request failed to connect.
 	connectFailed bool
 	busySince     time.Time
+	notice        *notice   // nil if the target has said nothing
 	lostAt        time.Time // time of the last lost or failed connection
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,6 +180,10 @@
 // LimitedTargets returns the number of targets that have named a limit.
 func (e *Entry) LimitedTargets() int { return e.regulator.Limited() }
 
+// RestingTargets returns the number of targets that have said that they are leaving or
+// that they want no requests for a time.
+func (e *Entry) RestingTargets() int { return e.balancer.Resting() }
+
 // LinkShare returns the utilization of the network link.
 func (e *Entry) LinkShare() float64 { return e.shedder.Utilization() }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -32,6 +32,8 @@
 	// Limit is set on responses of a target that limits the requests a second
 	// from all instances together, for as long as it does.
 	Limit string
+	// Leaving is set to 1 on all responses of a target that is leaving.
+	Leaving string
 	// Target names the intended target.
 	Target string
 	// Account tells targets the client account.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -28,7 +28,7 @@
 )
 
 var headers = forwarder.Headers{
-	Attempt: "X-Id", Deadline: "X-Deadline", Signature: "X-Sign", Refused: "X-Refused", Limit: "X-Limit", Target: "X-To", Account: "X-Account",
+	Attempt: "X-Id", Deadline: "X-Deadline", Signature: "X-Sign", Refused: "X-Refused", Limit: "X-Limit", Leaving: "X-Leaving", Target: "X-To", Account: "X-Account",
 	Usage: "X-Usage", Parts: "X-Parts", Priority: "X-Rank", Reserved: []string{"X-Owned"},
 }
 
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -118,7 +118,7 @@
 	}
 	x.pool, _ = x.rules.Pool(t.Pool(x.splitPosition()))
 	x.parsePrompt()
-	return x.readBody() && x.reserveTokens()
+	return x.readBody() && x.checkRest() && x.reserveTokens()
 }
 
 // splitPosition returns a number in [0, 1) that is stable across retries by the
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -175,8 +175,8 @@
 		}
 		return x.unlessCanceled(connectionLost), err
 	}
-	x.started, x.limit = true, a.Header.Get(x.f.cfg.Headers.Limit)
-	x.f.cfg.Regulator.Observe(pick.Lifetime(), x.limit, sent)
+	x.started = true
+	x.recordNotices(a, pick, sent)
 	if x.isRefusal(a) {
 		x.runs--
 		o := balancer.Refused
@@ -263,7 +263,7 @@
 	case x.runs == 0 && fault.Of(err) == fault.Overloaded && x.sends == 0:
 		x.reject(http.StatusServiceUnavailable, x.f.cfg.Regulator.RetryAfter(x.f.cfg.Balancer.Lifetimes(x.pool.Name)), reason(err))
 	case x.runs == 0:
-		x.reject(http.StatusServiceUnavailable, busyRetryAfter, reason(err))
+		x.reject(http.StatusServiceUnavailable, x.untilTarget(), reason(err))
 	case ctx.Err() != nil:
 		x.reject(http.StatusGatewayTimeout, 0, reason(err))
 	default:
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -31,6 +31,9 @@
 	BlockedContents func() float64
 	// LimitedTargets returns the number of targets that have named a limit.
 	LimitedTargets func() float64
+	// RestingTargets returns the number of targets that have said that they are
+	// leaving or that they want no requests for a time.
+	RestingTargets func() float64
 	// LinkUtilization returns the share of the network link in use.
 	LinkUtilization func() float64
 }
@@ -62,6 +65,7 @@
 	m.registerGauge("papayapond_route_overdue_seconds", "Time since the earliest deadline that a request in flight has missed.", cfg.Overdue)
 	m.registerGauge("papayapond_blocked_contents", "Contents that are blocked because they crash targets.", cfg.BlockedContents)
 	m.registerGauge("papayapond_limited_targets", "Targets that have named a limit of requests a second.", cfg.LimitedTargets)
+	m.registerGauge("papayapond_resting_targets", "Targets that have said that they are leaving or want no requests for a time.", cfg.RestingTargets)
 	m.registerGauge("papayapond_ruleset_version", "Version of the ruleset in force.", cfg.Version)
 	m.registerGauge("papayapond_core_silence_seconds", "Time since the core instances answered.", cfg.SinceCoreContact)
 	m.registerGauge("papayapond_link_share", "Part of the network link in use.", cfg.LinkUtilization)
--- a/test/docs/alerts_test.go
+++ b/test/docs/alerts_test.go
@@ -29,7 +29,7 @@
 func routeGauges() map[string]bool {
 	zero := func() float64 { return 0 }
 	w := httptest.NewRecorder()
-	m := meter.New(meter.Config{InFlight: zero, Version: zero, SinceCoreContact: zero, Overdue: zero, BlockedContents: zero, LimitedTargets: zero, LinkUtilization: zero})
+	m := meter.New(meter.Config{InFlight: zero, Version: zero, SinceCoreContact: zero, Overdue: zero, BlockedContents: zero, LimitedTargets: zero, RestingTargets: zero, LinkUtilization: zero})
 	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	names := map[string]bool{}
 	for _, row := range gaugeType.FindAllStringSubmatch(w.Body.String(), -1) {
