--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -73,6 +73,11 @@
 	limit        string // named by the last target
 	// attemptEvents is the number of events of the last target.
 	attemptEvents int
+	heard         time.Time          // last event of the last target, or the start of its attempt
+	stalled       bool               // the last attempt was canceled because its target was silent
+	silentTarget  string             // target of that attempt, to which the stream may return
+	secured       *balancer.Pick     // target that was chosen before that attempt was canceled
+	denied        string             // why no other target gets the request; "" if one may
 	cancel        context.CancelFunc // of the last attempt
 	canceled      atomic.Bool        // the content was blocked during the attempt
 	blockedBy     []string           // keys of the block that refuses the request
@@ -113,7 +118,7 @@
 	}
 	x.pool, _ = x.rules.Pool(t.Pool(x.splitPosition()))
 	x.parsePrompt()
-	return x.readBody() && x.traceOrigin() && x.reserveTokens()
+	return x.readBody() && x.traceOrigin() && x.checkRest() && x.reserveTokens()
 }
 
 // splitPosition returns a number in [0, 1) that is the same for a stream and the
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -17,7 +17,6 @@
 	"github.com/papayapond/papayapond/internal/exchanger"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/streamer"
-	"github.com/papayapond/papayapond/pkg/route"
 )
 
 const (
@@ -25,48 +24,8 @@
 	maxResponseBytes = 16 << 20
 	// writeTimeout bounds a write to a caller that does not read.
 	writeTimeout = 10 * time.Second
-	// firstEventFactor times the latency objective is the timeout for the first
-	// event of a resumable stream.
-	firstEventFactor = 2
-	// stallFactor times the expected pause is the timeout between events of a
-	// resumable stream.
-	stallFactor = 3
-	// minStallTimeout is the lower bound of both timeouts.
-	minStallTimeout = 700 * time.Millisecond
 )
 
-// stallTimer cancels an attempt whose target stops sending.
-type stallTimer struct {
-	timer *time.Timer
-	pause time.Duration
-}
-
-// newStallTimer returns an active timer for a stream that another target can
-// resume. Other requests are bounded only by their deadline.
-func (x *exchange) newStallTimer(cancel func()) *stallTimer {
-	if x.route.Kind != route.Stream || !x.route.Resume || x.runs+1 >= x.route.MaxAttempts {
-		return &stallTimer{}
-	}
-	first := max(firstEventFactor*x.route.FirstByteObjective, minStallTimeout)
-	if x.headerSent {
-		first = max(first, stallFactor*x.route.EventGapObjective)
-	}
-	return &stallTimer{timer: time.AfterFunc(first, cancel), pause: max(stallFactor*x.route.EventGapObjective, minStallTimeout)}
-}
-
-// reset restarts the timeout after an event.
-func (t *stallTimer) reset() {
-	if t.timer != nil {
-		t.timer.Reset(t.pause)
-	}
-}
-
-func (t *stallTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
 // relay forwards a target's response to the caller.
 func (x *exchange) relay(ctx context.Context, a *exchanger.Response, pick *balancer.Pick, t *stallTimer) (attemptResult, balancer.Outcome, error) {
 	if a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices && a.Header.Get(x.f.cfg.Headers.Signature) == "" {
@@ -77,6 +36,7 @@
 		return x.relayStream(a, pick, t)
 	}
 	body, err := x.readAll(a)
+	t.pause()
 	a.Close(err == nil)
 	if err != nil {
 		return x.unlessCanceled(connectionLost), balancer.ConnectionLost, eris.Wrap(err, "response was truncated")
@@ -102,9 +62,13 @@
 func (x *exchange) retryAfterError(ctx context.Context, a *exchanger.Response, body []byte, pick *balancer.Pick) (attemptResult, balancer.Outcome, error) {
 	x.tried[pick.ID()] = true
 	next, err := x.f.cfg.Balancer.Choose(x.query())
-	if err == nil {
+	if err != nil {
+		x.f.retrier(x.pool.Name).Refund()
+	}
+	for ; next != nil; next = x.takeSecured() {
 		x.f.cfg.Logger.Info("retrying request after target error", zap.String("request", x.requestID()),
 			zap.String("target", pick.ID()), zap.Int("status", a.Status), zap.String("next", next.ID()))
+		x.tried[next.ID()] = true
 		var v attemptResult
 		if v, err = x.attempt(ctx, next); v == answered || v == callerGone {
 			return v, balancer.Failed, err
@@ -176,6 +140,7 @@
 				x.recordAnswer()
 			}
 			x.sendHeader(a.Header)
+			_ = out.SetWriteDeadline(x.f.cfg.Now().Add(writeTimeout)) // the end of the stream is written later
 			x.finish("answered")
 			return answered, balancer.Served, nil
 		}
@@ -184,7 +149,7 @@
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, err
 		}
 		pick.MarkPrefilled()
-		t.reset()
+		t.pause()
 		x.bindVersion(pick)
 		x.sendHeader(a.Header)
 		_ = out.SetWriteDeadline(x.f.cfg.Now().Add(writeTimeout)) // not all writers support deadlines
@@ -205,6 +170,7 @@
 			x.recordAnswer()
 		}
 		x.lastEventID = s.LastEventID()
+		t.await()
 	}
 }
 
@@ -255,6 +221,9 @@
 		report.FirstByte = x.firstByte.Sub(x.arrived)
 	}
 	x.f.cfg.Observe(report)
+	if outcome != "answered" {
+		fields = append(fields, x.silenceField(), x.deniedField())
+	}
 	if x.limit != "" {
 		fields = append(fields, zap.String("limit", x.limit))
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -52,6 +52,7 @@
 // serve tries targets until the request is answered or may not be retried.
 func (x *exchange) serve(ctx context.Context) {
 	defer func() { x.reservation.Settle(x.tokensUsed()) }()
+	defer x.releaseSecured()
 	x.f.retrier(x.pool.Name).RecordRequest()
 	x.targetHeader = x.targetHeaders()
 	x.tried = map[string]bool{}
@@ -59,11 +60,12 @@
 	for x.sends < maxSends {
 		var pick *balancer.Pick
 		var chooseErr error
-		pick, chooseErr = x.f.cfg.Balancer.Choose(x.query())
+		pick, chooseErr = x.nextTarget()
 		if chooseErr != nil {
 			if err == nil {
 				err = chooseErr
 			}
+			x.denied = deniedByChoice(chooseErr)
 			break
 		}
 		var v attemptResult
@@ -72,14 +74,15 @@
 		if v == answered || v == callerGone {
 			return
 		}
+		ended, silence := x.endedBy(ctx), x.silenceField()
+		retry := x.mayRetry(ctx, v)
 		x.f.cfg.Logger.Warn("attempt failed", zap.String("request", x.requestID()), zap.String("target", pick.ID()),
 			zap.String("software", pick.Version()), zap.Stringer("verdict", v), zap.Int("runs", x.runs), zap.Int("events", x.events),
-			zap.Bool("started", x.started), zap.Strings("parts", x.partIDs()), zap.Error(err))
-		if x.isBlocked() {
+			zap.Bool("started", x.started), zap.Strings("parts", x.partIDs()), zap.String("ended", ended), silence, x.deniedField(), zap.Error(err))
+		if x.denied == deniedByBlock {
 			err = errBlocked
-			break
 		}
-		if !x.mayRetry(ctx, v) {
+		if !retry {
 			break
 		}
 	}
@@ -97,19 +100,28 @@
 // mayRetry reports whether the request may be sent to another target, and takes
 // a retry from the budget.
 func (x *exchange) mayRetry(ctx context.Context, v attemptResult) bool {
-	if ctx.Err() != nil || x.deadline.Sub(x.f.cfg.Now()) < minTimeLeft {
-		return false
-	}
-	switch v {
-	case notSent:
-		return true
-	case refused:
-	default:
-		if !x.route.Repeatable() || x.runs >= x.route.MaxAttempts {
-			return false
-		}
+	x.denied = x.retryDenied(ctx, v)
+	return x.denied == ""
+}
+
+// retryDenied returns why the request may not be sent to another target, or "".
+func (x *exchange) retryDenied(ctx context.Context, v attemptResult) string {
+	mayHaveRun := v != notSent && v != refused
+	switch {
+	case x.isBlocked():
+		return deniedByBlock
+	case ctx.Err() != nil, x.deadline.Sub(x.f.cfg.Now()) < minTimeLeft:
+		return deniedByDeadline
+	case x.secured != nil:
+		return ""
+	case x.sends >= maxSends, mayHaveRun && x.runs >= x.route.MaxAttempts:
+		return deniedByAttempts
+	case mayHaveRun && !x.route.Repeatable():
+		return deniedByRoute
+	case v != notSent && !x.f.retrier(x.pool.Name).AllowRetry():
+		return deniedByBudget
 	}
-	return x.f.retrier(x.pool.Name).AllowRetry()
+	return ""
 }
 
 // tokensUsed returns the tokens to charge: the prompt if a target may have
@@ -131,11 +143,11 @@
 	defer cancel()
 	x.pickFields = pick.LogFields()
 	x.f.cfg.CountBytes(0, len(x.body)+headerBytes)
-	x.started, x.attemptEvents = false, 0
+	x.started, x.stalled, x.attemptEvents = false, false, 0
 	x.awaitAnswer(cancel)
 	defer x.endAnswer()
-	watch := x.newStallTimer(cancel)
-	defer watch.stop()
+	watch := x.newStallTimer(pick.ID(), cancel)
+	defer x.endWait(watch)
 	sent := x.f.cfg.Now()
 	a, err := x.f.cfg.Exchanger.Send(ctx, x.request(pick))
 	if err != nil && fault.Of(err) == fault.Unavailable {
@@ -163,8 +175,8 @@
 		}
 		return x.unlessCanceled(connectionLost), err
 	}
-	x.started, x.limit = true, a.Header.Get(x.f.cfg.Headers.Limit)
-	x.f.cfg.Regulator.Observe(pick.Lifetime(), x.limit, sent)
+	x.started = true
+	x.recordNotices(a, pick, sent)
 	if x.isRefusal(a) {
 		x.runs--
 		o := balancer.Refused
@@ -253,7 +265,7 @@
 	case x.runs == 0 && fault.Of(err) == fault.Overloaded && x.sends == 0:
 		x.reject(http.StatusServiceUnavailable, x.f.cfg.Regulator.RetryAfter(x.f.cfg.Balancer.Lifetimes(x.pool.Name)), reason(err))
 	case x.runs == 0:
-		x.reject(http.StatusServiceUnavailable, busyRetryAfter, reason(err))
+		x.reject(http.StatusServiceUnavailable, x.untilTarget(), reason(err))
 	case ctx.Err() != nil:
 		x.reject(http.StatusGatewayTimeout, 0, reason(err))
 	default:
