Tell responses on a used connection apart by more than a different ID

Cause: a response that echoes no ID was taken for the response to the request. A target that writes an earlier refusal once more on a kept connection, without its ID, made callers read "not run" for a request that the target runs. The same refusal with its ID was discarded, but a request that was refused and sent again to the same address could get a connection on which its own refusal was sent before.

Ruled out: a copy with the ID of another request was discarded before this change too, also if it arrived between the check of the connection and the write.

Change: a response without an ID on a used connection is an uncertain outcome. On a new connection it is passed on as not identified. A request isn't sent again on a connection on which it was refused. A request without an ID gets a connection of its own. A connection on which a response to another request was read isn't used again.

Before, with the old code: TestUnidentifiedResponse, TestRefusedRequestIsSentAgain, TestRequestWithoutID, TestConnectionOutOfStep and TestResponseBeforeRequest failed ("used connection: got <nil>, want the request may have run"). They pass now with go test -race ./internal/exchanger.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -55,6 +55,8 @@
 	expires   time.Time
 
 	canceled atomic.Bool
+
+	refused map[string]bool // IDs of requests that the target has refused
 }
 
 // cancelTimeout is how long a target has to end the response to a canceled
@@ -87,13 +89,21 @@
 	// Framed is false if the body is delimited only by the end of the
 	// connection.
 	Framed bool
-
-	body    io.Closer
-	written chan error
-	closing bool
-	release func(reuse bool)
+	// Identified reports whether the response certainly answers the request.
+	Identified bool
+
+	body          io.Closer
+	written       chan error
+	closing       bool
+	recordRefusal func()
+	release       func(reuse bool)
 }
 
+// RecordRefusal records that the target has refused the request, so that the
+// request isn't sent on the same connection again. It must be called before
+// Close.
+func (a *Response) RecordRefusal() { a.recordRefusal() }
+
 // Close ends the exchange. The connection is reused only if the request was
 // fully written and the body was read to its end, as reported by complete.
 func (a *Response) Close(complete bool) {
@@ -131,7 +141,19 @@
 			written <- err
 		}()
 	}
+	a, err := c.readResponse(q, identity)
+	if err != nil {
+		return nil, err
+	}
+	a.written = written
+	a.recordRefusal = func() { c.recordRefusal(q.id(identity)) }
+	return a, nil
+}
+
+// readResponse reads the header of the response to a request.
+func (c *conn) readResponse(q *Request, identity string) (*Response, error) {
 	c.head.left = maxHeadBytes
+	stale := false
 	for range maxStaleResponses + maxInformational {
 		c.head.inHead = true
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method}) //nolint:bodyclose // Response.Close closes it
@@ -142,23 +164,33 @@
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
-		want := q.Header.Get(identity)
-		if got := r.Header.Get(identity); identity != "" && want != "" && got != "" && got != want {
-			// This is the response to an earlier request on this connection.
+		origin := c.identify(q.id(identity), r.Header.Get(identity))
+		switch origin {
+		case anotherRequest:
 			if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStaleBytes)); err != nil || n == maxStaleBytes {
 				return nil, eris.Wrapf(errors.Join(fault.Malformed, err), "response to another request, %d bytes discarded", n)
 			}
+			stale = true
 			continue
+		case possiblyEarlier:
+			return nil, eris.Wrapf(fault.Malformed, "response with status %d has no ID", r.StatusCode)
+		default:
+			return c.newResponse(r, origin == thisRequest, stale), nil
 		}
-		c.timeout = keepAliveTimeout(r.Header)
-		return &Response{
-			Status: r.StatusCode, Header: r.Header, Body: r.Body, body: r.Body, written: written,
-			Framed: r.ContentLength >= 0 || len(r.TransferEncoding) > 0, closing: r.Close,
-		}, nil
 	}
 	return nil, eris.Wrap(fault.Uncertain, "received only responses to other requests")
 }
 
+// newResponse returns a response whose header has been read. A connection on
+// which responses are out of step is not used again.
+func (c *conn) newResponse(r *http.Response, identified, outOfStep bool) *Response {
+	c.timeout = keepAliveTimeout(r.Header)
+	return &Response{
+		Status: r.StatusCode, Header: r.Header, Body: r.Body, body: r.Body, Identified: identified,
+		Framed: r.ContentLength >= 0 || len(r.TransferEncoding) > 0, closing: r.Close || outOfStep,
+	}
+}
+
 // isUsable reports whether an idle connection is open and has no unread data.
 func (c *conn) isUsable() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -44,8 +44,8 @@
 
 // Config configures an Exchanger.
 type Config struct {
-	// EchoHeader is the request header that a target repeats in its response;
-	// "" if there is none.
+	// EchoHeader is the request header with the ID that a target repeats in its
+	// response; "" if there is none.
 	EchoHeader string
 	// Dial replaces the default TCP dialer if not nil.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -127,7 +127,7 @@
 		return nil, eris.Wrapf(fault.Uncertain, "target at %s, connection used %d times before: %v", q.Address, c.uses, err)
 	}
 	a.release = func(reuse bool) {
-		if stop() && reuse {
+		if stop() && reuse && len(c.refused) < maxRefused {
 			e.putIdle(q.Address, c)
 		} else {
 			_ = c.Close()
@@ -139,7 +139,7 @@
 // connect returns a usable idle connection, or a new one.
 func (e *Exchanger) connect(ctx context.Context, q *Request) (*conn, error) {
 	for {
-		c := e.takeIdle(q.Address, q.MaxIdle)
+		c := e.takeIdle(q)
 		if c == nil {
 			break
 		}
@@ -161,21 +161,28 @@
 	return &conn{Conn: raw, head: head, reader: bufio.NewReader(head)}, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil
-// if it has been idle for longer than maxIdle.
-func (e *Exchanger) takeIdle(address string, maxIdle time.Duration) *conn {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	list := e.idle[address]
-	if len(list) == 0 {
+// takeIdle removes and returns the most recently used idle connection that may be
+// used for a request, or nil. A request without an ID gets none, since the response
+// to it couldn't be told from an earlier one.
+func (e *Exchanger) takeIdle(q *Request) *conn {
+	id := q.id(e.cfg.EchoHeader)
+	if id == "" && e.cfg.EchoHeader != "" {
 		return nil
 	}
-	c := list[len(list)-1]
-	if maxIdle > 0 && e.cfg.Now().Sub(c.idleSince) > maxIdle {
-		return nil
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := e.idle[q.Address]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if q.MaxIdle > 0 && e.cfg.Now().Sub(c.idleSince) > q.MaxIdle {
+			return nil
+		}
+		if !c.refused[id] {
+			e.idle[q.Address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	e.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // HasIdle reports whether there is an unexpired idle connection to an address.
