Believe a refusal only if it certainly answers the request

Cause: the forwarder told callers "not run" for every response with the mark of a refusal, also for one without the ID of the request, and passed on 408, 429 and 503 without the mark as they came. Callers take these statuses for the promise that the request didn't run and never will.

Ruled out: an earlier refusal with its own ID was never taken for the response to another request.

Change: an unidentified refusal is an uncertain outcome: 502, or another target if the request may run twice. For requests that may run once, 408, 429 and 503 without the mark end as 502 too, without the target's signature.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -73,6 +73,10 @@
 		a.Close(false)
 		return connectionLost, balancer.Failed, eris.Wrapf(fault.Malformed, "response with status %d has no signature", a.Status)
 	}
+	if err := x.checkPromise(a); err != nil {
+		a.Close(false)
+		return connectionLost, balancer.Failed, err
+	}
 	if isStream(a.Header) && a.Status == http.StatusOK {
 		return x.relayStream(a, pick, t)
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -172,6 +172,7 @@
 			o = balancer.Misdirected
 		}
 		_, err := x.readAll(a)
+		a.RecordRefusal()
 		a.Close(err == nil)
 		pick.Done(o)
 		return refused, eris.Wrapf(fault.Overloaded, "target refused the request with status %d", a.Status)
@@ -214,11 +215,6 @@
 	return maxIdleNonRetryable
 }
 
-// isRefusal reports whether the target did not run the request.
-func (x *exchange) isRefusal(a *exchanger.Response) bool {
-	return a.Header.Get(x.f.cfg.Headers.Refused) != "" || a.Status == http.StatusMisdirectedRequest
-}
-
 // classify distinguishes a target failure from a canceled request and an
 // expired deadline.
 func (x *exchange) classify(ctx context.Context, o balancer.Outcome) balancer.Outcome {
