Don't report a canceled request as not started after part of a head

Cause: http.ReadResponse returns the same error for a connection that ends before the response and within its head. A canceled request whose target had sent half of a head, a 1xx response or an earlier refusal counted as not started: the caller read 503 for a request that an engine had begun, or it went to another target.

Ruled out: a response whose head was complete was never reported as not started.

Change: a canceled request counts as not started only if no byte was read after it was sent.

Before: three new cases of TestCancel and TestHeaderBegunAtDeadline ("got status 503, want 504") failed; they pass now with go test -race ./internal/exchanger ./internal/forwarder.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -32,7 +32,8 @@
 type headReader struct {
 	net.Conn
 	inHead bool
-	left   int // bytes that may still be read in the head
+	left   int  // bytes that may still be read in the head
+	begun  bool // bytes have been read since the request
 }
 
 func (r *headReader) Read(b []byte) (int, error) {
@@ -41,6 +42,7 @@
 	}
 	n, err := r.Conn.Read(b)
 	r.left -= n
+	r.begun = r.begun || n > 0
 	return n, err
 }
 
@@ -75,9 +77,10 @@
 }
 
 // isNotStarted reports whether a read error means that the target closed the
-// connection cleanly after the request was canceled.
+// connection cleanly after the request was canceled, without any byte of a
+// response.
 func (c *conn) isNotStarted(err error) bool {
-	return c.canceled.Load() && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+	return c.canceled.Load() && !c.head.begun && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
 }
 
 // Response is the response to one request. Close must be called.
@@ -152,7 +155,7 @@
 
 // readResponse reads the header of the response to a request.
 func (c *conn) readResponse(q *Request, identity string) (*Response, error) {
-	c.head.left = maxHeadBytes
+	c.head.left, c.head.begun = maxHeadBytes, false
 	stale := false
 	for range maxStaleResponses + maxInformational {
 		c.head.inHead = true
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -165,6 +165,9 @@
 		want  bool
 	}{
 		{"not started", "", true},
+		{"head begun", "HTTP/1.1 200 O", false},
+		{"informational response", "HTTP/1.1 103 Early Hints\r\n\r\n", false},
+		{"earlier refusal", "HTTP/1.1 503 X\r\n" + idHeader + ": other\r\nContent-Length: 0\r\n\r\n", false},
 		{"begun", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/forwarder/refusal_test.go
+++ b/internal/forwarder/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -92,3 +93,19 @@
 		}
 	}
 }
+
+// A target that has begun its response by the deadline has run the request, even if
+// the rest of the header doesn't come.
+func TestHeaderBegunAtDeadline(t *testing.T) {
+	for begun, want := range map[string]int{"": http.StatusServiceUnavailable, "HTTP/1.1 200 O": http.StatusGatewayTimeout} {
+		f := newFixture(t, func(_ int, w io.Writer, _ *http.Request) bool {
+			_, _ = io.WriteString(w, begun)
+			_, _ = w.(net.Conn).Read(make([]byte, 1)) // until the request is canceled
+			return false
+		})
+		a, _, err := f.post("/stream/", func(r *http.Request) { r.Header.Set(headers.Deadline, "100") })
+		if err != nil || a.StatusCode != want {
+			t.Errorf("after %q: got status %d and %v, want %d", begun, a.StatusCode, err, want)
+		}
+	}
+}
