Don't take an end without events for the rest of a stream

Cause: a response without a length that ended before its first event counted as complete if another target had begun the stream. The caller's stream then ended as if it were complete, with its last events missing.

Ruled out: at the first target such an end counted as a lost connection before, except after a comment.

Change: the events of the last target decide, not whether the header was sent. Comments don't count.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -166,11 +166,13 @@
 // relayStream relays events as they arrive.
 func (x *exchange) relayStream(a *exchanger.Response, pick *balancer.Pick, t *stallTimer) (attemptResult, balancer.Outcome, error) {
 	s := streamer.New(a.Body)
+	hasContent := false
 	out := http.NewResponseController(x.w)
 	for {
 		event, err := s.Next()
-		if errors.Is(err, io.EOF) && !a.Framed && !x.headerSent {
-			// A target that ends looks like an answer without events.
+		if errors.Is(err, io.EOF) && !a.Framed && !hasContent {
+			// A target that ends looks like an answer without events, or like the
+			// rest of a stream.
 			a.Close(false)
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, eris.Wrap(fault.Interrupted, "stream ended with its connection and has no event")
 		}
@@ -187,6 +189,7 @@
 			a.Close(false)
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, err
 		}
+		hasContent = hasContent || s.HasContent()
 		pick.MarkPrefilled()
 		t.reset()
 		x.bindVersion(pick)
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -16,8 +16,10 @@
 
 // Reader reads events from a stream.
 type Reader struct {
-	reader *bufio.Reader
-	id     []byte
+	reader  *bufio.Reader
+	id      []byte
+	hasID   bool // of the last event
+	content bool // of the last event
 }
 
 // New returns a Reader that reads from r.
@@ -31,6 +33,7 @@
 func (s *Reader) Next() ([]byte, error) {
 	var event []byte
 	id := s.id
+	s.hasID, s.content = false, false
 	lineStart := 0
 	for len(event) < maxEvent {
 		part, err := s.reader.ReadSlice('\n')
@@ -50,8 +53,9 @@
 		text := bytes.TrimRight(event[lineStart:], "\r\n")
 		lineStart = len(event)
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = bytes.TrimSpace(value)
+			id, s.hasID = bytes.TrimSpace(value), true
 		}
+		s.content = s.content || isContent(text)
 		if len(text) == 0 {
 			s.id = bytes.Clone(id)
 			return event, nil
@@ -62,3 +66,15 @@
 
 // LastEventID returns the id of the last complete event, or "".
 func (s *Reader) LastEventID() string { return string(s.id) }
+
+// HasID reports whether the last event has an id of its own.
+func (s *Reader) HasID() bool { return s.hasID }
+
+// HasContent reports whether the last event is more than a comment or a delay for
+// reconnections.
+func (s *Reader) HasContent() bool { return s.content }
+
+// isContent reports whether a line belongs to the content of an event.
+func isContent(line []byte) bool {
+	return len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:"))
+}
--- a/internal/streamer/streamer_test.go
+++ b/internal/streamer/streamer_test.go
@@ -47,6 +47,31 @@
 	}
 }
 
+// What an event has decides whether a stream can be resumed behind it.
+func TestEventParts(t *testing.T) {
+	for _, test := range []struct {
+		event          string
+		hasID, content bool
+	}{
+		{"id: 1\ndata: x\n\n", true, true},
+		{"data: x\n\n", false, true},
+		{"sorry\n\n", false, true},
+		{": note\n\n", false, false},
+		{"retry: 100\n\n", false, false},
+		{"\n", false, false},
+	} {
+		s := streamer.New(strings.NewReader("id: 0\ndata: x\n\n" + test.event))
+		for range 2 {
+			if _, err := s.Next(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if s.HasID() != test.hasID || s.HasContent() != test.content {
+			t.Errorf("%q: got id %v and content %v, want %v and %v", test.event, s.HasID(), s.HasContent(), test.hasID, test.content)
+		}
+	}
+}
+
 // endless repeats a text without end and counts the bytes read.
 type endless struct {
 	text string
