Check that a target goes on with a stream after its last event

Cause: whatever a second target sent as an event stream was appended to the events of the first. A document, an error text, an error event or the head of another response in it came to the caller in the middle of its stream; a target that repeated events, began anew or skipped events broke the order. All of these streams but one ended as complete.

Ruled out: an answer with another status or another content type, with or without a length, a redirect, 204, a refusal and bytes that are no response were never relayed, and the stream never looked complete (TestNoAnswerInStream shows 15 such answers).

Change: after a take-up, of the instance or of the caller, the first event needs an id that follows the last one. Integer ids must grow, by no more than the step between the earlier ones if these had the same step. Otherwise the attempt has failed: another target may be asked, or the response is broken off. Events aren't dropped to make runs fit, since nothing shows that a run that begins anew says the same.

--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -80,6 +80,7 @@
 	status        int           // sent to the caller; 0 if none
 	quotaWait     time.Duration // time spent waiting for quota
 	lastEventID   string        // id of the last relayed event
+	sequence      sequence      // of the events of a stream
 	version       *string       // software version that the stream is bound to; nil if none
 }
 
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -167,6 +167,7 @@
 func (x *exchange) relayStream(a *exchanger.Response, pick *balancer.Pick, t *stallTimer) (attemptResult, balancer.Outcome, error) {
 	s := streamer.New(a.Body)
 	hasContent := false
+	x.beginSequence()
 	out := http.NewResponseController(x.w)
 	for {
 		event, err := s.Next()
@@ -189,6 +190,10 @@
 			a.Close(false)
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, err
 		}
+		if err := x.sequence.add(s); err != nil {
+			a.Close(false)
+			return connectionLost, balancer.Failed, err
+		}
 		hasContent = hasContent || s.HasContent()
 		pick.MarkPrefilled()
 		t.reset()
@@ -211,7 +216,7 @@
 		if x.attemptEvents++; x.attemptEvents == answeredEvents {
 			x.recordAnswer()
 		}
-		x.lastEventID = s.LastEventID()
+		x.lastEventID = x.sequence.last
 	}
 }
 
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -19,6 +20,7 @@
 const (
 	head       = "HTTP/1.1 200 OK\r\nID\r\nX-Sign: second\r\n"
 	streamHead = head + "Content-Type: text/event-stream\r\n"
+	jsonError  = `{"error":"overloaded"}`
 )
 
 // A response without a length ends with its connection, as it does when its target
@@ -36,3 +38,113 @@
 		}
 	}
 }
+
+// If a stream breaks off and the next target answers with anything but the rest of
+// it, the caller must get nothing of that answer, and no end that looks complete.
+func TestNoAnswerInStream(t *testing.T) {
+	framed := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(jsonError), jsonError)
+	chunked := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\n\r\n0\r\n\r\n", len(jsonError)+2, jsonError)
+	for name, second := range map[string]string{
+		"error":                           "HTTP/1.1 500 X\r\nID\r\nX-Sign: s\r\nContent-Type: application/json\r\n" + framed,
+		"error without a length":          "HTTP/1.1 502 X\r\nID\r\nX-Sign: s\r\nContent-Type: text/plain\r\n\r\nsorry",
+		"error without a signature":       "HTTP/1.1 404 X\r\nID\r\n" + framed,
+		"error as events":                 "HTTP/1.1 500 X\r\nID\r\nX-Sign: s\r\nContent-Type: text/event-stream\r\n\r\n" + event(4),
+		"refusal":                         "HTTP/1.1 503 X\r\nID\r\nX-Refused: 1\r\nContent-Length: 5\r\n\r\nsorry",
+		"refusal without an ID":           "HTTP/1.1 503 X\r\nX-Refused: 1\r\nContent-Length: 5\r\n\r\nsorry",
+		"too many requests":               "HTTP/1.1 429 X\r\nID\r\nX-Sign: s\r\nContent-Length: 5\r\n\r\nsorry",
+		"redirect":                        "HTTP/1.1 302 X\r\nID\r\nX-Sign: s\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n",
+		"no content":                      "HTTP/1.1 204 X\r\nID\r\nX-Sign: s\r\n\r\n",
+		"document":                        head + "Content-Type: application/json\r\n" + framed,
+		"document without a length":       head + "\r\n" + jsonError,
+		"stream without a signature":      "HTTP/1.1 200 OK\r\nID\r\nContent-Type: text/event-stream\r\n\r\n" + event(4),
+		"part of a stream":                "HTTP/1.1 206 X\r\nID\r\nX-Sign: s\r\nContent-Type: text/event-stream\r\n\r\n" + event(4),
+		"no response":                     "sorry\r\n\r\n",
+		"response of another request":     "HTTP/1.1 500 X\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nsorry",
+		"stream without an event":         streamHead + "\r\n",
+		"stream with a comment":           streamHead + "\r\n: ready\n\n",
+		"error text in a stream":          streamHead + "\r\nsorry\n\n",
+		"document in a stream":            streamHead + "\r\n" + jsonError + "\n\n",
+		"document in a chunked stream":    streamHead + chunked,
+		"error without an id in a stream": streamHead + "\r\nevent: error\ndata: " + jsonError + "\n\n",
+		"response in a stream":            streamHead + "\r\nHTTP/1.1 500 X\r\nX-Id: id1\r\nContent-Length: 5\r\n\r\nsorry",
+		"document as a stream":            streamHead + framed,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, events("first", 1, 3, true), raw(second))
+			a, body, err := f.post("/resume/", nil)
+			if got := strings.ReplaceAll(body, ": ready\n\n", ""); got != stream(3) || err == nil {
+				t.Errorf("got %q and error %v, want events 1 to 3 and an error", body, err)
+			}
+			if a.StatusCode != http.StatusOK || a.Header.Get(headers.Signature) != "first" {
+				t.Errorf("got status %d and signature %q, want the header of the first target", a.StatusCode, a.Header.Get(headers.Signature))
+			}
+			if got, want := len(f.requests()), 2; got != want {
+				t.Errorf("got %d requests, want %d", got, want)
+			}
+		})
+	}
+}
+
+// ids returns a response with the given events.
+func ids(text string) handler { return raw(streamHead + "\r\n" + text) }
+
+// A target that goes on with a stream may repeat events, begin anew or skip some.
+// Its events must not follow those that the caller has: no event may be missing or
+// come twice, and two runs must not be joined.
+func TestContinuedElsewhere(t *testing.T) {
+	numbered := func(numbers ...int) string {
+		s := ""
+		for _, n := range numbers {
+			s += event(n)
+		}
+		return s
+	}
+	for _, test := range []struct {
+		name, first, second, want string
+		complete                  bool
+	}{
+		{"goes on", numbered(1, 2, 3), numbered(4, 5), numbered(1, 2, 3, 4, 5), true},
+		{"goes on after one event", numbered(1), numbered(2), numbered(1, 2), true},
+		{"goes on after a comment", numbered(1, 2), ": ready\n\n" + numbered(3), numbered(1, 2) + ": ready\n\n" + numbered(3), true},
+		{"goes on with an end without an id", numbered(1, 2), numbered(3) + "data: [DONE]\n\n", numbered(1, 2, 3) + "data: [DONE]\n\n", true},
+		{"repeats the last event", numbered(1, 2, 3), numbered(3, 4, 5), numbered(1, 2, 3), false},
+		{"begins anew", numbered(1, 2, 3), numbered(1, 2, 3, 4, 5), numbered(1, 2, 3), false},
+		{"skips an event", numbered(1, 2, 3), numbered(5, 6), numbered(1, 2, 3), false},
+		{"skips an event after one", numbered(1), numbered(3), numbered(1), false},
+		{"skips an event later", numbered(1, 2), numbered(3, 5), numbered(1, 2, 3), false},
+		{"repeats an event later", numbered(1, 2), numbered(3, 3), numbered(1, 2, 3), false},
+		{"other ids", numbered(1, 2), "id: x\ndata: y\n\n", numbered(1, 2), false},
+		{"steps", numbered(6, 12, 18), numbered(24, 27), numbered(6, 12, 18, 24, 27), true},
+		{"skips a step", numbered(6, 12, 18), numbered(30), numbered(6, 12, 18), false},
+		{"uneven steps", numbered(6, 13, 18), numbered(27), numbered(6, 13, 18, 27), true},
+		{"texts as ids", "id: a\ndata: x\n\nid: b\ndata: x\n\n", "id: c\ndata: x\n\n", "id: a\ndata: x\n\nid: b\ndata: x\n\nid: c\ndata: x\n\n", true},
+		{"repeats a text", "id: a\ndata: x\n\nid: b\ndata: x\n\n", "id: b\ndata: x\n\n", "id: a\ndata: x\n\nid: b\ndata: x\n\n", false},
+		{"begins anew after a comment", ": ready\n\n", numbered(1, 2), ": ready\n\n" + numbered(1, 2), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, ids(test.first+"id: 9"), ids(test.second))
+			_, body, err := f.post("/resume/", nil)
+			if body != test.want || (err == nil) != test.complete {
+				t.Errorf("got %q and %v, want %q and complete %v", body, err, test.want, test.complete)
+			}
+		})
+	}
+}
+
+// A caller that goes on with a stream must not get events that it has. The request
+// goes to another target, and fails if there is none.
+func TestCallerContinues(t *testing.T) {
+	goOn := func(r *http.Request) { r.Header.Set("Last-Event-Id", "2") }
+	f := newFixture(t, ids(stream(4)), ids(event(3)+event(4)))
+	if a, body, err := f.post("/resume/", goOn); a.StatusCode != http.StatusOK || body != event(3)+event(4) || err != nil {
+		t.Errorf("other target: got status %d, %q and %v, want events 3 and 4", a.StatusCode, body, err)
+	}
+	f = newFixture(t, ids(stream(4)))
+	if a, body, err := f.post("/resume/", goOn); a.StatusCode != http.StatusBadGateway || body != "" || err != nil {
+		t.Errorf("no other target: got status %d, %q and %v, want 502", a.StatusCode, body, err)
+	}
+	f = newFixture(t, ids(event(0)+event(1)))
+	if a, body, err := f.post("/resume/", func(r *http.Request) { r.Header.Set("Last-Event-Id", "0") }); body != event(0)+event(1) || err != nil {
+		t.Errorf("from 0: got status %d, %q and %v, want events 0 and 1", a.StatusCode, body, err)
+	}
+}
