Don't begin a stream anew behind events that can't be continued

Cause: a request that may run twice was sent to another target after part of its response had been relayed, also if it wasn't a resumable stream, or if its last event has no id. The next target began from the first event and its events came behind those of the first: pieces of two runs in one response.

Change: once events were relayed, only a resumable stream whose last event has an id goes on at another target. Others are broken off.

Before: three cases of TestContinuedNowhere failed (2 requests; without ids the joined stream ended as complete); they pass now with go test -race ./internal/forwarder.

--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -117,3 +117,10 @@
 	n, err := strconv.ParseInt(id, 10, 64)
 	return n, err == nil && n >= 0
 }
+
+// canContinue reports whether another target may go on with the response. Once
+// events were relayed, only a stream that may be resumed goes on, and only after an
+// event with an id.
+func (x *exchange) canContinue() bool {
+	return !x.headerSent || x.route.Kind == route.Stream && x.route.Resume && !x.sequence.open
+}
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -148,3 +148,22 @@
 		t.Errorf("from 0: got status %d, %q and %v, want events 0 and 1", a.StatusCode, body, err)
 	}
 }
+
+// A stream that can't go on after its last event must not begin anew behind it:
+// events without ids don't say where to go on, and not all kinds of request may be
+// resumed.
+func TestContinuedNowhere(t *testing.T) {
+	for _, test := range []struct{ name, path, first string }{
+		{"events without ids", "/resume/", "data: a\n\ndata: b\n\n"},
+		{"last event without an id", "/resume/", event(1) + "data: b\n\n"},
+		{"request that isn't a stream", "/again/", event(1) + event(2)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, ids(test.first+"id: 9"), ids(event(1)+event(2)+event(3)))
+			_, body, err := f.post(test.path, nil)
+			if body != test.first || err == nil || len(f.requests()) != 1 {
+				t.Errorf("got %q, %v and %d requests, want %q, an error and 1 request", body, err, len(f.requests()), test.first)
+			}
+		})
+	}
+}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -97,7 +97,7 @@
 // mayRetry reports whether the request may be sent to another target, and takes
 // a retry from the budget.
 func (x *exchange) mayRetry(ctx context.Context, v attemptResult) bool {
-	if ctx.Err() != nil || x.deadline.Sub(x.f.cfg.Now()) < minTimeLeft {
+	if ctx.Err() != nil || x.deadline.Sub(x.f.cfg.Now()) < minTimeLeft || !x.canContinue() {
 		return false
 	}
 	switch v {
