Don't read on or ask again after an answer that can't go on with a stream

Cause: (1) the body of an error at a target that should go on with a stream was read to its end, though nothing of it is relayed; without a length it held up the stream until a timeout. (2) The target of a retry after an error wasn't excluded from the next choice, so that a stream which it broke off could come to it once more under the same ID.

Change: such a body isn't read, its connection is closed, and the target of the retry is excluded like others.

Before: TestAnswerWithoutEndInStream failed (963 ms, want 500 ms).

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -86,9 +86,11 @@
 		r.Name, r.Prefix, r.Kind, r.Resume = prefix, prefix, kind, resume
 		return r
 	}
+	three := with("/resume3/", route.Stream, true)
+	three.MaxAttempts = 3
 	rules, err := ruleset.New(ruleset.Config{
 		Version: 1, Pools: []pool.Pool{pool.Pool{Name: "p"}.WithEngine(pool.Engine{Batch: 4, CacheTokens: 100000, TokensPerEvent: 5})},
-		Routes:   []route.Route{with("/once/", route.Single, false), with("/again/", route.Idempotent, false), with("/resume/", route.Stream, true), with("/stream/", route.Stream, false)},
+		Routes:   []route.Route{with("/once/", route.Single, false), with("/again/", route.Idempotent, false), with("/resume/", route.Stream, true), with("/stream/", route.Stream, false), three},
 		Accounts: []prepaid.Prepaid{{Name: "shop", Keys: []string{"key"}, Tokens: &tokens}},
 	})
 	if err != nil {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -80,14 +80,15 @@
 	if isStream(a.Header) && a.Status == http.StatusOK {
 		return x.relayStream(a, pick, t)
 	}
+	if x.headerSent {
+		a.Close(false) // the body may not end
+		return connectionLost, balancer.Failed, eris.Wrapf(fault.Interrupted, "got status %d, want the rest of the stream", a.Status)
+	}
 	body, err := x.readAll(a)
 	a.Close(err == nil)
 	if err != nil {
 		return x.unlessCanceled(connectionLost), balancer.ConnectionLost, eris.Wrap(err, "response was truncated")
 	}
-	if x.headerSent {
-		return connectionLost, balancer.Failed, eris.Wrapf(fault.Interrupted, "got status %d, want the rest of the stream", a.Status)
-	}
 	pick.MarkPrefilled()
 	o := balancer.Served
 	x.recordAnswer()
@@ -107,6 +108,7 @@
 	x.tried[pick.ID()] = true
 	next, err := x.f.cfg.Balancer.Choose(x.query())
 	if err == nil {
+		x.tried[next.ID()] = true
 		x.f.cfg.Logger.Info("retrying request after target error", zap.String("request", x.requestID()),
 			zap.String("target", pick.ID()), zap.Int("status", a.Status), zap.String("next", next.ID()))
 		var v attemptResult
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // raw returns a handler that sends a response as given, with the ID of the request
@@ -167,3 +169,62 @@
 		})
 	}
 }
+
+// inTurn returns a handler for several targets. The first request that any of them
+// gets is handled by the first of the given handlers, and so on.
+func inTurn(list ...handler) handler {
+	var count atomic.Int32
+	return func(n int, w io.Writer, r *http.Request) bool { return list[int(count.Add(1)-1)%len(list)](n, w, r) }
+}
+
+// A comment of the second target must not make the third begin anew.
+func TestContinuedTwice(t *testing.T) {
+	next := inTurn(ids(event(1)+event(2)+"id: 9"), ids(": ready\n\nid: 9"), ids(event(3)))
+	f := newFixture(t, next, next, next)
+	_, body, err := f.post("/resume3/", nil)
+	if want := event(1) + event(2) + ": ready\n\n" + event(3); body != want || err != nil {
+		t.Errorf("got %q and %v, want %q", body, err, want)
+	}
+	if got, want := len(f.requests()), 3; got != want {
+		t.Fatalf("got %d requests, want %d", got, want)
+	}
+	if got, want := f.requests()[2].Header.Get("Last-Event-Id"), "2"; got != want {
+		t.Errorf("third target: got event %q to go on from, want %q", got, want)
+	}
+}
+
+// After the retry of an error broke off, the target of the retry must not be asked
+// again.
+func TestErrorThenBroken(t *testing.T) {
+	for range 10 { // targets are chosen at random
+		next := inTurn(respond(http.StatusInternalServerError, signed, "sorry"), ids(event(1)+"id: 9"), ids(event(2)))
+		f := newFixture(t, next, next, next)
+		_, body, err := f.post("/resume3/", nil)
+		if want := stream(2); body != want || err != nil {
+			t.Errorf("got %q and %v, want %q", body, err, want)
+		}
+		seen := map[string]int{}
+		for _, r := range f.requests() {
+			seen[r.Header.Get(headers.Target)]++
+		}
+		if len(seen) != 3 || len(f.requests()) != 3 {
+			t.Errorf("got requests %v, want one at each target", seen)
+		}
+	}
+}
+
+// The body of an answer that can't be relayed must not hold up a stream.
+func TestAnswerWithoutEndInStream(t *testing.T) {
+	const most = 500 * time.Millisecond // less than any timeout of the route
+	next := inTurn(ids(event(1)+"id: 9"), func(_ int, w io.Writer, r *http.Request) bool {
+		raw("HTTP/1.1 500 X\r\nID\r\nX-Sign: s\r\n\r\nsorry")(1, w, r)
+		time.Sleep(2 * most)
+		return false
+	}, ids(event(2)))
+	f := newFixture(t, next, next, next)
+	begun := time.Now()
+	_, body, err := f.post("/resume3/", nil)
+	if took := time.Since(begun); body != stream(2) || err != nil || took > most {
+		t.Errorf("got %q and %v after %v, want %q within %v", body, err, took, stream(2), most)
+	}
+}
