Test that framing without end is bounded in the exchanger

Sizes and extensions of chunks and trailers without end: each ends with an error after less than 1 MiB is read. No fault was found; net/http's limits hold here. The test passes with go test -race ./internal/exchanger.

--- a/internal/exchanger/endless_test.go
+++ b/internal/exchanger/endless_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -78,3 +79,50 @@
 		})
 	}
 }
+
+// A faulty target may send the framing of a body without end. Read to its end, it
+// would fill the memory of the instance.
+func TestEndlessFraming(t *testing.T) {
+	const most = 1 << 20
+	chunked := "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, test := range []struct{ name, start, repeated string }{
+		{"size of a chunk", chunked, "0"},
+		{"extension of a chunk", chunked + "1;", "x"},
+		{"line of a trailer", chunked + "0\r\nX-A: ", "x"},
+		{"lines of a trailer", chunked + "0\r\n", "X-A: b\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			repeated := bytes.Repeat([]byte(test.repeated), 4<<10)
+			address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, err := readRequest(r); err != nil {
+					return
+				}
+				total, err := c.Write([]byte(test.start))
+				for err == nil && total < 16*most {
+					var n int
+					n, err = c.Write(repeated)
+					total += n
+				}
+			})
+			var read atomic.Int64
+			dial := func(ctx context.Context, address string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				return &countingConn{c, &read}, err
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			a, err := exchanger.New(exchanger.Config{EchoHeader: idHeader, Dial: dial}).Send(ctx, newRequest(address, "a", 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = io.Copy(io.Discard, a.Body)
+			a.Close(err == nil)
+			if err == nil || ctx.Err() != nil {
+				t.Errorf("got %v, want an error before the deadline", err)
+			}
+			if got := read.Load(); got > most {
+				t.Errorf("got %d bytes read, want at most %d", got, most)
+			}
+		})
+	}
+}
