Bound the body of a refusal in size and time

Cause: the body of a refusal was read up to 16 MiB and until the deadline of the request, though it isn't used. A refusal whose body doesn't come held the request, which another target could have run, until its deadline, and then ended it with 503.

Ruled out: bodies of other responses and events without end were bounded before (other cases of TestEndlessBody, TestEndlessEvent).

Change: at most 64 KiB are read within 100 ms, and nothing of a body without a length. Otherwise the connection is closed.

--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -9,6 +11,27 @@
 	"github.com/papayapond/papayapond/internal/fault"
 )
 
+const (
+	// maxRefusalBytes is the maximum size of the body of a refusal that is read so
+	// that its connection can be used again.
+	maxRefusalBytes = 64 << 10
+	// refusalTimeout bounds the wait for the body of a refusal.
+	refusalTimeout = 100 * time.Millisecond
+)
+
+// discard ends the exchange of a refusal. Its body holds nothing that is needed.
+func (x *exchange) discard(a *exchanger.Response, cancel func()) {
+	if !a.Framed {
+		a.Close(false)
+		return
+	}
+	timer := time.AfterFunc(refusalTimeout, cancel)
+	defer timer.Stop()
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxRefusalBytes+1))
+	x.f.cfg.CountBytes(int(n)+headerBytes, 0)
+	a.Close(err == nil && n <= maxRefusalBytes)
+}
+
 // isRefusal reports whether the target certainly did not run the request. A
 // refusal that isn't identified may be that of an earlier request.
 func (x *exchange) isRefusal(a *exchanger.Response) bool {
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -171,9 +171,8 @@
 		if a.Status == http.StatusMisdirectedRequest {
 			o = balancer.Misdirected
 		}
-		_, err := x.readAll(a)
 		a.RecordRefusal()
-		a.Close(err == nil)
+		x.discard(a, cancel)
 		pick.Done(o)
 		return refused, eris.Wrapf(fault.Overloaded, "target refused the request with status %d", a.Status)
 	}
