Bound the heads of responses on the models' path

Cause: the dispatcher read up to 10 MiB of the head of a response, the default of net/http, for each request to a faulty target.

Ruled out: framing and lines without end were bounded before (other cases of the test).

Change: 256 KiB for a head and the 1xx responses before it, as in the exchanger.

Before: four cases of TestEndlessResponse failed ("got bytes read, want at most 4194304"); they pass now with go test -race ./internal/dispatcher.

--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -15,6 +15,9 @@
 	// poolIdleTimeout is the time after which the pool of an unused address is
 	// closed.
 	poolIdleTimeout = 10 * time.Minute
+	// maxHeadBytes is the maximum size of the heads of a response and of the 1xx
+	// responses before it.
+	maxHeadBytes = 256 << 10
 )
 
 // pool holds the connections to one address.
@@ -35,7 +38,10 @@
 }
 
 func newTransport(cfg Config, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableKeepAlives: disableKeepAlives, DisableCompression: true}
+	return &http.Transport{
+		DialContext: cfg.Dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableKeepAlives: disableKeepAlives, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
 }
 
 // pool returns the pool of an address, creating it if necessary.
