Bound the head of the response to a request for a prompt's length

Cause: the gateway read up to 10 MiB of such a head, the default of net/http.

Change: at most 256 KiB, as for other responses of targets.

Before: TestEndlessHead failed ("got bytes read, want at most 1048576"); it passes now with go test -race ./internal/gateway.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,8 @@
 const (
 	// maxBodySize is the maximum size of a request body, in bytes.
 	maxBodySize = 4 << 20
+	// maxHeadBytes is the maximum size of the head of a target's response.
+	maxHeadBytes = 256 << 10
 	// lookupTimeout bounds the lookup of a request in the ledger.
 	lookupTimeout = 100 * time.Millisecond
 	// maxClockSkew is the documented bound on the clock skew between instances.
@@ -112,7 +114,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	g := &Gateway{cfg: cfg, mux: mux.NewRouter().UseEncodedPath(), client: &http.Client{Timeout: time.Second}, unresolved: map[string]*wire.Resolve{}}
+	g := &Gateway{cfg: cfg, mux: mux.NewRouter().UseEncodedPath(), client: newClient(), unresolved: map[string]*wire.Resolve{}}
 	g.mux.HandleFunc("/v1/chat/completions", g.serve("json", g.chat)).Methods(http.MethodPost)
 	g.mux.HandleFunc("/v1/services/{name}/{path:.*}", g.serve("service", g.service))
 	g.mux.HandleFunc("/v1/models", g.serve("", g.models)).Methods(http.MethodGet)
@@ -123,6 +125,11 @@
 	return g
 }
 
+// newClient returns the client for requests about prompts to targets.
+func newClient() *http.Client {
+	return &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: time.Minute}}
+}
+
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.mux.ServeHTTP(w, r) }
 
