Don't end a stream with the usage of an earlier attempt

Cause: the usage event of an attempt that broke off before its first content was kept. If the next attempt ended without one, the caller got the event of the other run as the end of its stream, and was billed by it.

Ruled out: 17 other answers to a stream (errors, documents, redirects, heads, error events, events of other requests, ends without a reason or usage) reach no caller and aren't complete (TestAnswersToStream passed before this change).

Change: usage and held-back event are reset for each attempt, as the template of events is.

Before: TestUsageOfEarlierAttempt failed ("got no error and usage {Prompt:7 Output:1}"); it passes now with go test -race ./internal/gateway.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -68,7 +68,8 @@
 	r.target = target.Name
 	r.status = response.StatusCode
 	r.attemptID = response.Request.Header.Get(dispatcher.RequestHeader)
-	r.template = eventTemplate{} // the old one contains the ID of another attempt
+	// What was kept of an earlier attempt belongs to another run.
+	r.template, r.usage, r.heldBack = eventTemplate{}, usage{}, nil
 	if response.StatusCode != http.StatusOK {
 		// The error text of the target may quote the prompt, which must not be
 		// logged.
