Don't believe an unidentified refusal on a used connection on the models' path

Cause: 429 or 503 without the ID of the attempt, read on a connection that was used before, counted as "not run". It may be an earlier refusal written once more: the caller read "run":"no" for a request that the target runs.

Ruled out: a refusal with the ID of another attempt was an error with an uncertain outcome before; requests that may run once get a connection of their own and their 429 and 503 are never taken for refusals (TestSingleRunHasOwnConnection).

Change: such a response is an uncertain outcome. On a new connection it is believed as before, since engines may not echo the ID.

Before: TestRefusalOnceMore failed ("used connection, without an ID: got no target or ledger is ready, want the request may have run"); it passes now with go test -race ./internal/dispatcher.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,6 +25,8 @@
 	body   *abortableBody
 	// sent reports whether a byte may have been written to the target.
 	sent bool
+	// reused reports whether its connection was used before.
+	reused atomic.Bool
 }
 
 // run sends an attempt and passes its response to consume.
@@ -85,6 +89,7 @@
 
 // request builds the HTTP request of an attempt.
 func (a *attempt) request(ctx context.Context) (*http.Request, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.reused.Store(c.Reused) }})
 	// The transport can't resend a body without GetBody.
 	r, err := http.NewRequestWithContext(ctx, a.job.Method, "http://"+a.target.Address+a.job.Path, io.NopCloser(a.body))
 	if err != nil {
@@ -113,7 +118,8 @@
 // checkResponse rejects responses that belong to another request and those that
 // say that the target can't serve the request.
 func checkResponse(r *http.Response, a *attempt) error {
-	if id := r.Header.Get(RequestHeader); id != "" && id != a.id() {
+	id := r.Header.Get(RequestHeader)
+	if id != "" && id != a.id() {
 		return eris.Wrapf(fault.Internal, "response belongs to request %s", id)
 	}
 	if !a.job.Idempotent {
@@ -121,6 +127,9 @@
 	}
 	switch {
 	case r.StatusCode == http.StatusTooManyRequests, r.StatusCode == http.StatusServiceUnavailable:
+		if id == "" && a.reused.Load() {
+			return eris.Errorf("status %d without an ID, possibly of an earlier request", r.StatusCode)
+		}
 		return refusal{r.StatusCode}
 	case r.StatusCode >= http.StatusInternalServerError:
 		return eris.Errorf("status %d", r.StatusCode)
