Don't go on with a stream that doesn't name the attempt

Cause: when the connection of a stream is silent, the dispatcher asks the same address for the rest on another connection. It took a response without an ID for this stream. At an address that another lifetime or service uses by then, perhaps of another version, its events were joined to those of the first run.

Ruled out: a response with another ID was never taken; a lifetime that doesn't know the stream answers so, and the attempt ends.

Change: the response has to echo the ID of the attempt, as the stand-in does.

Before: TestStreamOfAnotherRun failed ("no ID: got "ab" and <nil>, want "a" and the response was truncated"); it passes now with go test ./internal/dispatcher.

--- a/internal/dispatcher/probe.go
+++ b/internal/dispatcher/probe.go
@@ -158,11 +158,13 @@
 	return res
 }
 
-// onBackupResponse handles the response header of the backup connection.
+// onBackupResponse handles the response header of the backup connection. The
+// address may belong to another lifetime by now, so that a stream must name the
+// attempt.
 func (p *silenceProbe) onBackupResponse(r *http.Response) {
 	id := r.Header.Get(RequestHeader)
 	switch {
-	case r.StatusCode == http.StatusNotFound, r.StatusCode == http.StatusOK && (id == "" || id == p.r.attempt.id()):
+	case r.StatusCode == http.StatusNotFound, r.StatusCode == http.StatusOK && id == p.r.attempt.id():
 		p.backupResponse = r
 	default:
 		p.r.resumable = false
