Guard the flag of streams that can be requested again

Cause: responseReader.resumable was written by the goroutine of a probe and read by the consumer without a lock. No caller saw an effect; the worst one is a run that isn't canceled at its target.

Ruled out: the result of a probe itself is passed on under the lock, so that the race needs a probe that begins after another has ended the read.

Change: the flag is atomic.

Before: TestProbeBesideEnd, a test of the methods, was reported by the race detector; it passes now with go test -race ./internal/dispatcher.

--- a/internal/dispatcher/probe.go
+++ b/internal/dispatcher/probe.go
@@ -107,7 +107,7 @@
 	if p.backup != nil && p.backupResponse == nil && p.checks%backupRetryChecks == 0 {
 		p.closeBackup()
 	}
-	if p.backup != nil || !r.resumable {
+	if p.backup != nil || !r.resumable.Load() {
 		return
 	}
 	url := "http://" + r.pool.address + "/v1/streams/" + r.attempt.id() + "?from=" + strconv.Itoa(p.consumed)
@@ -167,7 +167,7 @@
 	case r.StatusCode == http.StatusNotFound, r.StatusCode == http.StatusOK && id == p.r.attempt.id():
 		p.backupResponse = r
 	default:
-		p.r.resumable = false
+		p.r.resumable.Store(false)
 		p.closeBackup()
 	}
 }
@@ -177,7 +177,7 @@
 // that can't resume streams responds with 404 as well.
 func (p *silenceProbe) onUnknownStream(e backupEvent) *probeResult {
 	if !bytes.Contains(e.data, []byte(unknownStreamCode)) {
-		p.r.resumable = false
+		p.r.resumable.Store(false)
 		p.closeBackup()
 		return nil
 	}
--- a/internal/dispatcher/probe_test.go
+++ b/internal/dispatcher/probe_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/papayapond/papayapond/internal/engine"
 	"github.com/papayapond/papayapond/internal/fault"
+	"github.com/papayapond/papayapond/internal/wire"
 )
 
 const contentEvent = "data: {\"choices\":[{\"delta\":{\"content\":\"%s\"}}]}\n\n"
@@ -45,3 +50,30 @@
 		})
 	}
 }
+
+// The goroutine of a probe may find that a stream can't be requested again while the
+// consumer ends its attempt. The race detector reports unguarded accesses.
+func TestProbeBesideEnd(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(target.Close)
+	var read atomic.Int64
+	d := newTarget(t, &read, nil)
+	for range 20 {
+		r, err := d.newResponseReader(t.Context(), &attempt{job: newJob("r", true), target: &wire.Target{Address: target.Listener.Addr().String()}, number: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.readHeader(); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			p := &silenceProbe{r: r}
+			p.onBackupResponse(&http.Response{StatusCode: http.StatusInternalServerError, Body: io.NopCloser(strings.NewReader(""))})
+			p.onUnknownStream(backupEvent{})
+		}()
+		r.finish(eris.Wrap(errNoProgress, "attempt"))
+		<-done
+	}
+}
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,12 +39,14 @@
 // whether a read takes too long and, if so, starts a probe, whose result ends
 // the read.
 type responseReader struct {
-	d         *Dispatcher
-	ctx       context.Context
-	attempt   *attempt
-	pool      *pool
-	active    *exchange
-	resumable bool // the stream can be requested again
+	d       *Dispatcher
+	ctx     context.Context
+	attempt *attempt
+	pool    *pool
+	active  *exchange
+	// resumable reports whether the stream can be requested again. The goroutine of a
+	// probe clears it.
+	resumable atomic.Bool
 
 	// generation ends when the connection pool is reset, which starts a probe
 	// until unwatch is called.
@@ -69,7 +72,7 @@
 func (d *Dispatcher) newResponseReader(ctx context.Context, a *attempt) (*responseReader, error) {
 	a.body = &abortableBody{r: bytes.NewReader(a.job.Body)}
 	r := &responseReader{d: d, ctx: ctx, attempt: a, pool: d.pool(a.target.Address)}
-	r.resumable = a.job.Model != "" && a.job.Idempotent
+	r.resumable.Store(a.job.Model != "" && a.job.Idempotent)
 	var transport http.RoundTripper
 	transport, r.generation = r.pool.current()
 	if !a.job.Idempotent {
@@ -274,7 +277,7 @@
 	r.active.close()
 	if eris.Is(err, errConnectionLost) || eris.Is(err, errNoProgress) {
 		r.d.cfg.Logger.Warn("connection stalled", zap.String("request", r.attempt.job.RequestID), zap.String("target", r.attempt.target.Name), zap.String("cause", err.Error()))
-		if r.resumable {
+		if r.resumable.Load() {
 			go r.cancelRun()
 		}
 	}
