Close a dialled connection whose socket option can't be set

Cause: such a connection was neither used nor closed.

Change: the dialer closes it.

Before: TestDialClosesUnusedConnection failed ("connection at the target: got i/o timeout, want EOF"); it passes now with go test -race ./internal/exchanger. The failure of the option is simulated.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -85,18 +85,30 @@
 		cfg.OnDial = func() {}
 	}
 	if cfg.Dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, "tcp", address)
-			if t, ok := c.(*net.TCPConn); ok && err == nil {
-				err = setAckTimeout(t)
-			}
-			return c, err
-		}
+		cfg.Dial = newDial(setAckTimeout)
 	}
 	return &Exchanger{cfg: cfg, idle: map[string][]*conn{}}
 }
 
+// newDial returns a TCP dialer that sets an option of each connection.
+func newDial(setOption func(*net.TCPConn) error) func(ctx context.Context, address string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		if t, ok := c.(*net.TCPConn); ok {
+			err = setOption(t)
+		}
+		if err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+		return c, nil
+	}
+}
+
 // ErrConnectTimeout is returned if a connection attempt times out. It wraps
 // fault.Unavailable.
 var ErrConnectTimeout = eris.Wrap(fault.Unavailable, "connection attempt timed out")
