Test a refusal of an earlier lifetime at the same address

Two lifetimes listed at one address are two targets, and a request that one refused goes to the other with the same ID on a kept connection. With the check for refused IDs on a connection taken out, TestRefusalOfEarlierLifetime fails ("got status 503 and 1 runs"); with it, go test -race -count=3 passes.

--- a/internal/forwarder/refusal_test.go
+++ b/internal/forwarder/refusal_test.go
@@ -109,3 +109,29 @@
 		}
 	}
 }
+
+// Two lifetimes may be listed at one address. A request that one of them refused
+// is sent to the other with the same ID, so that a second copy of the refusal on the
+// same connection could not be told from the response.
+func TestRefusalOfEarlierLifetime(t *testing.T) {
+	ran := 0
+	var first io.Writer
+	f := newFixture(t, func(n int, w io.Writer, r *http.Request) bool {
+		if n == 1 {
+			first = w
+			_, _ = io.WriteString(w, refusal("id1"))
+			return true
+		}
+		ran++
+		if w == first {
+			_, _ = io.WriteString(w, refusal("id1"))
+		}
+		return respond(http.StatusOK, signed, "answer")(n, w, r)
+	}, closeConnection)
+	f.listings[1].Address = f.listings[0].Address
+	f.balancer.SetTargets(f.listings)
+	a, body, err := f.post("/once/", nil)
+	if a.StatusCode != http.StatusOK || body != "answer" || err != nil || ran != 1 {
+		t.Errorf("got status %d, %q, %v and %d runs, want the answer of one run", a.StatusCode, body, err, ran)
+	}
+}
