--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -32,18 +32,23 @@
 		a.Close(false)
 		return connectionLost, balancer.Failed, eris.Wrapf(fault.Malformed, "response with status %d has no signature", a.Status)
 	}
+	if err := x.checkPromise(a); err != nil {
+		a.Close(false)
+		return connectionLost, balancer.Failed, err
+	}
 	if isStream(a.Header) && a.Status == http.StatusOK {
 		return x.relayStream(a, pick, t)
 	}
+	if x.headerSent {
+		a.Close(false) // the body may not end
+		return connectionLost, balancer.Failed, eris.Wrapf(fault.Interrupted, "got status %d, want the rest of the stream", a.Status)
+	}
 	body, err := x.readAll(a)
 	t.pause()
 	a.Close(err == nil)
 	if err != nil {
 		return x.unlessCanceled(connectionLost), balancer.ConnectionLost, eris.Wrap(err, "response was truncated")
 	}
-	if x.headerSent {
-		return connectionLost, balancer.Failed, eris.Wrapf(fault.Interrupted, "got status %d, want the rest of the stream", a.Status)
-	}
 	pick.MarkPrefilled()
 	o := balancer.Served
 	x.recordAnswer()
@@ -126,11 +131,14 @@
 // relayStream relays events as they arrive.
 func (x *exchange) relayStream(a *exchanger.Response, pick *balancer.Pick, t *stallTimer) (attemptResult, balancer.Outcome, error) {
 	s := streamer.New(a.Body)
+	hasContent := false
+	x.beginSequence()
 	out := http.NewResponseController(x.w)
 	for {
 		event, err := s.Next()
-		if errors.Is(err, io.EOF) && !a.Framed && !x.headerSent {
-			// A target that ends looks like an answer without events.
+		if errors.Is(err, io.EOF) && !a.Framed && !hasContent {
+			// A target that ends looks like an answer without events, or like the
+			// rest of a stream.
 			a.Close(false)
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, eris.Wrap(fault.Interrupted, "stream ended with its connection and has no event")
 		}
@@ -148,6 +156,11 @@
 			a.Close(false)
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, err
 		}
+		if err := x.sequence.add(s); err != nil {
+			a.Close(false)
+			return connectionLost, balancer.Failed, err
+		}
+		hasContent = hasContent || s.HasContent()
 		pick.MarkPrefilled()
 		t.pause()
 		x.bindVersion(pick)
@@ -169,7 +182,7 @@
 		if x.attemptEvents++; x.attemptEvents == answeredEvents {
 			x.recordAnswer()
 		}
-		x.lastEventID = s.LastEventID()
+		x.lastEventID = x.sequence.last
 		t.await()
 	}
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -112,6 +112,8 @@
 		return deniedByBlock
 	case ctx.Err() != nil, x.deadline.Sub(x.f.cfg.Now()) < minTimeLeft:
 		return deniedByDeadline
+	case !x.canContinue():
+		return deniedByRoute
 	case x.secured != nil:
 		return ""
 	case x.sends >= maxSends, mayHaveRun && x.runs >= x.route.MaxAttempts:
@@ -183,8 +185,8 @@
 		if a.Status == http.StatusMisdirectedRequest {
 			o = balancer.Misdirected
 		}
-		_, err := x.readAll(a)
-		a.Close(err == nil)
+		a.RecordRefusal()
+		x.discard(a, cancel)
 		pick.Done(o)
 		return refused, eris.Wrapf(fault.Overloaded, "target refused the request with status %d", a.Status)
 	}
@@ -226,11 +228,6 @@
 	return maxIdleNonRetryable
 }
 
-// isRefusal reports whether the target did not run the request.
-func (x *exchange) isRefusal(a *exchanger.Response) bool {
-	return a.Header.Get(x.f.cfg.Headers.Refused) != "" || a.Status == http.StatusMisdirectedRequest
-}
-
 // classify distinguishes a target failure from a canceled request and an
 // expired deadline.
 func (x *exchange) classify(ctx context.Context, o balancer.Outcome) balancer.Outcome {
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -68,7 +68,7 @@
 // await starts to wait for an event.
 func (t *stallTimer) await() {
 	t.x.heard = t.x.f.cfg.Now()
-	if t.timer == nil {
+	if t.timer == nil || !t.x.canContinue() {
 		return
 	}
 	t.mu.Lock()
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -31,9 +31,11 @@
 	return "", "", eris.Wrapf(fault.Unavailable, "origin of stream %s: no origins are recorded", attempt)
 }
 
-// resumes reports whether the caller takes a stream up that has broken off.
+// resumes reports whether the caller takes a stream up that has broken off. One that
+// names no attempt and asks for what follows 0 has no event.
 func (x *exchange) resumes() bool {
-	return x.route.Kind == route.Stream && x.route.Resume && x.r.Header.Get(lastEventHeader) != ""
+	last, attempt := x.r.Header.Get(lastEventHeader), x.r.Header.Get(x.f.cfg.Headers.Resumes)
+	return x.route.Kind == route.Stream && x.route.Resume && last != "" && (last != "0" || attempt != "")
 }
 
 // originAttempt returns the attempt that brought the first event of the stream:
