Return a moved stream to its silent target if the second target fails

A stream that was moved away from a silent target was cut if the second target accepted it and then failed, since two targets are the most that a route usually allows. The silent target hasn't failed and is no further target, so the stream returns to it once, after the last relayed event, if the retry budget allows.

TestReturnToSilentTarget failed before in two of three cases: lost and broken off, 'got ... and unexpected EOF, want the whole stream', 2 requests in place of 3. A case of TestEndOfAttemptLogged expected this cut (denied=attempts); its stream now ends at the deadline, as its first target stays silent for good.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -75,6 +75,8 @@
 	// Spare requests get only a target that is healthy and has room. They are worth
 	// sending only if they are likely to be served at once.
 	Spare bool
+	// Only, if not empty, is the ID of the only target that may be chosen.
+	Only string
 	// Exclude holds the IDs of targets that must not be chosen.
 	Exclude map[string]bool
 	// Version, if not nil, is the software version that the target must have.
@@ -83,7 +85,7 @@
 
 // permits reports whether the query allows a target.
 func (q Query) permits(t *target, now time.Time) bool {
-	if q.Exclude[t.listing.Id] || t.isLeaving() || t.isResting(now) {
+	if q.Exclude[t.listing.Id] || q.Only != "" && t.listing.Id != q.Only || t.isLeaving() || t.isResting(now) {
 		return false
 	}
 	return q.Version == nil || t.listing.Version == *q.Version && now.Sub(t.lostAt) >= restartWindow
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -116,7 +116,7 @@
 		return deniedByRoute
 	case x.secured != nil:
 		return ""
-	case x.sends >= maxSends, mayHaveRun && x.runs >= x.route.MaxAttempts:
+	case x.sends >= maxSends, mayHaveRun && x.runs >= x.route.MaxAttempts && x.silentTarget == "":
 		return deniedByAttempts
 	case mayHaveRun && !x.route.Repeatable():
 		return deniedByRoute
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -192,21 +192,30 @@
 	return next
 }
 
-// nextTarget chooses the target of the next attempt. If no other target is left, a
-// stream returns to the target that was silent: that one hasn't failed.
+// nextTarget chooses the target of the next attempt. A stream returns to the target
+// that was silent if no other target is left or may run it: that one hasn't failed.
 func (x *exchange) nextTarget() (*balancer.Pick, error) {
 	if next := x.takeSecured(); next != nil {
 		return next, nil
 	}
+	if x.silentTarget != "" && x.runs >= x.route.MaxAttempts {
+		return x.chooseSilent()
+	}
 	next, err := x.f.cfg.Balancer.Choose(x.query())
 	if err != nil && x.silentTarget != "" {
-		delete(x.tried, x.silentTarget)
-		x.silentTarget = ""
-		next, err = x.f.cfg.Balancer.Choose(x.query())
+		return x.chooseSilent()
 	}
 	return next, err
 }
 
+// chooseSilent chooses the target that was silent. It can be chosen once.
+func (x *exchange) chooseSilent() (*balancer.Pick, error) {
+	delete(x.tried, x.silentTarget)
+	q := x.query()
+	q.Only, x.silentTarget = x.silentTarget, ""
+	return x.f.cfg.Balancer.Choose(q)
+}
+
 // Values of the log field "ended": what has ended an attempt.
 const (
 	endedByTarget   = "target"
