--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -59,3 +59,33 @@
 		})
 	}
 }
+
+// BenchmarkSyncOrigins measures one call with the records of streams, and how many
+// bytes of the log they take.
+func BenchmarkSyncOrigins(b *testing.B) {
+	for _, records := range []int{0, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("records=%d", records), func(b *testing.B) {
+			l := newLog()
+			delete(l.coordinators, "b")
+			a := l.coordinators["a"]
+			n, size := 0, 0
+			for b.Loop() {
+				n++
+				q := &wire.SyncRequest{Instance: fmt.Sprint("entry", n%340), Sequence: uint64(n)}
+				if records > 0 {
+					q.Origins = []*wire.Origins{{Pool: "pool", Version: "version"}}
+				}
+				for i := range records {
+					q.Origins[0].Attempts = append(q.Origins[0].Attempts, uint64(n)<<32|uint64(i))
+				}
+				if _, err := a.Sync(b.Context(), q); err != nil {
+					b.Fatal(err)
+				}
+				size = len(l.entries[0])
+				l.entries = l.entries[:0]
+				l.now = l.now.Add(200 * time.Millisecond / 340)
+			}
+			b.ReportMetric(float64(size), "log-B")
+		})
+	}
+}
--- a/internal/coordinator/trace_test.go
+++ b/internal/coordinator/trace_test.go
@@ -188,10 +188,53 @@
 	want("the first one has left, after a restart", "")
 	l.now = l.now.Add(11 * time.Minute)
 	want("11 min later", "v2")
-	submitRoutes(t, l, "/other/")
+	announce("t3", "v3", false)
+	announce("t3", "", true)
+	want("a target came and left between two calls", "")
+	l.now = l.now.Add(11 * time.Minute)
+	want("11 min later again", "v2")
+	submitRoutes(t, l, 2, "/other/")
 	want("after a change of the routes", "")
 }
 
+// An entry instance that holds the newest list must hear of a change of the routes all
+// the same, and of one that was changed back before its call.
+func TestRoutesChangedBack(t *testing.T) {
+	l := newLog()
+	a := l.coordinators["a"]
+	submitRoutes(t, l, 1, "/")
+	if err := a.Announce(t.Context(), &wire.Listing{Id: "t", Born: 1, Pool: "p", Address: "t", Version: "v1"}); err != nil {
+		t.Fatal(err)
+	}
+	entry := tracer.New(tracer.Config{Now: func() time.Time { return l.now }})
+	q := &wire.SyncRequest{Instance: "e"}
+	sync := func() (version string, ok bool) {
+		t.Helper()
+		q.Sequence++
+		r, err := a.Sync(t.Context(), q)
+		if err != nil || r.Fault.Err() != nil {
+			t.Fatalf("got %v and %v", r, err)
+		}
+		if r.Listed || len(r.Ruleset) > 0 {
+			entry.Inherit(r.History)
+		}
+		q.Roster, q.Version = r.Roster, r.Version
+		return entry.Sole("p", "h", rules(t, 1, 1).Routing("h"), time.Minute)
+	}
+	if version, ok := sync(); !ok || version != "v1" {
+		t.Errorf("first call: got %q and %v, want v1", version, ok)
+	}
+	submitRoutes(t, l, 2, "/other/")
+	submitRoutes(t, l, 3, "/")
+	if version, ok := sync(); ok {
+		t.Errorf("after the routes were changed and changed back: got %q, want none", version)
+	}
+	l.now = l.now.Add(11 * time.Minute)
+	if version, ok := sync(); !ok || version != "v1" {
+		t.Errorf("11 min later: got %q and %v, want v1", version, ok)
+	}
+}
+
 // An older build neither reads the records nor writes a history. Its snapshot and its
 // log entries must be readable, and mustn't be taken for proof that there was only one
 // version.
@@ -219,10 +262,10 @@
 	}
 }
 
-// submitRoutes puts a ruleset with another prefix in force.
-func submitRoutes(t *testing.T, l *log, prefix string) {
+// submitRoutes puts a ruleset with a prefix in force.
+func submitRoutes(t *testing.T, l *log, version uint64, prefix string) {
 	t.Helper()
-	cfg := rules(t, 2, 100).Config()
+	cfg := rules(t, version, 100).Config()
 	cfg.Routes[0].Prefix = prefix
 	r, err := ruleset.New(cfg)
 	if err != nil {
--- a/internal/entry/origin_test.go
+++ b/internal/entry/origin_test.go
@@ -61,15 +61,15 @@
 	if version, err := find(); err != nil || version != "v1" {
 		t.Errorf("one version: got %q and %v, want v1", version, err)
 	}
+	e.applyReply(&wire.SyncRequest{}, &wire.SyncReply{Listed: true})
+	if version, err := find(); !errors.Is(err, fault.Unavailable) {
+		t.Errorf("after a reply of an older build: got %q and %v, want %v", version, err, fault.Unavailable)
+	}
 	history.Versions = append(history.Versions, &wire.Spell{Name: "p", Value: "v0", Age: 1000})
 	e.applyReply(&wire.SyncRequest{}, &wire.SyncReply{Listed: true, History: history})
 	if version, err := find(); !errors.Is(err, fault.Unavailable) {
 		t.Errorf("two versions in the window: got %q and %v, want %v", version, err, fault.Unavailable)
 	}
-	e.applyReply(&wire.SyncRequest{}, &wire.SyncReply{Listed: true})
-	if version, err := find(); !errors.Is(err, fault.Unavailable) {
-		t.Errorf("after a reply of an older build: got %q and %v, want %v", version, err, fault.Unavailable)
-	}
 }
 
 // An entry instance answers others from its records, and otherwise tells only which
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -45,6 +45,7 @@
 	attempts  prometheus.Counter
 	dials     prometheus.Counter
 	loans     *prometheus.CounterVec
+	lookups   *prometheus.CounterVec
 	duration  *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 }
@@ -60,7 +61,8 @@
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "papayapond_route_first_seconds", Help: "Time from the arrival of a request to the first byte of a target's answer.", Buckets: durationBuckets}, []string{"route"}),
 	}
 	m.loans = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "papayapond_loans_total", Help: "Loans that this instance has asked other entry instances for, by result."}, []string{"result"})
-	m.registry.MustRegister(m.loans, m.requests, m.attempts, m.dials, m.duration, m.firstByte)
+	m.lookups = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "papayapond_stream_lookups_total", Help: "Streams that callers took up and whose software version was looked up, by the source of the answer."}, []string{"source"})
+	m.registry.MustRegister(m.loans, m.lookups, m.requests, m.attempts, m.dials, m.duration, m.firstByte)
 	m.registerGauge("papayapond_route_flight", "Requests in flight.", cfg.InFlight)
 	m.registerGauge("papayapond_route_overdue_seconds", "Time since the earliest deadline that a request in flight has missed.", cfg.Overdue)
 	m.registerGauge("papayapond_blocked_contents", "Contents that are blocked because they crash targets.", cfg.BlockedContents)
@@ -100,6 +102,9 @@
 	m.loans.WithLabelValues(result).Inc()
 }
 
+// ObserveLookup counts a look-up of the software version that began a stream.
+func (m *Meter) ObserveLookup(source string) { m.lookups.WithLabelValues(source).Inc() }
+
 // Handler returns the HTTP handler for scrapes.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -15,6 +15,7 @@
 	m := meter.New(meter.Config{InFlight: func() float64 { return 3 }})
 	m.Observe(forwarder.Report{Route: "chat", Outcome: "answered", Status: 200, Duration: 40 * time.Millisecond, FirstByte: 30 * time.Millisecond, Attempts: 1})
 	m.ObserveDial()
+	m.ObserveLookup("core")
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for line := range strings.SplitSeq(w.Body.String(), "\n") {
@@ -29,4 +30,5 @@
 	// papayapond_route_requests_total{outcome="answered",route="chat",status="200"} 1
 	// papayapond_route_seconds_bucket{route="chat",le="0.05"} 1
 	// papayapond_route_sends_total 1
+	// papayapond_stream_lookups_total{source="core"} 1
 }
