--- a/internal/forwarder/stall_test.go
+++ b/internal/forwarder/stall_test.go
@@ -16,9 +16,10 @@
 	"github.com/papayapond/papayapond/internal/forwarder"
 )
 
-// silent returns a handler that streams a number of events and is silent for a while
-// after pauseAfter of them, which may be all. It sends the header before the silence if headerFirst is
-// set or events precede it.
+// silent returns a handler that streams a number of events, or goes on with them after
+// the last one of the caller, and is silent for a while after pauseAfter of them, which
+// may be all. It sends the header before the silence if headerFirst is set or events
+// precede it.
 func silent(to, pauseAfter int, silence time.Duration, headerFirst bool) handler {
 	return func(_ int, w io.Writer, r *http.Request) bool {
 		header := func() {
@@ -27,7 +28,8 @@
 		if headerFirst || pauseAfter > 0 {
 			header()
 		}
-		for i := 1; i <= to; i++ {
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without one
+		for i := last + 1; i <= to; i++ {
 			if i == pauseAfter+1 {
 				time.Sleep(silence)
 				if !headerFirst && pauseAfter == 0 {
