Count a canceled request as run unless its target says otherwise

Cause: an engine that closed the connection of a canceled request without having sent anything counted as one that had not begun. One that runs a request and sends nothing looks the same. Such a request still costs nothing, but counts as run for the attempts and for what the caller is told.

--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -68,6 +68,7 @@
 	tried        map[string]bool
 	sends        int    // attempts, including failed connections
 	runs         int    // attempts that a target may have run
+	unstarted    int    // those of them that were canceled before the target sent anything
 	events       int    // relayed to the caller
 	started      bool   // the last target has sent a response header
 	limit        string // named by the last target
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -129,7 +129,7 @@
 // tokensUsed returns the tokens to charge: the prompt if a target may have
 // processed it, plus the relayed events.
 func (x *exchange) tokensUsed() int64 {
-	if x.runs == 0 {
+	if x.runs == x.unstarted {
 		return 0
 	}
 	tokensPerEvent := 1
@@ -164,10 +164,12 @@
 	x.sends++
 	x.runs++
 	if errors.Is(err, exchanger.ErrNotStarted) && x.pool.Engine != nil {
-		// An engine starts running a request when it sends the first event.
-		x.runs--
+		// An engine that has sent nothing has most likely not begun, so that the
+		// request costs nothing. It can't be told from one that runs and is silent,
+		// so that the request counts as run otherwise.
+		x.unstarted++
 		pick.Done(x.classify(ctx, balancer.ConnectionLost))
-		return x.unlessCanceled(refused), err
+		return x.unlessCanceled(connectionLost), err
 	}
 	if err != nil {
 		o := x.classify(ctx, balancer.ConnectionLost)
--- a/internal/forwarder/stall_test.go
+++ b/internal/forwarder/stall_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -255,3 +256,22 @@
 		t.Errorf("the deadline was last set %v before the end, want it set at the end", got)
 	}
 }
+
+// A target that is silent may run the request, also if it closes the connection
+// cleanly when the request is canceled. Such a run counts: requests ran at three
+// targets where the route allows two.
+func TestSilentRunCounts(t *testing.T) {
+	t.Parallel()
+	mute := func(_ int, w io.Writer, _ *http.Request) bool {
+		_, _ = w.(net.Conn).Read(make([]byte, 1)) // until the request is canceled
+		return false
+	}
+	f := newFixture(t, mute, mute, mute)
+	a, _, err := f.post("/long/", func(r *http.Request) { r.Header.Set(headers.Deadline, "4500") })
+	if err != nil || a.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("got status %d and %v, want %d", a.StatusCode, err, http.StatusGatewayTimeout)
+	}
+	if got, want := len(f.requests()), 2; got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
+}
