Answer requests that arrive while a planned stop closes connections

After its drain delay an entry instance called http.Server.Shutdown. From then on net/http closes a connection once it has read the header of a request, without an answer: `if c.server.shuttingDown() { return }`. Callers lost whole requests on new connections and on those that listener had spared because a header had begun to arrive. Shutdown also takes a connection for idle whose header has just been read, and closes it under the handler, so that a target runs a request that can't be answered any more.

Change. listener.Drain replaces Shutdown for entry instances and for the servers of the daemon. It keeps the connections itself: those without a request are closed once they have been idle for 0.3 s and no byte has come, a header gets 3 s, a request is waited for. The state is set under the lock of the connection, where reads note what has come, so that nothing is closed between a read and its handler. If the time is up, the line says what the connections do. The servers of the daemon say in each answer during a stop that it closes the connection, as entry instances do.

TestCloseMeetsRequest closed idle connections through the server, which nothing does now; it has the same cases and one more with Drain.

A connection that waits in the queue of the listening socket when it is closed is reset; nothing of it has been read.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -76,26 +76,33 @@
 // httpServer returns a hook that serves handler on address. Shutdown waits for
 // requests in flight.
 func (b *builder) httpServer(part, address string, handler http.Handler) fx.Hook {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(b.logger.Named(part))}
+	var stopping atomic.Bool
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(b.logger.Named(part))}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	var serving atomic.Pointer[listener.Listener]
 	hook := b.listener(address, nil, func(_ context.Context, l net.Listener) {
 		callers := listener.New(listener.Config{Listener: l})
-		serving.Store(callers)
 		server.ConnState = callers.ConnState
-		if err := server.Serve(callers); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		serving.Store(callers)
+		if err := server.Serve(callers); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			b.logger.Named(part).Error("HTTP server failed", zap.Error(err))
 		}
 	})
 	wait := hook.OnStop
 	hook.OnStop = func(ctx context.Context) error {
-		if err := server.Shutdown(ctx); err != nil {
-			_ = server.Close()
-			return eris.Wrapf(err, "stop %s", part)
-		}
+		stopping.Store(true)
+		var err error
 		if callers := serving.Load(); callers != nil {
-			if err := callers.Wait(ctx); err != nil {
-				return eris.Wrapf(err, "stop %s", part)
-			}
+			err = callers.Drain(ctx)
+		}
+		_ = server.Close() // the connections that are left end with the process
+		if err != nil {
+			return eris.Wrapf(err, "stop %s", part)
 		}
 		return wait(ctx)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -297,14 +297,10 @@
 	time.Sleep(min(drainDelay, e.cfg.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(e.cfg.Grace-stopMargin))
 	defer cancel()
-	err := callers.Shutdown(ctx)
-	if err == nil {
-		err = front.Wait(ctx)
-	}
-	if err != nil {
+	if err := front.Drain(ctx); err != nil {
 		e.cfg.Logger.Warn("requests aborted at the end of the grace period", zap.Int("flight", e.forwarder.InFlight()), zap.Error(err))
-		_ = callers.Close()
 	}
+	_ = callers.Close() // the connections that are left end with the process
 }
 
 func (e *Entry) listen(address string) (*listener.Listener, error) {
@@ -316,7 +312,7 @@
 }
 
 func (e *Entry) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		e.cfg.Logger.Error("serving failed", zap.Stringer("address", l.Addr()), zap.Error(err))
 	}
 }
--- a/internal/listener/close_test.go
+++ b/internal/listener/close_test.go
@@ -46,8 +46,15 @@
 	served   atomic.Int32
 }
 
-// startServer starts a server that closes its idle connections once it has read
-// from its client for the given number of times; 0 means never.
+// drainOnce checks each connection once, as Drain does.
+func (s *hookedServer) drainOnce() {
+	for _, c := range s.listener.open() {
+		c.drain()
+	}
+}
+
+// startServer starts a server that drains its connections once it has read from
+// its client for the given number of times; 0 means never.
 func startServer(t *testing.T, reads int32) *hookedServer {
 	t.Helper()
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
@@ -58,7 +65,7 @@
 	var n atomic.Int32
 	s.listener = New(Config{Listener: &hookedListener{tcp, func(int) {
 		if n.Add(1) == reads {
-			s.SetKeepAlivesEnabled(false)
+			s.drainOnce()
 		}
 	}}})
 	s.Server = &http.Server{
@@ -66,7 +73,7 @@
 		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { s.served.Add(1) }),
 	}
 	go func() {
-		if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			t.Error(err)
 		}
 	}()
@@ -74,13 +81,13 @@
 	return s
 }
 
-// exchange sends a request in parts and reads the answer. The server closes its
-// idle connections between two parts.
+// exchange sends a request in parts and reads the answer. The server drains its
+// connections between two parts.
 func (s *hookedServer) exchange(caller net.Conn, answers *bufio.Reader, parts []string) error {
 	for i, part := range parts {
 		if i > 0 {
 			time.Sleep(50 * time.Millisecond)
-			s.SetKeepAlivesEnabled(false)
+			s.drainOnce()
 		}
 		if _, err := caller.Write([]byte(part)); err != nil {
 			return err
@@ -108,6 +115,7 @@
 	}{
 		{"before the server gets the bytes", []string{shortRequest}, 2, false, 1},
 		{"within the header", []string{shortRequest[:10], shortRequest[10:]}, 0, true, 2},
+		{"within the first bytes", []string{shortRequest[:1], shortRequest[1:]}, 0, true, 2},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := startServer(t, test.reads)
@@ -120,7 +128,7 @@
 			if err := s.exchange(caller, answers, []string{shortRequest}); err != nil {
 				t.Fatal(err)
 			}
-			time.Sleep(50 * time.Millisecond) // the connection becomes idle
+			time.Sleep(minIdle + 100*time.Millisecond)
 			err = s.exchange(caller, answers, test.parts)
 			if got := err == nil; got != test.want {
 				t.Errorf("answered: got %t (%v), want %t", got, err, test.want)
@@ -129,7 +137,7 @@
 			if got := s.served.Load(); got != test.served {
 				t.Errorf("served requests: got %d, want %d", got, test.served)
 			}
-			if err := s.listener.Wait(t.Context()); err != nil {
+			if err := s.listener.Drain(t.Context()); err != nil {
 				t.Error(err)
 			}
 		})
--- /dev/null
+++ b/internal/listener/input_other.go
@@ -0,0 +1,8 @@
+//go:build !unix
+
+package listener
+
+import "net"
+
+// hasInput can't tell on other systems.
+func hasInput(net.Conn) bool { return false }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -39,8 +39,8 @@
 	return server, caller
 }
 
-// send writes one response and closes the connection.
-func send(c net.Conn, size int) error {
+// respond writes one response and closes the connection.
+func respond(c net.Conn, size int) error {
 	_, err := c.Write(make([]byte, size))
 	_ = c.Close()
 	return err
@@ -51,7 +51,7 @@
 func TestStalledCaller(t *testing.T) {
 	server, _ := connPair(t)
 	done := make(chan error, 1)
-	go func() { done <- send(server, 1<<20) }()
+	go func() { done <- respond(server, 1<<20) }()
 	select {
 	case err := <-done:
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -68,7 +68,7 @@
 	const size = 256 << 10
 	server, caller := connPair(t)
 	done := make(chan error, 1)
-	go func() { done <- send(server, size) }()
+	go func() { done <- respond(server, size) }()
 	got := 0
 	for buffer := make([]byte, 8<<10); ; time.Sleep(20 * time.Millisecond) {
 		n, err := caller.Read(buffer)
