Give a retry that ran again the response that was billed

A retry under the same Idempotency-Key looks its identity up in the ledger, for 100 ms. Without an answer the gateway goes on, and the request runs again. Its bill was recognised as a duplicate, so that nothing was billed twice, but the caller got the second response under the key of the first. docs/design.md says of a settled request: the kept answer. Nothing in the log told that the lookup had failed.

Going on without the ledger is the design for idempotent calls, so that a partition doesn't refuse them; a longer wait would delay each first request by as much. What was wrong is the response, which the ledger can give once it has answered the settlement.

After a duplicate the gateway looks the identity up again and replays the kept response, for JSON and for idempotent calls of services; a stream has been relayed already. A lookup that fails is logged with its error.

TestDuplicateGetsBilledResponse/response_kept, before: got 200 with "id":"second", replayed "", want "first", replayed "true"; and code ok, want replayed. The other two cases, in which nothing is kept or found, passed before.

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -159,11 +159,10 @@
 	if s.key == "" {
 		return false, nil
 	}
-	ctx, cancel := context.WithTimeout(s.request.Context(), lookupTimeout)
-	defer cancel()
-	reply, err := g.cfg.Find(ctx, &wire.FindRequest{Account: s.account.Name, Request: s.requestID, Digest: s.digest})
+	reply, err := g.find(s.request.Context(), s)
 	switch {
-	case err != nil || reply.Fault != nil:
+	case err != nil:
+		g.cfg.Logger.Info("identity not looked up, a retry runs again", zap.String("request", s.requestID), zap.String("account", s.account.Name), zap.Error(err))
 		return false, nil
 	case reply.Conflict:
 		return false, eris.Wrapf(fault.Conflict, "Idempotency-Key %s was used with another request", s.key)
@@ -176,6 +175,32 @@
 	return true, nil
 }
 
+// replayDuplicate replays the response of the attempt that was billed, after the
+// same request has run again since the lookup had missed it. It reports false if that
+// response isn't available.
+func (g *Gateway) replayDuplicate(ctx context.Context, s *requestState) bool {
+	if s.key == "" {
+		return false
+	}
+	reply, err := g.find(ctx, s)
+	if err != nil || !reply.Known || reply.Conflict || len(reply.Bill.GetAnswer()) == 0 {
+		return false
+	}
+	g.replay(s, reply.Bill)
+	return true
+}
+
+// find looks up the identity of a request in the ledger.
+func (g *Gateway) find(ctx context.Context, s *requestState) (*wire.FindReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	reply, err := g.cfg.Find(ctx, &wire.FindRequest{Account: s.account.Name, Request: s.requestID, Digest: s.digest})
+	if err != nil {
+		return nil, err
+	}
+	return reply, reply.Fault.Err()
+}
+
 // allowed returns a function that reports whether the account may use a target.
 // An account without groups may use all targets that serve its models and
 // services.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -262,6 +262,9 @@
 	case wire.Outcome_OUTCOME_BILLED:
 		s.metrics.Billed = bill.Amount
 	case wire.Outcome_OUTCOME_DUPLICATE:
+		if r.media == "application/json" && r.gateway.replayDuplicate(ctx, s) {
+			return nil
+		}
 	case wire.Outcome_OUTCOME_CONFLICT:
 		return eris.Wrapf(fault.Conflict, "Idempotency-Key %s was used with another request", s.key)
 	default:
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -104,7 +104,11 @@
 	}
 	g.trace(s, "bill settled", zap.Stringer("outcome", outcome), zap.Int64("amount", bill.Amount))
 	switch outcome {
-	case wire.Outcome_OUTCOME_BILLED, wire.Outcome_OUTCOME_DUPLICATE:
+	case wire.Outcome_OUTCOME_BILLED:
+	case wire.Outcome_OUTCOME_DUPLICATE:
+		if c.idempotent && g.replayDuplicate(ctx, s) {
+			return nil
+		}
 	case wire.Outcome_OUTCOME_CONFLICT:
 		return eris.Wrapf(fault.Conflict, "Idempotency-Key %s was used with another request", s.key)
 	default:
