Count a call of a service as billed only once

The metric of billed tokens counted the price of a call for each attempt whose settlement was answered with a duplicate, too: the retry of an order whose outcome was recorded, but whose first bill came later, showed twice what the books have.

Only the outcome `billed` counts, as for model requests.

TestDuplicateCallIsNotCountedAsBilled/OUTCOME_DUPLICATE, before: got 5 tokens counted as billed, want any: false.

--- a/internal/gateway/duplicate_test.go
+++ b/internal/gateway/duplicate_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/sampler"
@@ -59,3 +60,32 @@
 		})
 	}
 }
+
+// A call that ran once must count once in the billed tokens, whichever attempt settles
+// its bill.
+func TestDuplicateCallIsNotCountedAsBilled(t *testing.T) {
+	for _, test := range []struct {
+		outcome wire.Outcome
+		want    bool
+	}{
+		{wire.Outcome_OUTCOME_BILLED, true},
+		{wire.Outcome_OUTCOME_DUPLICATE, false},
+	} {
+		t.Run(test.outcome.String(), func(t *testing.T) {
+			f := newFixture(t, func(c *Config) {
+				c.Propose = func(context.Context, *wire.Command) (*wire.ProposeReply, error) {
+					result, err := proto.Marshal(&wire.ClaimResult{Resolved: true, Outcome: &wire.Resolve{Ran: true, Status: http.StatusCreated, Media: "text/plain", Answer: []byte("done")}})
+					return &wire.ProposeReply{Result: result}, err
+				}
+				c.Settle = func(context.Context, uint64, *wire.Bill) (wire.Outcome, error) { return test.outcome, nil }
+			})
+			w := f.post(orders, sampler.WondimuKey, "id-1", "order")
+			if w.Code != http.StatusCreated || w.Body.String() != "done" || f.last.Code != "ok" {
+				t.Fatalf("got %d %s, code %s, want the recorded outcome", w.Code, w.Body, f.last.Code)
+			}
+			if got := f.last.Billed > 0; got != test.want {
+				t.Errorf("got %d tokens counted as billed, want any: %v", f.last.Billed, test.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -105,6 +105,7 @@
 	g.trace(s, "bill settled", zap.Stringer("outcome", outcome), zap.Int64("amount", bill.Amount))
 	switch outcome {
 	case wire.Outcome_OUTCOME_BILLED:
+		s.metrics.Billed = bill.Amount
 	case wire.Outcome_OUTCOME_DUPLICATE:
 		if c.idempotent && g.replayDuplicate(ctx, s) {
 			return nil
@@ -115,7 +116,6 @@
 		return eris.Wrapf(fault.Unsettled, "settle bill: ledger returned outcome %v", outcome)
 	}
 	s.metrics.Code = "ok"
-	s.metrics.Billed = bill.Amount
 	s.Header().Set("Content-Type", c.media)
 	s.WriteHeader(c.status)
 	_, _ = s.Write(c.body)
