Don't report a connection that has just become idle as an aborted request

Drain keeps a connection for 0.3 s after its last answer.

Only connections that carry a request, or part of a header, count.

TestDrainEndsWithIdleConnection, before: got error open connections: 0 with a request, 0 within a header, 1 idle: context deadline exceeded, want none.

--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -34,8 +34,8 @@
 // Drain stops accepting connections, closes those on which no request has begun,
 // and waits until the server has answered all requests and closed the others. The
 // answers must say that they close the connection, or callers that send without a
-// pause keep theirs open. If ctx ends first, the error wraps the one of ctx and says
-// what the connections are doing.
+// pause keep theirs open. If ctx ends while connections carry requests, the error
+// wraps the one of ctx and says what the connections are doing.
 //
 // http.Server.Shutdown isn't fit for this: it leaves requests unanswered whose
 // header it reads after its start, may close a connection whose header has just been
@@ -63,6 +63,9 @@
 		}
 		select {
 		case <-ctx.Done():
+			if serving+receiving == 0 {
+				return nil // the last answer has ended within minIdle
+			}
 			return eris.Wrapf(ctx.Err(), "open connections: %d with a request, %d within a header, %d idle", serving, receiving, idle)
 		case <-tick.C:
 		}
--- a/internal/listener/drain_test.go
+++ b/internal/listener/drain_test.go
@@ -202,3 +202,18 @@
 	}
 	answered(t, answers)
 }
+
+// A connection whose last answer has just ended carries no request, so that the end of
+// the grace period aborts none.
+func TestDrainEndsWithIdleConnection(t *testing.T) {
+	s := startDrainServer(t)
+	c, answers := s.dial(t)
+	send(t, c, shortRequest)
+	answered(t, answers)
+	time.Sleep(minIdle / 3)
+	ctx, cancel := context.WithTimeout(t.Context(), minIdle/3)
+	defer cancel()
+	if err := s.listener.Drain(ctx); err != nil {
+		t.Errorf("got error %v, want none", err)
+	}
+}
