Don't take the body of a canceled request for complete

A request is canceled by closing the write side, and the target closes the connection then. A body that is delimited by that close ended with io.EOF, so that the forwarder relayed a part of it as a whole: a stream that a deadline, the timer between two events or a caller that left had cut got its regular end, and a plain response a length that fits and the signature of its target.

After a cancellation the end of the connection is an unexpected EOF for such a body. Bodies with a length or in chunks were told apart before.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -83,6 +83,22 @@
 	return c.canceled.Load() && !c.head.begun && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
 }
 
+// unframedReader reads a body that ends with the connection. Once the request has been
+// canceled, that end doesn't show that the body is complete.
+type unframedReader struct {
+	io.Reader
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (r *unframedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if errors.Is(err, io.EOF) && r.conn.canceled.Load() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // Response is the response to one request. Close must be called.
 type Response struct {
 	Status int
@@ -188,10 +204,14 @@
 // which responses are out of step is not used again.
 func (c *conn) newResponse(r *http.Response, identified, outOfStep bool) *Response {
 	c.timeout = keepAliveTimeout(r.Header)
-	return &Response{
+	a := &Response{
 		Status: r.StatusCode, Header: r.Header, Body: r.Body, body: r.Body, Identified: identified,
 		Framed: r.ContentLength >= 0 || len(r.TransferEncoding) > 0, closing: r.Close || outOfStep,
 	}
+	if !a.Framed {
+		a.Body = &unframedReader{Reader: r.Body, conn: c}
+	}
+	return a
 }
 
 // isUsable reports whether an idle connection is open and has no unread data.
