Abort the answer to a caller that has left

When a caller ends what it sends, net/http cancels the request, and the handler returned. net/http then completes the answer: a caller that only closed its write side and still read got an empty 200 that no target gave, and a stream that had begun got its regular end, though events were missing.

The handler aborts, so that the connection ends without an answer that looks complete.

--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -71,7 +71,11 @@
 		var v attemptResult
 		v, err = x.attempt(ctx, pick)
 		x.tried[pick.ID()] = true
-		if v == answered || v == callerGone {
+		if v == callerGone {
+			// net/http would complete the answer if the handler returned.
+			panic(http.ErrAbortHandler)
+		}
+		if v == answered {
 			return
 		}
 		ended, silence := x.endedBy(ctx), x.silenceField()
