Reject a request that a planned stop would abort

A stream that had begun before a planned stop keeps its connection open without saying that it closes.

A close without an answer: the request was read, sent and cut by the end of the grace period ("requests aborted").

Once the drain delay has passed, a request whose deadline is later than the end of the stop gets 503, not run, with Connection: close, before any target is chosen. A request that ends in time is served as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -115,6 +115,7 @@
 	finder    *finder.Finder
 	rules     atomic.Pointer[ruleset.Ruleset]
 	stopping  atomic.Bool
+	abort     atomic.Pointer[time.Time] // of the requests in flight, set after the drain delay
 }
 
 // New returns an entry instance with a new incarnation.
@@ -153,6 +154,7 @@
 		Record:     e.RecordOrigin,
 		OnCrash:    func() { e.sync.Trigger() },
 		CountBytes: e.shedder.CountBytes, CloseConnection: func() bool { return e.stopping.Load() || e.shedder.ShouldClose() },
+		Abort: e.abortTime,
 	})
 	e.gossiper = gossiper.New(gossiper.Config{
 		Self: cfg.PeerAddress, Zone: cfg.Zone, Loads: e.balancer.LocalLoads, UpdateLoads: e.balancer.SetRemoteLoads, Detector: e.forwarder.Detector(), Logger: cfg.Logger.Named("gossiper"),
@@ -295,7 +297,11 @@
 	e.stopping.Store(true)
 	e.cfg.Logger.Info("stopping", zap.Int("flight", e.forwarder.InFlight()), zap.Duration("grace", e.cfg.Grace))
 	time.Sleep(min(drainDelay, e.cfg.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(e.cfg.Grace-stopMargin))
+	// No load balancer sends new callers any more, and those that come on kept
+	// connections find another instance.
+	abort := started.Add(e.cfg.Grace - stopMargin)
+	e.abort.Store(&abort)
+	ctx, cancel := context.WithDeadline(context.Background(), abort)
 	defer cancel()
 	if err := front.Drain(ctx); err != nil {
 		e.cfg.Logger.Warn("requests aborted at the end of the grace period", zap.Int("flight", e.forwarder.InFlight()), zap.Error(err))
@@ -303,6 +309,15 @@
 	_ = callers.Close() // the connections that are left end with the process
 }
 
+// abortTime returns the time at which the requests in flight are aborted, or the zero
+// time if this instance isn't stopping.
+func (e *Entry) abortTime() time.Time {
+	if abort := e.abort.Load(); abort != nil {
+		return *abort
+	}
+	return time.Time{}
+}
+
 func (e *Entry) listen(address string) (*listener.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,6 +84,9 @@
 	// connection after a response.
 	CountBytes      func(received, sent int)
 	CloseConnection func() bool
+	// Abort, if not nil, returns the time at which the requests in flight are
+	// aborted, or the zero time. A request that may last longer is rejected.
+	Abort func() time.Time
 	// Observe, if not nil, is called when a request ends.
 	Observe func(Report)
 	Logger  *zap.Logger
@@ -137,6 +140,9 @@
 	if cfg.CloseConnection == nil {
 		cfg.CloseConnection = func() bool { return false }
 	}
+	if cfg.Abort == nil {
+		cfg.Abort = func() time.Time { return time.Time{} }
+	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(Report) {}
 	}
