Test that a stop answers a request that the server hasn't read yet

On a machine without free processors a request may wait in the kernel when a planned stop closes idle connections. Drain looks for such bytes before it closes a connection. Without that look the test reports: got no answer: connection reset by peer.

--- a/internal/listener/drain_test.go
+++ b/internal/listener/drain_test.go
@@ -29,6 +29,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveDrain(t, tcp)
+}
+
+// serveDrain serves the connections of a listener.
+func serveDrain(t *testing.T, tcp net.Listener) *drainServer {
+	t.Helper()
 	s := &drainServer{
 		listener: New(Config{Listener: tcp}), address: tcp.Addr().String(),
 		begun: make(chan struct{}, 1), proceed: make(chan struct{}), closing: make(chan struct{}),
@@ -217,3 +223,52 @@
 		t.Errorf("got error %v, want none", err)
 	}
 }
+
+// gatedConn holds the server's reads back while gate is held, so that bytes wait in the
+// kernel as on a machine without free processors.
+type gatedConn struct {
+	*net.TCPConn
+	gate *sync.Mutex
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	c.gate.Lock()
+	defer c.gate.Unlock()
+	return c.TCPConn.Read(b)
+}
+
+// gatedListener accepts gatedConns.
+type gatedListener struct {
+	net.Listener
+	gate *sync.Mutex
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{c.(*net.TCPConn), l.gate}, nil
+}
+
+// A request that has arrived, but that a busy server hasn't read yet, must be answered.
+func TestDrainAnswersUnreadRequest(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var gate sync.Mutex
+	gate.Lock()
+	s := serveDrain(t, &gatedListener{tcp, &gate})
+	c, answers := s.dial(t)
+	time.Sleep(minIdle + 50*time.Millisecond)
+	send(t, c, shortRequest)
+	time.Sleep(50 * time.Millisecond)
+	drained := s.drain(t.Context())
+	time.Sleep(100 * time.Millisecond)
+	gate.Unlock()
+	answered(t, answers)
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
