Don't handle an update while a stream counts as timed out

The timer of a watched stream calls Silent, which reopens all connections of the instance. An update that arrived meanwhile was handled beside that, and Follow could return and the next stream be opened before Silent had ended, which then cut that one.

Follow waits for Silent if the timer has fired, and drops the update: the next stream starts with it again.

TestSilentRunsAlone, before: an update is handled while Silent runs (3 times); Follow has returned while Silent runs; got received true, 3 updates.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -29,28 +29,39 @@
 
 // Follow passes the updates of one stream to handle until the stream ends or
 // times out, or handle fails. It reports whether it received an update, and
-// returns the error of handle.
+// returns the error of handle. Silent doesn't run while an update is handled, nor
+// after Follow has returned.
 func (w *Watcher) Follow(ctx context.Context, instance string, request *wire.WatchRequest, handle func(*wire.Update) error) (received bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
+	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	called := make(chan struct{})
 	timer := time.AfterFunc(Silence, func() {
+		defer close(called)
 		w.cfg.Silent(instance)
 		cancel()
 	})
-	defer timer.Stop()
-	stream, err := w.cfg.Watch(ctx, instance, request)
+	// disarm stops the timer, or waits for Silent and returns false.
+	disarm := func() bool {
+		if timer.Stop() {
+			return true
+		}
+		<-called
+		return false
+	}
+	stream, err := w.cfg.Watch(streamCtx, instance, request)
 	if err != nil {
+		disarm()
 		return false, nil
 	}
 	defer stream.Close()
 	for {
 		update, err := stream.Recv()
-		if err != nil {
-			return received, nil
-		}
 		// Applying a large configuration takes more than a second. That time
 		// must not count as silence of the instance.
-		timer.Stop()
+		inTime := disarm()
+		if err != nil || !inTime {
+			return received, nil
+		}
 		received = true
 		if err := handle(update); err != nil {
 			return true, err
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -65,3 +65,34 @@
 }
 
 func (s *stream) Close() error { return nil }
+
+// Silent reopens all connections. If an update arrives meanwhile, it must not be
+// handled beside that, and the next stream must not be opened before.
+func TestSilentRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running, handled := false, 0
+		w := New(Config{
+			Watch: func(context.Context, string, *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error) {
+				return &stream{ctx: context.Background(), pause: Silence + time.Second}, nil
+			},
+			Silent: func(string) {
+				running = true
+				time.Sleep(2 * time.Second)
+				running = false
+			},
+		})
+		received, err := w.Follow(t.Context(), "h", nil, func(*wire.Update) error {
+			if running {
+				t.Error("an update is handled while Silent runs")
+			}
+			handled++
+			return nil
+		})
+		if running {
+			t.Error("Follow has returned while Silent runs")
+		}
+		if received || handled > 0 || err != nil {
+			t.Errorf("got received %v, %d updates, error %v, want a stream that timed out", received, handled, err)
+		}
+	})
+}
