Log why an update stream has ended

Cause. watcher.Follow dropped the errors of opening and reading a stream, so that the log of an instance without updates didn't say why.

`update stream ended` with the holder and the error: at level info if the stream had brought updates, at level debug for an attempt that failed, as it is repeated soon. Nothing is logged if the instance itself ends the stream.

TestEndOfStreamIsLogged: there was no such line before.

--- a/internal/daemon/part_fleet.go
+++ b/internal/daemon/part_fleet.go
@@ -65,6 +65,7 @@
 			log.Warn("update stream timed out", zap.String("holder", holder))
 			b.peers.dialer.Renew()
 		},
+		Logger: log,
 	}).Follow
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -17,6 +19,8 @@
 	Watch func(ctx context.Context, instance string, request *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error)
 	// Silent is called when a stream times out.
 	Silent func(instance string)
+	// Logger is told why streams end; nil for none.
+	Logger *zap.Logger
 }
 
 // Watcher follows update streams. It is safe for concurrent use.
@@ -25,7 +29,12 @@
 }
 
 // New returns a watcher.
-func New(cfg Config) *Watcher { return &Watcher{cfg: cfg} }
+func New(cfg Config) *Watcher {
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	return &Watcher{cfg: cfg}
+}
 
 // Follow passes the updates of one stream to handle until the stream ends or
 // times out, or handle fails. It reports whether it received an update, and
@@ -51,6 +60,7 @@
 	stream, err := w.cfg.Watch(streamCtx, instance, request)
 	if err != nil {
 		disarm()
+		w.logEnd(ctx, instance, false, err)
 		return false, nil
 	}
 	defer stream.Close()
@@ -60,6 +70,7 @@
 		// must not count as silence of the instance.
 		inTime := disarm()
 		if err != nil || !inTime {
+			w.logEnd(ctx, instance, received, err)
 			return received, nil
 		}
 		received = true
@@ -69,3 +80,17 @@
 		timer.Reset(Silence)
 	}
 }
+
+// logEnd logs why a stream has ended, unless the caller has ended it. A failed attempt
+// is repeated soon, so that only the end of a stream that worked is of interest to
+// operators.
+func (w *Watcher) logEnd(ctx context.Context, instance string, received bool, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	level := zap.DebugLevel
+	if received {
+		level = zap.InfoLevel
+	}
+	w.cfg.Logger.Log(level, "update stream ended", zap.String("holder", instance), zap.Error(err))
+}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
@@ -96,3 +101,38 @@
 		}
 	})
 }
+
+// Nothing told why an instance went without updates.
+func TestEndOfStreamIsLogged(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		opened bool
+		level  zapcore.Level
+		want   string
+	}{
+		{"not opened", false, zap.DebugLevel, "refused"},
+		{"ended", true, zap.InfoLevel, io.EOF.Error()},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				core, logs := observer.New(zap.DebugLevel)
+				w := New(Config{
+					Watch: func(ctx context.Context, _ string, _ *wire.WatchRequest) (wire.DRPCFleet_WatchClient, error) {
+						if !test.opened {
+							return nil, errors.New(test.want)
+						}
+						return &stream{ctx: ctx}, nil
+					},
+					Logger: zap.New(core),
+				})
+				if _, err := w.Follow(t.Context(), "h", nil, func(*wire.Update) error { return nil }); err != nil {
+					t.Fatal(err)
+				}
+				lines := logs.FilterMessage("update stream ended").All()
+				if len(lines) != 1 || lines[0].Level != test.level || lines[0].ContextMap()["error"] != test.want || lines[0].ContextMap()["holder"] != "h" {
+					t.Errorf("got %v, want one line of level %s with error %s", lines, test.level, test.want)
+				}
+			})
+		})
+	}
+}
