Log options of connections that can't be set

Cause. listener.Accept ignored the errors of setting keep-alives and the timeout for unacknowledged data, on the assumption that the connection had been reset. On a system without an option nothing told why unreachable callers hold their requests.

The first error of a listener is logged; the connection is served as before.

TestOptionsFail: there was no such line before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -127,7 +127,7 @@
 	group.Go(func() { c.log.Run(serving) })
 	group.Go(func() { c.coordinator.Run(serving) })
 	group.Go(func() {
-		if err := server.Serve(serving, listener.New(listener.Config{Listener: l})); err != nil && serving.Err() == nil {
+		if err := server.Serve(serving, listener.New(listener.Config{Listener: l, Logger: c.cfg.Logger.Named("listener")})); err != nil && serving.Err() == nil {
 			c.cfg.Logger.Error("serving other instances failed", zap.Error(err))
 		}
 	})
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -86,7 +86,7 @@
 	})
 	var serving atomic.Pointer[listener.Listener]
 	hook := b.listener(address, nil, func(_ context.Context, l net.Listener) {
-		callers := listener.New(listener.Config{Listener: l})
+		callers := listener.New(listener.Config{Listener: l, Logger: b.logger.Named(part)})
 		server.ConnState = callers.ConnState
 		serving.Store(callers)
 		if err := server.Serve(callers); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -323,7 +323,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(fault.Unavailable, "listen on %s: %v", address, err)
 	}
-	return listener.New(listener.Config{Listener: l}), nil
+	return listener.New(listener.Config{Listener: l, Logger: e.cfg.Logger.Named("listener")}), nil
 }
 
 func (e *Entry) serve(s *http.Server, l net.Listener) {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -1,9 +1,13 @@
 package listener
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -28,12 +32,20 @@
 	// Stall is the time within which a write must make progress; 0 selects the
 	// default.
 	Stall time.Duration
+	// Logger is told if options of connections can't be set; nil for none.
+	Logger *zap.Logger
+	// SetOptions sets the options of a connection; nil selects those that detect
+	// an unreachable peer.
+	SetOptions func(*net.TCPConn) error
 }
 
 // Listener is a net.Listener for client connections.
 type Listener struct {
 	net.Listener
 	writeTimeout time.Duration
+	logger       *zap.Logger
+	setOptions   func(*net.TCPConn) error
+	warned       atomic.Bool // of options that can't be set
 
 	mu    sync.Mutex
 	conns map[*conn]struct{} // open connections
@@ -44,7 +56,13 @@
 	if cfg.Stall == 0 {
 		cfg.Stall = defaultWriteTimeout
 	}
-	return &Listener{Listener: cfg.Listener, writeTimeout: cfg.Stall, conns: map[*conn]struct{}{}}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	if cfg.SetOptions == nil {
+		cfg.SetOptions = setOptions
+	}
+	return &Listener{Listener: cfg.Listener, writeTimeout: cfg.Stall, logger: cfg.Logger, setOptions: cfg.SetOptions, conns: map[*conn]struct{}{}}
 }
 
 // Accept returns the next connection. Its writes time out when the client is
@@ -54,11 +72,13 @@
 	if err != nil {
 		return nil, err
 	}
-	// If the options can't be set, the connection has been reset, and the
-	// first read returns the error.
 	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetKeepAliveConfig(keepAlive)
-		_ = setUserTimeout(t)
+		// The connection works without them, but an unreachable peer may hold its
+		// request until other timeouts. One line is enough: a system that lacks an
+		// option lacks it for all connections.
+		if err := l.setOptions(t); err != nil && !l.warned.Swap(true) {
+			l.logger.Warn("setting options of a connection failed", zap.Stringer("peer", t.RemoteAddr()), zap.Error(err))
+		}
 	}
 	accepted := &conn{Conn: c, listener: l, writeTimeout: l.writeTimeout, idle: true, since: time.Now()}
 	l.mu.Lock()
@@ -67,6 +87,11 @@
 	return accepted, nil
 }
 
+// setOptions sets the options that detect an unreachable peer.
+func setOptions(c *net.TCPConn) error {
+	return errors.Join(c.SetKeepAliveConfig(keepAlive), setUserTimeout(c))
+}
+
 // forget removes a connection that has been closed.
 func (l *Listener) forget(c *conn) {
 	l.mu.Lock()
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -8,6 +8,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 const testWriteTimeout = 400 * time.Millisecond
@@ -84,3 +87,33 @@
 		t.Errorf("got %d bytes, error %v, want %d bytes", got, err, size)
 	}
 }
+
+// Options that can't be set were ignored, so that nothing told why unreachable callers
+// hold their requests. The connections must work all the same.
+func TestOptionsFail(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	l := New(Config{Listener: tcp, Logger: zap.New(core), SetOptions: func(*net.TCPConn) error { return errors.New("no such option") }})
+	defer l.Close()
+	for range 3 {
+		caller, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer caller.Close()
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := respond(c, 1); err != nil {
+			t.Error(err)
+		}
+	}
+	lines := logs.All()
+	if len(lines) != 1 || lines[0].ContextMap()["error"] != "no such option" {
+		t.Errorf("got lines %v, want one with the error", lines)
+	}
+}
