--- a/internal/listener/doc.go
+++ b/internal/listener/doc.go
@@ -1,3 +1,4 @@
-// Package listener accepts client connections and closes unresponsive ones:
-// the peer no longer acknowledges sent data, or reads nothing for a long time.
+// Package listener accepts client connections and drains them in a planned stop. It
+// closes a connection whose peer no longer acknowledges sent data, or reads nothing for
+// a long time.
 package listener
