Log requests that a planned stop aborts as cut

At the end of the grace period the server closes the connections of the requests left. Their handlers took that for callers that had left: outcome `left` at level info, also in the metrics, for requests that the instance itself had cut.

After the time of the abort such a request has the outcome `cut`.

TestAbortedRequestIsLoggedAsCut/aborted=true, before: got outcome left, want cut.

--- a/internal/forwarder/abort_test.go
+++ b/internal/forwarder/abort_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,3 +64,41 @@
 		})
 	}
 }
+
+// A request that the end of a planned stop aborts looked as if its caller had left.
+func TestAbortedRequestIsLoggedAsCut(t *testing.T) {
+	for _, aborted := range []bool{false, true} {
+		t.Run(fmt.Sprint("aborted=", aborted), func(t *testing.T) {
+			var abort atomic.Pointer[time.Time]
+			abort.Store(&time.Time{})
+			received, ended := make(chan struct{}), make(chan string, 1)
+			f := newFixtureWith(t, func(cfg *forwarder.Config) {
+				cfg.Abort = func() time.Time { return *abort.Load() }
+				cfg.Observe = func(r forwarder.Report) { ended <- r.Outcome }
+			}, func(_ int, w io.Writer, _ *http.Request) bool {
+				close(received)
+				_, _ = w.(net.Conn).Read(make([]byte, 1)) // until the forwarder cancels
+				return false
+			})
+			c, err := net.Dial("tcp", f.front.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_, _ = io.WriteString(c, "GET /again/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nX-Id: i\r\n\r\n")
+			<-received
+			want := "left"
+			if aborted {
+				now := time.Now()
+				abort.Store(&now)
+				want = "cut"
+				f.front.CloseClientConnections()
+			} else {
+				_ = c.Close()
+			}
+			if got := <-ended; got != want {
+				t.Errorf("got outcome %s, want %s", got, want)
+			}
+		})
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -229,6 +229,9 @@
 // finish logs and reports the outcome of the request.
 func (x *exchange) finish(outcome string, fields ...zap.Field) {
 	now := x.f.cfg.Now()
+	if abort := x.f.cfg.Abort(); outcome == "left" && !abort.IsZero() && !now.Before(abort) {
+		outcome = "cut" // this instance has closed the connection
+	}
 	report := Report{Route: x.route.Name, Outcome: outcome, Status: x.status, Duration: now.Sub(x.arrived), Attempts: x.sends}
 	if !x.firstByte.IsZero() {
 		report.FirstByte = x.firstByte.Sub(x.arrived)
