Test that what counts as spent covers each replaced incarnation

Cause: TestRandomNeverOverspends compared the sum of all spending with the budget. Change: it checks at each replacement that the incarnation has spent no more since its last report than what counts as spent, spends more often while it is isolated, and loses the power of all machines, after which boot clocks start from near values.

--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -1,6 +1,7 @@
 package allocator_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,6 +107,7 @@
 // process is an incarnation on a simulated machine.
 type process struct {
 	name      string
+	boot      string
 	sequence  uint64
 	limit     int64
 	softLimit int64
@@ -114,51 +116,72 @@
 	answered  int64
 }
 
-// With calls, lost replies, late requests, crashes and restarts in random
-// order, all processes together must never spend more than the budget.
+// With calls, lost replies, late requests, crashes, restarts and losses of power
+// in random order, all processes together must never spend more than the budget.
+// After a loss of power the boot clocks start from any value.
 func TestRandomNeverOverspends(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a := newAllocator()
 		machines := []string{"m", "n", "o"}
-		alive := map[string]*process{}
+		all, alive := map[string]*process{}, map[string]*process{}
+		reported := map[string]int64{} // use in the last request that was applied, by process
+		a := allocator.New(allocator.Config{
+			Budget: func(string) (int64, bool) { return total, true },
+			OnReplaced: func(name string, _ time.Duration, _ bool, lost map[string]int64) {
+				if got, want := all[name].used-reported[name], lost["shop"]; got > want {
+					t.Fatalf("%s spent %d since its last report, want at most the %d that count as spent", name, got, want)
+				}
+			},
+		})
+		apply := func(q *wire.Allotment) *wire.AllotmentResult {
+			r := a.Apply(q)
+			if !r.Stale {
+				reported[q.Instance] = q.Allowances[0].Used
+			}
+			return r
+		}
 		var delayed []*wire.Allotment
-		spent, clock, serial := int64(0), int64(1), 0
+		spent, clock, serial, boots := int64(0), int64(1), 0, 0
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
-			clock += rapid.Int64Range(0, time.Second.Nanoseconds()).Draw(t, "pause")
+			clock += rapid.SampledFrom([]int64{0, 1, 200, 1000, 2300}).Draw(t, "pause") * time.Millisecond.Nanoseconds()
 			m := rapid.SampledFrom(machines).Draw(t, "machine")
 			p := alive[m]
 			if p == nil {
 				serial++
-				p = &process{name: m + string(rune('A'+serial)), started: clock, answered: clock}
-				alive[m] = p
+				p = &process{name: fmt.Sprint(m, serial), boot: fmt.Sprint("b", boots), started: clock, answered: clock}
+				all[p.name], alive[m] = p, p
 			}
-			switch rapid.SampledFrom([]string{"spend", "spend", "call", "call", "lost", "late", "arrive", "die"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"spend", "spend", "call", "call", "lost", "late", "arrive", "die", "power"}).Draw(t, "step") {
 			case "spend":
 				limit := min(p.softLimit, p.limit)
 				if clock-p.answered > allocator.IsolationTimeout.Nanoseconds() {
 					limit = p.limit
 				}
-				if n := limit - p.used; n > 0 && rapid.Bool().Draw(t, "all") {
+				if n := limit - p.used; n > 0 {
+					n -= n / rapid.Int64Range(2, 5).Draw(t, "rest")
 					p.used += n
 					spent += n
 				}
 			case "call":
 				q := p.request(t, m)
-				r := a.Apply(q)
+				r := apply(q)
 				if !r.Stale {
 					p.limit, p.softLimit, p.answered = r.Limits[0].Limit, r.Limits[0].Lock, clock
 				}
 			case "lost":
-				a.Apply(p.request(t, m))
+				apply(p.request(t, m))
 			case "late":
 				delayed = append(delayed, p.request(t, m))
 			case "arrive":
 				if len(delayed) > 0 {
-					a.Apply(delayed[0])
+					apply(delayed[0])
 					delayed = delayed[1:]
 				}
 			case "die":
 				delete(alive, m)
+			case "power":
+				clear(alive)
+				boots++
+				clock = max(clock-rapid.SampledFrom([]int64{-1000, 0, 1500, 2500, 4000}).Draw(t, "clock")*time.Millisecond.Nanoseconds(), 1)
 			}
 			if spent > total {
 				t.Fatalf("spent: got %d, want at most %d", spent, total)
@@ -175,7 +198,7 @@
 	softLimit := p.used + rapid.Int64Range(0, 200).Draw(t, "lock")
 	p.softLimit = min(p.softLimit, softLimit)
 	q := allotment(p.name, p.sequence, &wire.Allowance{Limit: p.limit, Want: want, Need: want, Lock: softLimit, Used: p.used})
-	q.Tenure = &wire.Tenure{Machine: machine, Boot: "b", Started: p.started, Answered: p.answered}
+	q.Tenure = &wire.Tenure{Machine: machine, Boot: p.boot, Started: p.started, Answered: p.answered}
 	return q
 }
 
