Log budgets and free tokens beside what counts as lost

Cause: a line 'incarnation replaced' names the lost tokens of an account, but not how much of its budget that is, so that a 402 could be explained with a trace only.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -96,10 +96,17 @@
 	return c
 }
 
-// logReplaced logs what counts as spent by a replaced incarnation.
+// logReplaced logs what counts as spent by a replaced incarnation, by account,
+// beside the budget and what is free of it. The caller holds mu.
 func (c *Coordinator) logReplaced(instance string, pause time.Duration, confined bool, lost map[string]int64) {
+	budgets, free := map[string]int64{}, map[string]int64{}
+	for account := range lost {
+		budgets[account], _ = c.budget(account)
+		free[account] = c.budgets.Free(account)
+	}
 	c.cfg.Logger.Info("incarnation replaced", zap.String("instance", instance),
-		zap.Duration("pause", pause), zap.Bool("confined", confined), zap.Any("lost", lost))
+		zap.Duration("pause", pause), zap.Bool("confined", confined), zap.Any("lost", lost),
+		zap.Any("budgets", budgets), zap.Any("free", free))
 }
 
 // budget returns the budget of an account and whether it has one. The caller
