Go by the history of a pool while other routes change

It told nothing after any change of a route of the same host within 10 min, and configurations with further routes come every few seconds.

Change: the digest is that of the routes whose prefixes begin with that of the request's route, which are all that may have got its requests while it was there. A route that was missing has an entry of its own, since without it another one gets its requests.

Tests: two new cases of TestRouting (a shorter prefix, another prefix) and two of TestRoutings (removed and added again, added) failed with the digest of the host or without the entry; tests of the coordinator change the route in question now.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -95,11 +95,14 @@
 	return p.c.Trace(ctx, q)
 }
 
+// resumable is a route whose streams may be resumed.
+var resumable = route.Route{Name: "s", Host: "h", Prefix: "/s/", Kind: route.Stream, Resume: true, Timeout: time.Second, Split: []route.Share{{Pool: "p", Weight: 1}}}
+
 func rules(t *testing.T, version uint64, tokens int64) *ruleset.Ruleset {
 	t.Helper()
 	r, err := ruleset.New(ruleset.Config{
 		Version: version, Pools: []pool.Pool{{Name: "p"}},
-		Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.Single, Timeout: time.Second, Split: []route.Share{{Pool: "p", Weight: 1}}}},
+		Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.Single, Timeout: time.Second, Split: []route.Share{{Pool: "p", Weight: 1}}}, resumable},
 		Accounts: []prepaid.Prepaid{prepaid.Prepaid{Name: "shop", Keys: []string{"k"}}.WithTokens(tokens)},
 	})
 	if err != nil {
--- a/internal/coordinator/trace.go
+++ b/internal/coordinator/trace.go
@@ -30,7 +30,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.observeTargets()
-	if version, ok := c.tracer.Sole(q.Pool, q.Host, q.Routing, time.Duration(q.Window)*time.Millisecond); ok {
+	if version, ok := c.tracer.Sole(q.Pool, q.Route, q.Routing, time.Duration(q.Window)*time.Millisecond); ok {
 		reply.Found, reply.Pool, reply.Version = true, q.Pool, version
 	}
 	return reply, nil
--- a/internal/coordinator/trace_test.go
+++ b/internal/coordinator/trace_test.go
@@ -39,7 +39,7 @@
 // trace asks an instance for a stream that may have begun in the last minute.
 func trace(t *testing.T, c *coordinator.Coordinator, key uint64) *wire.TraceReply {
 	t.Helper()
-	r, err := c.Trace(t.Context(), &wire.TraceRequest{Attempt: key, Pool: "p", Host: "h", Routing: rules(t, 1, 1).Routing("h"), Window: 60000})
+	r, err := c.Trace(t.Context(), &wire.TraceRequest{Attempt: key, Pool: "p", Route: resumable.Base(), Routing: rules(t, 1, 1).Routing(resumable), Window: 60000})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -168,7 +168,7 @@
 			t.Fatalf("got %v and %v", sync, err)
 		}
 		entry.Inherit(sync.History)
-		if got, ok := entry.Sole("p", "h", rules(t, 1, 1).Routing("h"), time.Minute); got != version || ok != (version != "") {
+		if got, ok := entry.Sole("p", resumable.Base(), rules(t, 1, 1).Routing(resumable), time.Minute); got != version || ok != (version != "") {
 			t.Errorf("%s, entry instance that has just started: got %q and %v, want %q", when, got, ok, version)
 		}
 	}
@@ -202,7 +202,7 @@
 func TestRoutesChangedBack(t *testing.T) {
 	l := newLog()
 	a := l.coordinators["a"]
-	submitRoutes(t, l, 1, "/")
+	submitRoutes(t, l, 1, "/s/")
 	if err := a.Announce(t.Context(), &wire.Listing{Id: "t", Born: 1, Pool: "p", Address: "t", Version: "v1"}); err != nil {
 		t.Fatal(err)
 	}
@@ -219,13 +219,13 @@
 			entry.Inherit(r.History)
 		}
 		q.Roster, q.Version = r.Roster, r.Version
-		return entry.Sole("p", "h", rules(t, 1, 1).Routing("h"), time.Minute)
+		return entry.Sole("p", resumable.Base(), rules(t, 1, 1).Routing(resumable), time.Minute)
 	}
 	if version, ok := sync(); !ok || version != "v1" {
 		t.Errorf("first call: got %q and %v, want v1", version, ok)
 	}
 	submitRoutes(t, l, 2, "/other/")
-	submitRoutes(t, l, 3, "/")
+	submitRoutes(t, l, 3, "/s/")
 	if version, ok := sync(); ok {
 		t.Errorf("after the routes were changed and changed back: got %q, want none", version)
 	}
@@ -266,7 +266,7 @@
 func submitRoutes(t *testing.T, l *log, version uint64, prefix string) {
 	t.Helper()
 	cfg := rules(t, version, 100).Config()
-	cfg.Routes[0].Prefix = prefix
+	cfg.Routes[1].Prefix = prefix
 	r, err := ruleset.New(cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/origin.go
+++ b/internal/entry/origin.go
@@ -29,10 +29,11 @@
 	})
 }
 
-// routing returns the digest of the routes of a host, "" without a ruleset.
-func (e *Entry) routing(host string) string {
+// routing returns the digest of the routes that may get requests of a route, "" without
+// a ruleset.
+func (e *Entry) routing(of route.Route) string {
 	if r := e.rules.Load(); r != nil {
-		return r.Routing(host)
+		return r.Routing(of)
 	}
 	return ""
 }
@@ -64,6 +65,6 @@
 		return wire.NewDRPCSteeringClient(r.e.dialer.Conn(cores[0])).Trace(ctx, q)
 	}
 	reply := &wire.TraceReply{Fault: wire.NewFault(eris.Wrap(fault.Isolated, "the leader wasn't asked"))}
-	reply.Versions, _ = r.e.tracer.Versions(q.Pool, q.Host, q.Routing, time.Duration(q.Window)*time.Millisecond)
+	reply.Versions, _ = r.e.tracer.Versions(q.Pool, q.Route, q.Routing, time.Duration(q.Window)*time.Millisecond)
 	return reply, nil
 }
--- a/internal/entry/origin_test.go
+++ b/internal/entry/origin_test.go
@@ -55,7 +55,7 @@
 		t.Errorf("before the first reply: got %q and %v, want %v", version, err, fault.Unavailable)
 	}
 	history := &wire.History{
-		Covered: time.Hour.Milliseconds(), Versions: []*wire.Spell{{Name: "p", Value: "v1"}}, Routings: []*wire.Spell{{Name: "h", Value: r.Routing("h")}},
+		Covered: time.Hour.Milliseconds(), Versions: []*wire.Spell{{Name: "p", Value: "v1"}}, Routings: []*wire.Spell{{Name: r.Config().Routes[0].Base(), Value: r.Routing(r.Config().Routes[0])}},
 	}
 	e.applyReply(&wire.SyncRequest{}, &wire.SyncReply{Listed: true, History: history})
 	if version, err := find(); err != nil || version != "v1" {
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -53,8 +52,8 @@
 	CoresUnreachable func() bool
 	// Peer returns a client for the named instance.
 	Peer func(name string) wire.DRPCSteeringClient
-	// Routing returns the digest of the routes of a host.
-	Routing func(host string) string
+	// Routing returns the digest of the routes that may get requests of a route.
+	Routing func(r route.Route) string
 	// Observe, if not nil, is called with the source of each answer.
 	Observe func(source string)
 	Logger  *zap.Logger
@@ -81,9 +80,8 @@
 // most about a second.
 func (f *Finder) Find(ctx context.Context, account, attempt string, r route.Route, window time.Duration) (pool, version string, err error) {
 	started := time.Now()
-	host := strings.ToLower(r.Host) // as in the digests
 	reply, source := f.find(ctx, &wire.TraceRequest{
-		Attempt: tracer.Key(account, attempt), Pool: onlyPool(r), Host: host, Routing: f.cfg.Routing(host), Window: window.Milliseconds(),
+		Attempt: tracer.Key(account, attempt), Pool: onlyPool(r), Route: r.Base(), Routing: f.cfg.Routing(r), Window: window.Milliseconds(),
 	})
 	f.cfg.Observe(source)
 	f.cfg.Logger.Info("stream looked up", zap.String("account", account), zap.String("first", attempt), zap.String("source", source),
@@ -144,7 +142,7 @@
 	if q.Pool == "" {
 		return "", false
 	}
-	versions, complete := f.cfg.Tracer.Versions(q.Pool, q.Host, q.Routing, time.Duration(q.Window)*time.Millisecond)
+	versions, complete := f.cfg.Tracer.Versions(q.Pool, q.Route, q.Routing, time.Duration(q.Window)*time.Millisecond)
 	versions = append(versions, others...)
 	slices.Sort(versions)
 	if versions = slices.Compact(versions); !complete || len(versions) != 1 {
@@ -230,7 +228,7 @@
 	if neighbor {
 		r.neighbors++
 	}
-	q := &wire.TraceRequest{Attempt: r.q.Attempt, Pool: r.q.Pool, Host: r.q.Host, Routing: r.q.Routing, Window: r.q.Window, Relay: relay}
+	q := &wire.TraceRequest{Attempt: r.q.Attempt, Pool: r.q.Pool, Route: r.q.Route, Routing: r.q.Routing, Window: r.q.Window, Relay: relay}
 	go func() {
 		reply, err := r.f.cfg.Peer(name).Trace(ctx, q)
 		select {
--- a/internal/finder/finder_test.go
+++ b/internal/finder/finder_test.go
@@ -149,7 +149,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := &fleet{scripts: test.scripts}
 				tr := tracer.New(tracer.Config{Complete: true})
-				tr.ObserveRoutings(map[string]string{"h": "digest"})
+				tr.ObserveRoutings(map[string]string{"h/": "digest"})
 				for _, v := range test.copies {
 					tr.Observe(&wire.Listing{Pool: "p", Version: v})
 				}
@@ -160,7 +160,7 @@
 				find := finder.New(finder.Config{
 					Tracer: tr, Cores: func() []string { return []string{"a", "b"} }, Neighbors: func() []string { return []string{"e2", "e3"} },
 					CoresUnreachable: func() bool { return test.unreachable }, Peer: func(name string) wire.DRPCSteeringClient { return client{f, name} },
-					Routing: func(string) string { return "digest" }, Observe: func(s string) { sources = append(sources, s) },
+					Routing: func(route.Route) string { return "digest" }, Observe: func(s string) { sources = append(sources, s) },
 				})
 				started := time.Now()
 				pool, version, err := find.Find(t.Context(), "shop", "1", singlePool(), oneMinute)
@@ -186,7 +186,7 @@
 }
 
 func singlePool() route.Route {
-	return route.Route{Host: "H", Split: []route.Share{{Pool: "p", Weight: 1}, {Pool: "q", Weight: 0}}}
+	return route.Route{Host: "H", Prefix: "/", Split: []route.Share{{Pool: "p", Weight: 1}, {Pool: "q", Weight: 0}}}
 }
 
 // A stream of a route with several pools may have begun in each of them, so that the
@@ -194,12 +194,12 @@
 func TestSplitRoute(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := tracer.New(tracer.Config{Complete: true})
-		tr.ObserveRoutings(map[string]string{"h": "digest"})
+		tr.ObserveRoutings(map[string]string{"h/": "digest"})
 		tr.Observe(&wire.Listing{Pool: "p", Version: "v1"})
 		tr.Observe(&wire.Listing{Pool: "q", Version: "v1"})
 		find := finder.New(finder.Config{
 			Tracer: tr, Cores: func() []string { return nil }, Neighbors: func() []string { return nil },
-			CoresUnreachable: func() bool { return true }, Routing: func(string) string { return "digest" },
+			CoresUnreachable: func() bool { return true }, Routing: func(route.Route) string { return "digest" },
 		})
 		r := singlePool().WithSplit(route.Share{Pool: "p", Weight: 9}, route.Share{Pool: "q", Weight: 1})
 		if pool, version, err := find.Find(t.Context(), "shop", "1", r, oneMinute); !errors.Is(err, fault.Unavailable) {
@@ -215,7 +215,7 @@
 		find := finder.New(finder.Config{
 			Tracer: tracer.New(tracer.Config{}), Cores: func() []string { return []string{"a"} }, Neighbors: func() []string { return nil },
 			CoresUnreachable: func() bool { return false }, Peer: func(name string) wire.DRPCSteeringClient { return client{f, name} },
-			Routing: func(string) string { return "digest" },
+			Routing: func(route.Route) string { return "digest" },
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancel()
--- a/internal/ruleset/ruleset.go
+++ b/internal/ruleset/ruleset.go
@@ -170,15 +170,18 @@
 	return route.Route{}, false
 }
 
-// Routing returns a digest of the prefixes of a host and of the pools that each of
-// them leads to, or "" for an unknown host. A weight counts only as 0 or not.
-func (r *Ruleset) Routing(host string) string {
-	routes := r.byHost[strings.ToLower(host)]
-	if len(routes) == 0 {
-		return ""
-	}
+// Routing returns a digest of the routes of the same host whose prefixes begin with
+// that of a route, and of the pools that each of them leads to, or "" for an unknown
+// route. These are the routes that may get its requests if it changes, and without it
+// the digest is another one. A weight counts only as 0 or not.
+func (r *Ruleset) Routing(of route.Route) string {
 	h := sha256.New()
-	for _, t := range routes {
+	known := false
+	for _, t := range r.byHost[strings.ToLower(of.Host)] {
+		if !strings.HasPrefix(t.Prefix, of.Prefix) {
+			continue
+		}
+		known = known || t.Prefix == of.Prefix
 		var pools []string
 		for _, s := range t.Split {
 			if s.Weight > 0 {
@@ -188,14 +191,19 @@
 		slices.Sort(pools)
 		_, _ = fmt.Fprintf(h, "%q %q\n", t.Prefix, slices.Compact(pools)) // never returns an error
 	}
+	if !known {
+		return ""
+	}
 	return hex.EncodeToString(h.Sum(nil)[:8])
 }
 
-// Routings returns the digest of each host, by its name in lower case.
+// Routings returns the digest of each route whose streams may be resumed, by its base.
 func (r *Ruleset) Routings() map[string]string {
-	digests := make(map[string]string, len(r.byHost))
-	for host := range r.byHost {
-		digests[host] = r.Routing(host)
+	digests := map[string]string{}
+	for _, t := range r.cfg.Routes {
+		if t.Kind == route.Stream && t.Resume {
+			digests[t.Base()] = r.Routing(t)
+		}
 	}
 	return digests
 }
--- a/internal/ruleset/ruleset_test.go
+++ b/internal/ruleset/ruleset_test.go
@@ -40,7 +40,14 @@
 	}
 }
 
-// The digest of a host must change whenever its requests may go to other pools, and
+// streamAt returns a route whose streams may be resumed.
+func streamAt(name, host, prefix string) route.Route {
+	r := routeAt(name, host, prefix)
+	r.Kind, r.Resume = route.Stream, true
+	return r
+}
+
+// The digest of a route must change whenever its requests may go to other pools, and
 // with nothing else: a look-up of the software version of a stream relies on it.
 func TestRouting(t *testing.T) {
 	digest := func(routes ...route.Route) string {
@@ -49,21 +56,24 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got, want := r.Routings()["h"], r.Routing("H"); got != want {
+		of := streamAt("r", "H", "/a/")
+		if got, want := r.Routings()["h/a/"], r.Routing(of); got != want {
 			t.Errorf("got digest %s among all, want %s", got, want)
 		}
-		return r.Routing("h")
+		return r.Routing(of)
 	}
 	p, q := route.Share{Pool: "p", Weight: 1}, route.Share{Pool: "q", Weight: 1}
-	base := routeAt("r", "h", "/a/").WithSplit(p, q)
+	base := streamAt("r", "h", "/a/").WithSplit(p, q)
 	want := digest(base)
 	for name, same := range map[string][]route.Route{
-		"other weights":     {base.WithSplit(route.Share{Pool: "p", Weight: 7}, q)},
-		"other order":       {base.WithSplit(q, p)},
-		"twice the pool":    {base.WithSplit(p, q, p)},
-		"other timeout":     {base.WithTimeout(time.Hour)},
-		"other name":        {routeAt("s", "H", "/a/").WithSplit(p, q)},
-		"another host, too": {base, routeAt("s", "i", "/")},
+		"other weights":       {base.WithSplit(route.Share{Pool: "p", Weight: 7}, q)},
+		"other order":         {base.WithSplit(q, p)},
+		"twice the pool":      {base.WithSplit(p, q, p)},
+		"other timeout":       {base.WithTimeout(time.Hour)},
+		"other name":          {streamAt("s", "H", "/a/").WithSplit(p, q)},
+		"shorter prefix, too": {base, routeAt("s", "h", "/")},
+		"another prefix, too": {base, routeAt("s", "h", "/b/")},
+		"another host, too":   {base, routeAt("s", "i", "/")},
 	} {
 		if got := digest(same...); got != want {
 			t.Errorf("%s: got another digest, want the same", name)
@@ -72,10 +82,11 @@
 	for name, other := range map[string][]route.Route{
 		"one pool":            {base.WithSplit(p)},
 		"a pool of weight 0":  {base.WithSplit(p, route.Share{Pool: "q"})},
-		"other prefix":        {routeAt("r", "h", "/b/").WithSplit(p, q)},
+		"other prefix":        {streamAt("r", "h", "/b/").WithSplit(p, q)},
+		"shorter prefix":      {streamAt("r", "h", "/").WithSplit(p, q)},
 		"longer prefix, too":  {base, routeAt("s", "h", "/a/b/")},
 		"no route":            nil,
-		"prefix and pool mix": {routeAt("r", "h", "/a/").WithSplit(q)},
+		"prefix and pool mix": {streamAt("r", "h", "/a/").WithSplit(q)},
 	} {
 		if got := digest(other...); got == want {
 			t.Errorf("%s: got the same digest, want another", name)
--- a/internal/tracer/history.go
+++ b/internal/tracer/history.go
@@ -23,7 +23,7 @@
 	known    bool
 	covered  time.Time // it is complete from here on; zero: from the start of the fleet
 	versions spells    // software versions of the listed targets, by pool
-	routings spells    // digests of the routes, by host
+	routings spells    // digests of routes, by host and prefix; "" without the route
 }
 
 // spells holds until when each value of a name was in force; the zero time means that
@@ -56,15 +56,26 @@
 	t.history.versions.replace(listed, t.cfg.Now())
 }
 
-// ObserveRoutings notes the digests of the routes in force, by host.
+// ObserveRoutings notes the digests of the routes in force, by host and prefix.
 func (t *Tracer) ObserveRoutings(digests map[string]string) {
-	inForce := map[spell]bool{}
-	for host, digest := range digests {
-		inForce[spell{host, digest}] = true
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.history.routings.replace(inForce, t.cfg.Now())
+	now, s := t.cfg.Now(), t.history.routings
+	inForce, isFirst := map[spell]bool{}, len(s) == 0
+	known := map[string]bool{}
+	for p := range s {
+		known[p.name] = true
+		if _, ok := digests[p.name]; !ok && p.value != "" {
+			inForce[spell{p.name, ""}] = true // the route is missing
+		}
+	}
+	for name, digest := range digests {
+		inForce[spell{name, digest}] = true
+		if !known[name] && !isFirst {
+			s[spell{name, ""}] = now // the route was missing
+		}
+	}
+	s.replace(inForce, now)
 }
 
 // History returns the history for other instances.
@@ -83,23 +94,23 @@
 }
 
 // Versions returns the versions of the targets of a pool that were listed in a window
-// of time before now. It returns false if these may not be all, or if the routes of the
-// host had another digest in the window, so that other pools may have got its requests.
-func (t *Tracer) Versions(pool, host, routing string, window time.Duration) (versions []string, complete bool) {
+// of time before now. It returns false if these may not be all, or if the route had
+// another digest in the window, so that other pools may have got its requests.
+func (t *Tracer) Versions(pool, route, routing string, window time.Duration) (versions []string, complete bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, h := t.cfg.Now(), &t.history
 	window = max(window, minWindow)
 	versions = h.versions.since(pool, now, window)
-	routings := h.routings.since(host, now, window)
+	routings := h.routings.since(route, now, window)
 	return versions, h.known && window <= historyMemory && now.Sub(h.covered) >= window && slices.Equal(routings, []string{routing})
 }
 
 // Sole returns the version of all targets of a pool that were listed in a window of
-// time before now, if there is just one, and if the routes of the host had the same
-// digest for as long. It began all streams of the pool that began in the window.
-func (t *Tracer) Sole(pool, host, routing string, window time.Duration) (version string, ok bool) {
-	versions, complete := t.Versions(pool, host, routing, window)
+// time before now, if there is just one, and if the route had the same digest
+// for as long. It began all streams of the pool that began in the window.
+func (t *Tracer) Sole(pool, route, routing string, window time.Duration) (version string, ok bool) {
+	versions, complete := t.Versions(pool, route, routing, window)
 	if !complete || len(versions) != 1 {
 		return "", false
 	}
--- a/internal/tracer/history_test.go
+++ b/internal/tracer/history_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// If the routes of a host led to another pool in the window, its streams may have begun
+// If a route led to another pool in the window, its streams may have begun
 // there.
 func TestRoutings(t *testing.T) {
 	c := newClock()
@@ -101,6 +101,17 @@
 	tr.ObserveRoutings(routing("r2"))
 	tr.ObserveRoutings(routing("r1"))
 	wantSole(t, "changed and changed back", tr, "", false)
+	c.advance(21 * time.Minute)
+	wantSole(t, "21 min after that", tr, "v1", true)
+	tr.ObserveRoutings(nil)
+	tr.ObserveRoutings(routing("r1"))
+	wantSole(t, "removed and added again", tr, "", false)
+	c.advance(21 * time.Minute)
+	wantSole(t, "21 min after that", tr, "v1", true)
+	tr.ObserveRoutings(map[string]string{"h": "r1", "i": "r1"})
+	if version, ok := tr.Sole("p", "i", "r1", 20*time.Minute); ok {
+		t.Errorf("a route that was added: got %q, want none: another one may have got its requests", version)
+	}
 }
 
 // An entry instance that has just started knows what the leader knows. After a gap in
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -60,6 +60,9 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resume
 }
 
+// Base returns the host, in lower case, and the prefix of the route.
+func (r Route) Base() string { return strings.ToLower(r.Host) + r.Prefix }
+
 // Uses reports whether the route sends requests to a pool.
 func (r Route) Uses(pool string) bool {
 	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Pool == pool && s.Weight > 0 })
