Take a lifetime for the version that it names last

Cause: an announcement of a listed lifetime that differs in nothing but its software version was taken for a repetition, so that streams went on being bound to the version that the lifetime had named first. One without a version, together with a change of the address or capacity, took the version away. Change: another version is a change, also while the lifetime is leaving; an announcement that names none leaves it as it is. TestVersionChanges failed before: 'another version: got version "v1", want "v2"', 'no version at another address: got version "", want "v1"', and the same while leaving.

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -41,7 +41,7 @@
 	if old.Gone || l.Sequence < old.Sequence && !l.Gone {
 		return false
 	}
-	return l.Gone || l.Leaving && !old.Leaving ||
+	return l.Gone || l.Leaving && !old.Leaving || l.Version != "" && l.Version != old.Version ||
 		!old.Leaving && !l.Leaving && (old.Address != l.Address || old.Pool != l.Pool || old.Capacity != l.Capacity || old.Zone != l.Zone)
 }
 
@@ -82,7 +82,10 @@
 		}
 	}
 	next := proto.CloneOf(l)
-	next.Leaving = next.Leaving || old != nil && old.Born == l.Born && old.Leaving
+	if old != nil && old.Born == l.Born {
+		next.Leaving = next.Leaving || old.Leaving
+		next.Version = cmp.Or(next.Version, old.Version)
+	}
 	e.targets[l.Id] = next
 }
 
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -60,6 +60,39 @@
 	}
 }
 
+// Streams go on only at the version that began them, so that a lifetime that names
+// another version must be listed with it, also while it is leaving. One that names none
+// must not lose its version.
+func TestVersionChanges(t *testing.T) {
+	named := func(l *wire.Listing, version string) *wire.Listing {
+		l.Version = version
+		return l
+	}
+	for _, test := range []struct {
+		name string
+		list []*wire.Listing
+		want string
+	}{
+		{"another version", []*wire.Listing{named(ready("a", 1, 1, "x"), "v1"), named(ready("a", 1, 2, "x"), "v2")}, "v2"},
+		{"late announcement", []*wire.Listing{named(ready("a", 1, 2, "x"), "v2"), named(ready("a", 1, 1, "x"), "v1")}, "v2"},
+		{"no version", []*wire.Listing{named(ready("a", 1, 1, "x"), "v1"), ready("a", 1, 2, "x")}, "v1"},
+		{"no version at another address", []*wire.Listing{named(ready("a", 1, 1, "x"), "v1"), ready("a", 1, 2, "y")}, "v1"},
+		{"no version in the next lifetime", []*wire.Listing{named(ready("a", 1, 1, "x"), "v1"), ready("a", 2, 1, "x")}, ""},
+		{"while leaving", []*wire.Listing{named(leaving(1), "v1"), named(leaving(2), "v2")}, "v2"},
+	} {
+		e := enroller.New()
+		for _, l := range test.list {
+			e.Apply(l)
+		}
+		if got := e.List()[0].Version; got != test.want {
+			t.Errorf("%s: got version %q, want %q", test.name, got, test.want)
+		}
+		if l := e.List()[0]; l.Leaving != test.list[0].Leaving {
+			t.Errorf("%s: got leaving %v, want %v", test.name, l.Leaving, test.list[0].Leaving)
+		}
+	}
+}
+
 // An announcement that changes nothing must not cause a commit, and a restored
 // registry must behave like the saved one.
 func TestSnapshot(t *testing.T) {
