Tell watchers that a target has moved to another zone

Cause: the comparison of two announcements left the zone out, so that watchers of the new zone weren't told of a target that announced itself from there. TestZoneChanges failed before: "watchers weren't told of the change", 'got changes "", want "e:ready "'. Found by reading; no run has shown it.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -272,7 +272,7 @@
 	if len(b.Events) > 0 {
 		return false
 	}
-	return a.State == b.State && a.Incarnation == b.Incarnation && a.Address == b.Address &&
+	return a.State == b.State && a.Incarnation == b.Incarnation && a.Address == b.Address && a.Zone == b.Zone &&
 		a.Running == b.Running && a.Waiting == b.Waiting && a.Slots == b.Slots && a.Role == b.Role &&
 		slices.Equal(a.Models, b.Models) && slices.Equal(a.Services, b.Services)
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -50,6 +50,24 @@
 	}
 }
 
+// Watchers of a zone must learn that a target announces itself from there now, or it
+// stays unknown in its zone.
+func TestZoneChanges(t *testing.T) {
+	r := New(Config{})
+	r.Announce(newTarget("e", "a", Ready, 1))
+	_, seq, changed := r.ChangesSince("b", 0)
+	r.Announce(newTarget("e", "b", Ready, 1))
+	select {
+	case <-changed:
+	default:
+		t.Error("watchers weren't told of the change")
+	}
+	targets, _, _ := r.ChangesSince("b", seq)
+	if got, want := describe(targets), "e:ready "; got != want {
+		t.Errorf("got changes %q, want %q", got, want)
+	}
+}
+
 // Watchers must learn that a target stopped announcing itself, or the zone keeps
 // sending requests to it.
 func TestExpiry(t *testing.T) {
