Call no instance without a name

Cause: while another entry instance relays and the leader isn't known, the list of instances to call held an empty name. A client was made for it, and its error replaced that of a real instance in the log. TestNamedCalls failed before: "got 1 calls to an instance without a name, want none". Found by reading; no run has shown it.

--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -332,7 +332,10 @@
 		}
 	}
 	if s.relay != "" && time.Now().Before(s.relayUntil) {
-		return s.relay, append(others, s.leader)
+		if s.leader != "" {
+			others = append(others, s.leader)
+		}
+		return s.relay, others
 	}
 	return s.leader, others
 }
--- a/internal/synchronizer/synchronizer_test.go
+++ b/internal/synchronizer/synchronizer_test.go
@@ -132,6 +132,34 @@
 	})
 }
 
+// While another entry instance relays and the leader isn't known, no call may go to an
+// instance without a name: it would be the last error, in place of that of an instance.
+func TestNamedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{answers: map[string]func(*wire.SyncRequest) *wire.SyncReply{}}
+		n.set("b", followerReply("a"))
+		n.set("a", leaderReply)
+		s := newSynchronizer(n)
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		time.Sleep(time.Second)
+		unnamed := 0
+		n.set("", func(*wire.SyncRequest) *wire.SyncReply { unnamed++; return followerReply("")(nil) })
+		n.set("a", nil)
+		n.set("b", nil)
+		n.set("e3", func(q *wire.SyncRequest) *wire.SyncReply {
+			n.set("e3", nil) // before the call to the leader has failed
+			return leaderReply(q)
+		})
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		if unnamed > 0 {
+			t.Errorf("got %d calls to an instance without a name, want none", unnamed)
+		}
+	})
+}
+
 // An instance that is out of contact itself must not relay a call, or calls
 // would loop.
 func TestRelay(t *testing.T) {
