Name a silent core instance once in an error

Cause: the error of a call that timed out was wrapped with the name of the instance twice. TestErrorNamesInstance failed before: 'got the name 2 times in "b: b: context deadline exceeded: no target or ledger is ready: ..."'.

--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -281,15 +281,15 @@
 	reply, err := s.cfg.Peer(name).Sync(ctx, q)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ctx.Err() != nil && err != nil {
-		err = eris.Wrapf(fault.Unavailable, "%s: %v", name, ctx.Err())
-	}
 	if err == nil && len(reply.Cores) > 0 {
 		s.cores = reply.Cores
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		err = reply.Fault.Err()
-	} else {
+	case ctx.Err() != nil:
+		err = eris.Wrapf(fault.Unavailable, "%s: %v", name, ctx.Err())
+	default:
 		err = eris.Wrapf(fault.Unavailable, "%s: %v", name, err)
 	}
 	if err != nil && s.leader == name {
--- a/internal/synchronizer/synchronizer_test.go
+++ b/internal/synchronizer/synchronizer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -160,6 +161,21 @@
 	})
 }
 
+// The error of an instance that doesn't answer must name it once, or its reason is hard
+// to read.
+func TestErrorNamesInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSynchronizer(&network{})
+		err := s.Close(t.Context(), nil)
+		if err == nil {
+			t.Fatal("got no error")
+		}
+		if got, want := strings.Count(err.Error(), "b: "), 1; got != want {
+			t.Errorf("got the name %d times in %q, want %d", got, err, want)
+		}
+	})
+}
+
 // An instance that is out of contact itself must not relay a call, or calls
 // would loop.
 func TestRelay(t *testing.T) {
