Check the rate and the time of the control measurement

Change: both are checked before anything is measured. TestControlArguments failed before: run went on to measure and ended in a panic instead of an error (in the test that of a list of operators without entries, which the command line excludes). Found by reading.

--- a/cmd/papayameasure/control.go
+++ b/cmd/papayameasure/control.go
@@ -19,6 +19,9 @@
 	"github.com/papayapond/papayapond/pkg/printer"
 )
 
+// maxRate is the highest rate of changes, in changes per second.
+const maxRate = 10_000
+
 type controlArguments struct {
 	File      string        `arg:"positional" default:"docs/capacity.toml" help:"sizes and limits (TOML)"`
 	Processes []string      `arg:"--process,separate,required" help:"NAME=PID of an instance; may be repeated"`
@@ -41,6 +44,9 @@
 }
 
 func (args *controlArguments) run() error {
+	if err := args.check(); err != nil {
+		return err
+	}
 	text, err := os.ReadFile(args.File)
 	if err != nil {
 		return eris.Wrapf(fault.Malformed, "%v", err)
@@ -73,6 +79,17 @@
 	return nil
 }
 
+// check returns an error that wraps fault.Malformed if rate or time are out of range.
+func (args *controlArguments) check() error {
+	switch {
+	case !(args.Rate > 0 && args.Rate <= maxRate):
+		return eris.Wrapf(fault.Malformed, "--rate: got %v, expected more than 0 and at most %v", args.Rate, maxRate)
+	case args.Time <= 0:
+		return eris.Wrapf(fault.Malformed, "--time: got %v, expected more than 0", args.Time)
+	}
+	return nil
+}
+
 func (args *controlArguments) processes() ([]process, error) {
 	var list []process
 	for _, p := range args.Processes {
