Forget lenders that are asked again

Cause: the time until which an instance that didn't answer isn't asked stayed in memory for good, an entry for each address that was ever unreachable.

--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -197,8 +197,10 @@
 // markUnreachable excludes an instance from loans for avoidDuration and logs
 // the error.
 func (l *Lender) markUnreachable(address, message string, err error) {
+	now := l.cfg.Now()
 	l.mu.Lock()
-	l.avoid[address] = l.cfg.Now().Add(avoidDuration)
+	maps.DeleteFunc(l.avoid, func(_ string, until time.Time) bool { return now.After(until) })
+	l.avoid[address] = now.Add(avoidDuration)
 	l.mu.Unlock()
 	l.cfg.Logger.Info(message, zap.String("address", address), zap.Error(err))
 }
