Send blocked contents again that couldn't be sent

Cause: after an announcement that no holder took, its blocked contents were merged into the table that holds them already, which marked nothing as unsent. They were never sent, and a content that crashed two targets seen by two instances could go on. TestRestore, with Merge in place of Restore as the subscriber called it, failed before: "got 1 entries to send, want 2". Found by reading; no run has shown it. That Merge marks entries received from others as unsent stays: an instance sends them on to a holder that takes over from one that has died with them.

--- a/internal/blocker/blocker.go
+++ b/internal/blocker/blocker.go
@@ -160,3 +160,15 @@
 		delete(b.versions, first)
 	}
 }
+
+// Restore makes the next TakeChanges return entries again that couldn't be sent.
+func (b *Blocker) Restore(poisons []*wire.Poison) {
+	b.Merge(poisons)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range poisons {
+		if b.entries[string(p.Digest)] != nil {
+			b.unsent[string(p.Digest)] = true
+		}
+	}
+}
--- a/internal/blocker/blocker_test.go
+++ b/internal/blocker/blocker_test.go
@@ -48,3 +48,16 @@
 		t.Errorf("second TakeChanges: got %d entries, want %d", got, want)
 	}
 }
+
+// Changes that couldn't be sent must be sent with the next message, or a content that
+// crashes targets is counted at one instance only.
+func TestRestore(t *testing.T) {
+	b := New(Config{})
+	b.RecordCrash([]byte("bad"), "e1/1")
+	lost := b.TakeChanges()
+	b.RecordCrash([]byte("worse"), "e1/1")
+	b.Restore(lost)
+	if got, want := len(b.TakeChanges()), 2; got != want {
+		t.Errorf("got %d entries to send, want %d", got, want)
+	}
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -161,7 +161,7 @@
 			return nil
 		}
 	}
-	s.cfg.Blocker.Merge(request.Poisons)
+	s.cfg.Blocker.Restore(request.Poisons)
 	return eris.Wrapf(err, "announce target %s", t.GetName())
 }
 
