Log that a target has expired once it is committed

Cause: the line was written before the commit, and again with each try, so that the log named targets as expired that went on getting requests. TestExpiryLogged failed before: "commits fail with leadership lost: got 3 lines, want 0".

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -157,10 +157,11 @@
 	}
 	c.mu.Unlock()
 	for _, l := range silent {
-		c.cfg.Logger.Info("target expired", zap.String("target", l.Id), zap.Duration("silence", c.cfg.TargetTimeout))
 		if _, err := c.commit(ctx, &wire.Directive{Change: &wire.Directive_Enlist{Enlist: l}}); err != nil {
 			c.cfg.Logger.Warn("removing expired target failed", zap.String("target", l.Id), zap.Error(err))
+			continue
 		}
+		c.cfg.Logger.Info("target expired", zap.String("target", l.Id), zap.Duration("silence", c.cfg.TargetTimeout))
 	}
 }
 
