Close the venture only after all accounts are verified

Cause: the statement was set, and the tokens of accounts were moved to the refunded ones, before the invariants of the later accounts were verified. Change: all accounts are verified before anything changes. Moving unassigned tokens to the refunded ones doesn't change their sum. Found by reading; no run has shown it.

--- a/internal/controller/closing.go
+++ b/internal/controller/closing.go
@@ -39,15 +39,15 @@
 	if problems := s.reconcile(m.Balances); len(problems) > 0 {
 		return nil, eris.Wrapf(fault.Conflict, "balances don't reconcile: %s", strings.Join(problems, "; "))
 	}
-	s.statement = &wire.Statement{Time: s.time}
 	for _, b := range m.Balances {
-		p := s.pools[b.Account]
-		p.refunded += p.unassigned
-		p.unassigned = 0
-		if err := s.verify(b.Account, p, m); err != nil {
+		if err := s.verify(b.Account, s.pools[b.Account], m); err != nil {
 			return nil, err
 		}
-		s.statement.Balances = append(s.statement.Balances, b)
+	}
+	s.statement = &wire.Statement{Time: s.time, Balances: slices.Clone(m.Balances)}
+	for _, b := range m.Balances {
+		p := s.pools[b.Account]
+		p.unassigned, p.refunded = 0, p.refunded+p.unassigned
 	}
 	slices.SortFunc(s.statement.Balances, func(x, y *wire.Balance) int { return strings.Compare(x.Account, y.Account) })
 	s.phase = Closed
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -227,6 +227,27 @@
 	}
 }
 
+// A close that fails because an account violates its invariants must change nothing
+// else: a snapshot with a statement of a venture that isn't closed can't be restored,
+// and tokens of other accounts would count as refunded.
+func TestCloseStopsAccount(t *testing.T) {
+	h := newHarness(t)
+	h.must(configure(document(1, 0, account.New("mill", 1200), account.New("bakery", 7))))
+	h.must(dissolve())
+	h.state.pools["mill"].refunded = 5
+	bakery := &wire.Balance{Account: "bakery", Prepaid: 7, Refundable: 7}
+	mill := &wire.Balance{Account: "mill", Prepaid: 1200, Refundable: 1200}
+	if got, want := h.do(closeCommand(bakery, mill), nil), fault.Broken.Code(); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got, want := h.state.pools["bakery"].refunded, int64(0); got != want {
+		t.Errorf("bakery: got %d tokens refunded, want %d", got, want)
+	}
+	if err := h.Restore(h.Snapshot()); err != nil || !h.state.pools["mill"].stopped {
+		t.Errorf("after a restore: got error %v, want a stopped account", err)
+	}
+}
+
 // Closing the venture while a zone holds unbilled tokens would leave them owed.
 // Closing it again with a different statement would refund tokens twice.
 func TestClose(t *testing.T) {
