Give a blocked part a trial if another one explains the crashes

Cause: a request with ab2 and the deadly part crashed engine-9-v4 and engine-10-v4; 70 ms later engine-11, which a release replaced, ended in the middle of a stream with ab2, after one event. The new instances knew no answers yet that clear ab2, so it had three crashes and was blocked. All three engines had begun to answer, which counted as certain: no trial, no answer, no clearance. Change: a block isn't certain if another key was there at all crashes but one. It gets the one trial that other uncertain blocks get, 10 s after the last crash. A deadly part can cost one more target by it. TestTrialBesideDeadlyPart failed before: "refused for [shop] after 10s, want one try". That the end of a leaving target counts as a crash is a matter of its own.

--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -210,6 +210,29 @@
 	}
 }
 
+// A harmless part must get its try though targets had begun to answer at each crash, if
+// another part was there at most of them: it was beside a deadly one twice, and its third
+// request was on a connection that broke for another reason.
+func TestTrialBesideDeadlyPart(t *testing.T) {
+	c := newClock()
+	d := c.detector()
+	play(t, c, d, "began t1 shop d #1", "began t2 shop d #1", "began t3 shop #3")
+	if d.Blocked(content("shop #4")) == nil {
+		t.Error("passed right after the crashes, want it refused")
+	}
+	c.pass(trialDelay)
+	if got := d.Blocked(content("shop #5")); got != nil {
+		t.Errorf("refused for %v after %v, want one try", got, trialDelay)
+	}
+	play(t, c, d, "answer shop #5", "began t4 x d #6")
+	if got := d.Blocked(content("shop #7")); got != nil {
+		t.Errorf("refused for %v after the trial was answered, want it passed", got)
+	}
+	if d.Blocked(content("shop d #8")) == nil {
+		t.Error("the deadly part passed, want it refused")
+	}
+}
+
 // New blocks must be told once, so that waiting requests can be stopped.
 func TestOnBlock(t *testing.T) {
 	c := newClock()
--- a/internal/detector/evaluate.go
+++ b/internal/detector/evaluate.go
@@ -68,6 +68,26 @@
 	return slices.MaxFunc(a.crashes, func(a, b *crash) int { return a.at.Compare(b.at) }).at
 }
 
+// hasRival reports whether another key explains all crashes but one. The key may then
+// have been beside a deadly one, and on one connection that broke for another reason.
+func (a *accusation) hasRival(accused map[string]*accusation) bool {
+	for key, o := range accused {
+		if slices.Contains(a.common, key) {
+			continue
+		}
+		shared := 0
+		for _, c := range a.crashes {
+			if slices.ContainsFunc(o.crashes, func(d *crash) bool { return d.target == c.target }) {
+				shared++
+			}
+		}
+		if shared >= len(a.crashes)-1 {
+			return true
+		}
+	}
+	return false
+}
+
 // nextBlock returns a block for the key that explains most crashes, or nil if none
 // reaches the limit. The caller holds mu.
 func (d *Detector) nextBlock(lifetimes map[string][]*crash, now time.Time) *block {
@@ -85,7 +105,7 @@
 	if best == nil {
 		return nil
 	}
-	certain := !slices.ContainsFunc(best.crashes, func(c *crash) bool { return !c.started })
+	certain := !slices.ContainsFunc(best.crashes, func(c *crash) bool { return !c.started }) && !best.hasRival(accused)
 	return &block{keys: best.common, lastCrash: best.last(), lastSeen: now, told: now, tried: certain, version: d.nextVersion()}
 }
 
