Don't take the end of a leaving target for a crash

Change: connections that a target breaks which is leaving, by its answers or by the list, give no evidence against a content. Nothing new reaches such a target, so that a deadly content is hardly missed by it. TestLeavingTargetsEnd failed before: "got status 503, want the stream", "got 3 requests at targets, want 4".

--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -43,6 +43,13 @@
 	b.cfg.Logger.Info("target is leaving", zap.String("target", p.ID()), zap.String("lifetime", p.t.lifetime))
 }
 
+// IsLeaving reports whether the target has said that it is leaving, or is listed as such.
+func (p *Pick) IsLeaving() bool {
+	p.b.mu.Lock()
+	defer p.b.mu.Unlock()
+	return p.t.isLeaving() || p.t.listing.Leaving
+}
+
 // MarkResting records that the target wants no requests for a duration, of which at
 // most 10 min count. A shorter duration doesn't end a longer one.
 func (p *Pick) MarkResting(d time.Duration) {
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -72,9 +72,10 @@
 	}
 }
 
-// recordCrash records that a target ended before it had answered the request.
+// recordCrash records that a target ended before it had answered the request. The end of
+// a target that is leaving says nothing about what it ran.
 func (x *exchange) recordCrash(pick *balancer.Pick) {
-	if x.attemptEvents < answeredEvents {
+	if x.attemptEvents < answeredEvents && !pick.IsLeaving() {
 		x.f.detector.RecordCrash(pick.Lifetime(), x.content, x.started)
 	}
 }
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/papayapond/papayapond/internal/wire"
 )
 
 // crashOn returns a handler of an engine that crashes when it begins to answer a
@@ -61,6 +63,30 @@
 	}
 }
 
+// Targets that say that they are leaving end in the middle of streams. That must not get
+// the parts of these prompts refused: a release that met three streams with a shared part
+// kept all prompts with it from being served.
+func TestLeavingTargetsEnd(t *testing.T) {
+	end := func(_ int, w io.Writer, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headers.Attempt, r.Header.Get(headers.Attempt), signed, leaving)
+		return false
+	}
+	f := newFixture(t, events("s", 1, 3, false), end, end, end)
+	f.list(func(first *wire.Listing) { first.Leaving = true })
+	for i := range 3 {
+		_, _, _ = f.post("/stream/", withParts(fmt.Sprintf("shop:5,own%d:5", i))) // a failure is expected
+		time.Sleep(60 * time.Millisecond)                                         // the ends aren't simultaneous
+	}
+	f.list(func(*wire.Listing) {})
+	a, body, err := f.post("/stream/", withParts("shop:5,other:5"))
+	if err != nil || a.StatusCode != http.StatusOK || body != stream(3) {
+		t.Errorf("got status %d, body %q, error %v, want the stream", a.StatusCode, body, err)
+	}
+	if got, want := len(f.requests()), 4; got != want {
+		t.Errorf("got %d requests at targets, want %d", got, want)
+	}
+}
+
 // A target that sent a response header has begun to run the request. If it ends
 // after the request was canceled, the caller must not be told that nothing has run:
 // it would be told so of a run that was cut.
