Check a secured target again before a stream goes on there

A stream of a silent target is moved to a target that was chosen before the attempt was canceled. Until the canceled attempt has ended, at most 250 ms, the silent target may send its first event, which binds the stream to its software version, and the chosen target may say in another answer that it is leaving or rests. It got the stream all the same: callers could get a stream joined from two versions.

The time between the choice and the arrival of any other request, at most the time to connect, isn't covered.

balancer.Pick.Fits checks the pick against the query of the moment. One that no longer fits is given back with its retry, and the next target is chosen as usual, which may be the silent one.

Failed before: TestFirstEventDuringMove/other_version "got requests at targets ab, want aa", TestNoticeDuringMove "2 requests, 1 of them at the first target". Both pass now, three times with -race.

--- /dev/null
+++ b/internal/forwarder/move_test.go
@@ -0,0 +1,86 @@
+package forwarder_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/papayapond/papayapond/internal/balancer"
+)
+
+// lateEvents returns a handler of a target that is silent until its request is
+// canceled, then sends the given events and breaks off. It goes on with a stream to
+// event 6.
+func lateEvents(sign string, to int) handler {
+	return func(n int, w io.Writer, r *http.Request) bool {
+		if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+			return events(sign, last+1, 6, false)(n, w, r)
+		}
+		_, _ = w.(net.Conn).Read(make([]byte, 1)) // returns when the request is canceled
+		return events(sign, 1, to, true)(n, w, r)
+	}
+}
+
+// The first event of a silent target may arrive while its stream is being moved. The
+// target that was chosen before may have another software version: the stream must
+// not go on there, since what two versions write doesn't fit together.
+func TestFirstEventDuringMove(t *testing.T) {
+	for _, test := range []struct {
+		name, second string
+		want         string // targets that get the request
+	}{
+		{"same version", "v1", "ab"},
+		{"other version", "v2", "aa"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, lateEvents("first", 3), lateEvents("second", 3))
+			f.setVersions("v1", test.second)
+			_, body, err := f.post("/long/", nil)
+			if err != nil || body != stream(6) {
+				t.Errorf("got %q and %v, want the whole stream", body, err)
+			}
+			got := ""
+			for _, r := range f.requests() {
+				got += r.Header.Get(headers.Target)
+			}
+			if got != test.want {
+				t.Errorf("got requests at targets %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// A target may say that it is leaving or that it rests while a stream is being moved
+// to it. It must not get the stream.
+func TestNoticeDuringMove(t *testing.T) {
+	for name, mark := range map[string]func(*balancer.Pick){
+		"leaves": func(p *balancer.Pick) { p.MarkLeaving() },
+		"rests":  func(p *balancer.Pick) { p.MarkResting(time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var f *fixture
+			first := once(func(n int, w io.Writer, r *http.Request) bool {
+				_, _ = w.(net.Conn).Read(make([]byte, 1)) // returns when the request is canceled
+				p, err := f.balancer.Choose(balancer.Query{Pool: "p", Only: "b"})
+				if err != nil {
+					t.Error(err)
+					return false
+				}
+				mark(p)
+				p.Done(balancer.Refused)
+				return events("first", 1, 3, true)(n, w, r)
+			}, events("first", 4, 6, false))
+			f = newFixture(t, first, events("second", 4, 6, false))
+			_, body, err := f.post("/long/", nil)
+			if err != nil || body != stream(6) || len(f.requests()) != 2 || f.sentToFirst() != 2 {
+				t.Errorf("got %q, %v and %d requests, %d of them at the first target, want the whole stream and 2",
+					body, err, len(f.requests()), f.sentToFirst())
+			}
+		})
+	}
+}
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -170,12 +170,21 @@
 	f.retrier(pool).Refund()
 }
 
-// endWait stops the timer of an attempt and keeps the target that it has secured.
+// endWait stops the timer of an attempt and keeps the target that it has secured. That
+// one is given back if it may no longer go on with the stream: its notice, or the first
+// event of the silent target, may have come after it was chosen.
 func (x *exchange) endWait(t *stallTimer) {
-	if next := t.stop(); next != nil {
-		x.releaseSecured()
-		x.secured, x.stalled, x.silentTarget = next, true, t.target
+	next := t.stop()
+	if next == nil {
+		return
+	}
+	x.releaseSecured()
+	x.stalled, x.silentTarget = true, t.target
+	if !next.Fits(x.query()) {
+		x.f.release(next, x.pool.Name)
+		return
 	}
+	x.secured = next
 }
 
 // releaseSecured gives back the secured target if it wasn't used.
