Let a stream return to its silent target after refusals

A stream that is moved from a silent target and that the next targets refuse was cut if it had been sent four times, although its first target was sound and could go on. Busy pools refuse often, so that callers got a part of an answer for no other reason.

The limit of four sends counted the return. A reserved last send was tried first and still failed if targets had refused the request before the silent one got it (one of four runs of the new test).

The return isn't counted towards the limit: it goes to a target that has the request already, takes a retry from the budget, and happens once.

Failed before: TestRefusalsOfMovedStream/3 and /4, "got events 1 to 3 and unexpected EOF, want the whole stream". All four cases passed six times with -race.

--- a/internal/forwarder/move_test.go
+++ b/internal/forwarder/move_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -84,3 +85,23 @@
 		})
 	}
 }
+
+// Targets that refuse a moved stream must not use up the requests to targets that
+// are left, so that it can't return to its silent target.
+func TestRefusalsOfMovedStream(t *testing.T) {
+	refuse := respond(http.StatusServiceUnavailable, "X-Refused: 1\r\n", "")
+	for n := 1; n <= 4; n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			scripts := []handler{once(silent(6, 3, 4*time.Second, true), events("first", 4, 6, false))}
+			for range n {
+				scripts = append(scripts, refuse)
+			}
+			f := newFixture(t, scripts...)
+			_, body, err := f.post("/long/", nil)
+			if err != nil || body != stream(6) {
+				t.Errorf("got %q and %v, want the whole stream", body, err)
+			}
+		})
+	}
+}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -17,7 +17,7 @@
 
 const (
 	// maxSends limits the attempts per request, including those that a target
-	// refused.
+	// refused. A stream may return to a silent target after them.
 	maxSends = 4
 	// headerBytes and eventBytes approximate the overhead of a header and of an
 	// event on the connection.
@@ -57,7 +57,7 @@
 	x.targetHeader = x.targetHeaders()
 	x.tried = map[string]bool{}
 	var err error
-	for x.sends < maxSends {
+	for x.sends < maxSends || x.silentTarget != "" {
 		var pick *balancer.Pick
 		var chooseErr error
 		pick, chooseErr = x.nextTarget()
@@ -120,7 +120,7 @@
 		return deniedByRoute
 	case x.secured != nil:
 		return ""
-	case x.sends >= maxSends, mayHaveRun && x.runs >= x.route.MaxAttempts && x.silentTarget == "":
+	case x.silentTarget == "" && (x.sends >= maxSends || mayHaveRun && x.runs >= x.route.MaxAttempts):
 		return deniedByAttempts
 	case mayHaveRun && !x.route.Repeatable():
 		return deniedByRoute
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -202,12 +202,12 @@
 }
 
 // nextTarget chooses the target of the next attempt. A stream returns to the target
-// that was silent if no other target is left or may run it: that one hasn't failed.
+// that was silent if no other target is left or may get it: that one hasn't failed.
 func (x *exchange) nextTarget() (*balancer.Pick, error) {
 	if next := x.takeSecured(); next != nil {
 		return next, nil
 	}
-	if x.silentTarget != "" && x.runs >= x.route.MaxAttempts {
+	if x.silentTarget != "" && (x.sends >= maxSends || x.runs >= x.route.MaxAttempts) {
 		return x.chooseSilent()
 	}
 	next, err := x.f.cfg.Balancer.Choose(x.query())
@@ -219,9 +219,8 @@
 
 // chooseSilent chooses the target that was silent. It can be chosen once.
 func (x *exchange) chooseSilent() (*balancer.Pick, error) {
-	delete(x.tried, x.silentTarget)
 	q := x.query()
-	q.Only, x.silentTarget = x.silentTarget, ""
+	q.Only, q.Exclude, x.silentTarget = x.silentTarget, nil, ""
 	return x.f.cfg.Balancer.Choose(q)
 }
 
