Take the retry for a return before a stream is moved

A stream was moved from a silent target with the last retry of the budget.

A return without the budget was ruled out: the budget is shared by all instances.

A move takes two retries at once, or the stream waits for its target. The second one is used only for the return, and is given back when the second target sends an event or the request ends. With a budget of one retry a stream no longer moves.

Failed before: TestBudgetOfReturn, both cases, "got events 1 to 3 and unexpected EOF, want the whole stream". They pass with -race, as do all tests of forwarder and retrier.

--- a/internal/forwarder/move_test.go
+++ b/internal/forwarder/move_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/papayapond/papayapond/internal/balancer"
+	"github.com/papayapond/papayapond/internal/forwarder"
 )
 
 // lateEvents returns a handler of a target that is silent until its request is
@@ -105,3 +106,41 @@
 		})
 	}
 }
+
+// The return to a silent target needs a retry. If the budget has only the one for the
+// move, the stream must wait for its target, which goes on.
+func TestBudgetOfReturn(t *testing.T) {
+	for name, second := range map[string]handler{
+		"refused": respond(http.StatusServiceUnavailable, "X-Refused: 1\r\n", ""), "lost": closeConnection,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := once(silent(6, 3, 3*time.Second, true), events("first", 4, 6, false))
+			f := newFixtureWith(t, func(c *forwarder.Config) { c.MinRetries = 1 }, first, second)
+			_, body, err := f.post("/long/", nil)
+			if err != nil || body != stream(6) {
+				t.Errorf("got %q and %v, want the whole stream", body, err)
+			}
+		})
+	}
+}
+
+// Once the second target goes on, the retry for the return must be back in the budget,
+// and only that one.
+func TestRetryOfReturnGivenBack(t *testing.T) {
+	t.Parallel()
+	refuse := respond(http.StatusServiceUnavailable, "X-Refused: 1\r\n", "")
+	first := once(silent(6, 3, 4*time.Second, true), refuse)
+	second := once(events("second", 4, 6, false), refuse)
+	f := newFixtureWith(t, func(c *forwarder.Config) { c.MinRetries = 3 }, first, second) // 2 are used
+	if _, body, err := f.post("/long/", nil); err != nil || body != stream(6) {
+		t.Fatalf("got %q and %v, want the whole stream", body, err)
+	}
+	before := len(f.requests())
+	for range 3 {
+		_, _, _ = f.post("/again/", nil) // both targets refuse
+	}
+	if got, want := len(f.requests())-before, 3+1; got != want {
+		t.Errorf("got %d requests at targets for 3 of callers, want %d", got, want)
+	}
+}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -77,7 +77,9 @@
 	heard         time.Time          // last event of the last target, or the start of its attempt
 	stalled       bool               // the last attempt was canceled because its target was silent
 	silentTarget  string             // target of that attempt, to which the stream may return
-	secured       *balancer.Pick     // target that was chosen before that attempt was canceled
+	secured       *replacement       // target that was chosen before that attempt was canceled
+	returnCounted time.Time          // time at which the retry for the return was taken; zero if none is held
+	mustReturn    bool               // the budget has no other retry than that one
 	denied        string             // why no other target gets the request; "" if one may
 	cancel        context.CancelFunc // of the last attempt
 	canceled      atomic.Bool        // the content was blocked during the attempt
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -66,9 +66,10 @@
 // target. It relays the original error if the retry fails.
 func (x *exchange) retryAfterError(ctx context.Context, a *exchanger.Response, body []byte, pick *balancer.Pick) (attemptResult, balancer.Outcome, error) {
 	x.tried[pick.ID()] = true
+	counted := x.f.cfg.Now()
 	next, err := x.f.cfg.Balancer.Choose(x.query())
 	if err != nil {
-		x.f.retrier(x.pool.Name).Refund()
+		x.f.refund(x.pool.Name, counted, 1)
 	}
 	for ; next != nil; next = x.takeSecured() {
 		x.f.cfg.Logger.Info("retrying request after target error", zap.String("request", x.requestID()),
@@ -179,6 +180,7 @@
 		}
 		x.f.cfg.CountBytes(len(event)+eventBytes, len(event)+eventBytes)
 		x.events++
+		x.releaseReturn() // the target goes on
 		if x.attemptEvents++; x.attemptEvents == answeredEvents {
 			x.recordAnswer()
 		}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -52,6 +52,7 @@
 // serve tries targets until the request is answered or may not be retried.
 func (x *exchange) serve(ctx context.Context) {
 	defer func() { x.reservation.Settle(x.tokensUsed()) }()
+	defer x.releaseReturn()
 	defer x.releaseSecured()
 	x.f.retrier(x.pool.Name).RecordRequest()
 	x.targetHeader = x.targetHeaders()
@@ -124,10 +125,13 @@
 		return deniedByAttempts
 	case mayHaveRun && !x.route.Repeatable():
 		return deniedByRoute
-	case v != notSent && !x.f.retrier(x.pool.Name).AllowRetry():
-		return deniedByBudget
+	case v == notSent, x.f.retrier(x.pool.Name).AllowRetry():
+		return ""
+	case !x.returnCounted.IsZero():
+		x.mustReturn = true
+		return ""
 	}
-	return ""
+	return deniedByBudget
 }
 
 // tokensUsed returns the tokens to charge: the prompt if a target may have
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -29,7 +28,7 @@
 )
 
 // stallTimer moves a resumable stream away from a target that stays silent. It
-// cancels the attempt only once another target is chosen and a retry is taken from
+// cancels the attempt only once another target is chosen and retries are taken from
 // the budget; until then the stream waits for its target.
 type stallTimer struct {
 	x      *exchange
@@ -40,10 +39,10 @@
 
 	mu       sync.Mutex // not held during calls of other components
 	query    balancer.Query
-	heard    time.Time      // last event, or the start of the attempt
-	waits    int            // number of times that an event was awaited
-	waiting  bool           // an event is awaited
-	next     *balancer.Pick // target that goes on with the stream
+	heard    time.Time    // last event, or the start of the attempt
+	waits    int          // number of times that an event was awaited
+	waiting  bool         // an event is awaited
+	next     *replacement // target that goes on with the stream
 	reported bool
 }
 
@@ -97,7 +96,7 @@
 
 // stop ends the timer and returns the target that goes on with the stream, nil if
 // the stream isn't moved.
-func (t *stallTimer) stop() *balancer.Pick {
+func (t *stallTimer) stop() *replacement {
 	t.pause()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,91 +138,6 @@
 	}
 }
 
-// secureTarget chooses a target that can go on with a stream at once, and takes a
-// retry from the budget. It returns nil and the reason if there is none.
-func (f *Forwarder) secureTarget(q balancer.Query, r route.Route, deadline time.Time) (next *balancer.Pick, denied string) {
-	if deadline.Sub(f.cfg.Now()) < max(r.FirstByteObjective, minTimeLeft) {
-		return nil, deniedByDeadline
-	}
-	if !f.retrier(q.Pool).AllowRetry() {
-		return nil, deniedByBudget
-	}
-	next, err := f.cfg.Balancer.Choose(q)
-	if err != nil {
-		f.retrier(q.Pool).Refund()
-		return nil, deniedByChoice(err)
-	}
-	return next, ""
-}
-
-// deniedByChoice returns the reason for an error of the choice of a target.
-func deniedByChoice(err error) string {
-	if errors.Is(err, balancer.ErrVersionGone) {
-		return deniedByVersion
-	}
-	return deniedByTargets
-}
-
-// release gives back a target that was secured and isn't used.
-func (f *Forwarder) release(next *balancer.Pick, pool string) {
-	next.Done(balancer.Canceled)
-	f.retrier(pool).Refund()
-}
-
-// endWait stops the timer of an attempt and keeps the target that it has secured. That
-// one is given back if it may no longer go on with the stream: its notice, or the first
-// event of the silent target, may have come after it was chosen.
-func (x *exchange) endWait(t *stallTimer) {
-	next := t.stop()
-	if next == nil {
-		return
-	}
-	x.releaseSecured()
-	x.stalled, x.silentTarget = true, t.target
-	if !next.Fits(x.query()) {
-		x.f.release(next, x.pool.Name)
-		return
-	}
-	x.secured = next
-}
-
-// releaseSecured gives back the secured target if it wasn't used.
-func (x *exchange) releaseSecured() {
-	if next := x.takeSecured(); next != nil {
-		x.f.release(next, x.pool.Name)
-	}
-}
-
-// takeSecured returns the target that was secured for the next attempt, or nil.
-func (x *exchange) takeSecured() *balancer.Pick {
-	next := x.secured
-	x.secured = nil
-	return next
-}
-
-// nextTarget chooses the target of the next attempt. A stream returns to the target
-// that was silent if no other target is left or may get it: that one hasn't failed.
-func (x *exchange) nextTarget() (*balancer.Pick, error) {
-	if next := x.takeSecured(); next != nil {
-		return next, nil
-	}
-	if x.silentTarget != "" && (x.sends >= maxSends || x.runs >= x.route.MaxAttempts) {
-		return x.chooseSilent()
-	}
-	next, err := x.f.cfg.Balancer.Choose(x.query())
-	if err != nil && x.silentTarget != "" {
-		return x.chooseSilent()
-	}
-	return next, err
-}
-
-// chooseSilent chooses the target that was silent. It can be chosen once.
-func (x *exchange) chooseSilent() (*balancer.Pick, error) {
-	q := x.query()
-	q.Only, q.Exclude, x.silentTarget = x.silentTarget, nil, ""
-	return x.f.cfg.Balancer.Choose(q)
-}
-
 // Values of the log field "ended": what has ended an attempt.
 const (
 	endedByTarget   = "target"
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -66,7 +66,11 @@
 
 // AllowRetry reports whether the budget allows another retry, and counts it if
 // so.
-func (r *Retrier) AllowRetry() bool {
+func (r *Retrier) AllowRetry() bool { return r.AllowRetries(1) }
+
+// AllowRetries reports whether the budget allows n more retries, and counts all of
+// them if so.
+func (r *Retrier) AllowRetries(n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := r.currentCount()
@@ -75,19 +79,23 @@
 		sum.requests += c.requests
 		sum.retries += c.retries
 	}
-	if sum.retries >= max(r.cfg.MinRetries, int(r.cfg.Ratio*float64(sum.requests))) {
+	if sum.retries+n > max(r.cfg.MinRetries, int(r.cfg.Ratio*float64(sum.requests))) {
 		r.denied++
 		return false
 	}
-	present.retries++
+	present.retries += n
 	return true
 }
 
-// Refund takes back a retry that AllowRetry has counted and that wasn't made.
-func (r *Retrier) Refund() {
+// Refund takes back a retry that was counted at a time and wasn't made. One that has
+// left the window no longer counts.
+func (r *Retrier) Refund(counted time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.currentCount()
+	if r.cfg.Now().Sub(counted) >= r.cfg.Window {
+		return
+	}
 	for i := range int64(buckets) {
 		if c := &r.counts[(r.current-i)%buckets]; c.retries > 0 {
 			c.retries--
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -46,10 +46,33 @@
 	if !r.AllowRetry() || r.AllowRetry() {
 		t.Fatal("want one retry allowed")
 	}
+	counted := now
 	now = now.Add(DefaultWindow / 2)
-	r.Refund()
-	r.Refund()
+	r.Refund(counted)
+	r.Refund(counted)
 	if !r.AllowRetry() || r.AllowRetry() {
 		t.Error("want one retry allowed after it was taken back")
 	}
+	counted, now = now, now.Add(DefaultWindow)
+	if !r.AllowRetry() {
+		t.Error("want one retry allowed in a new window")
+	}
+	r.Refund(counted)
+	if r.AllowRetry() {
+		t.Error("got a second retry after one of an earlier window was taken back, want none")
+	}
+}
+
+// Several retries must be allowed and counted together or not at all.
+func TestAllowRetries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Config{MinRetries: 3, Now: func() time.Time { return now }})
+	for i, want := range []bool{true, false} {
+		if got := r.AllowRetries(2); got != want {
+			t.Errorf("pair %d: got %v, want %v", i, got, want)
+		}
+	}
+	if !r.AllowRetry() || r.AllowRetry() {
+		t.Error("want one retry left after the pairs")
+	}
 }
