Return an unanswered stream to its silent target before an error

If a stream without an event was moved from a silent target and the second one answered with a server error, the caller got that error, although the first target was sound and the return to it had been paid for.

An error after events was no case: it counts as a failure of the second target, and the stream returned already. Targets that are tried because of an error, without a silence before it, are chosen as they were.

The retry after an error chooses its target as all other retries do, with the silent one as the last. The error is kept and sent if that one fails too.

--- a/internal/forwarder/move.go
+++ b/internal/forwarder/move.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// takeRetry takes a retry from the budget. If there is none, the one that is held for
+// the return to the silent target remains.
+func (x *exchange) takeRetry() bool {
+	if x.f.retrier(x.pool.Name).AllowRetry() {
+		return true
+	}
+	x.mustReturn = !x.returnCounted.IsZero()
+	return x.mustReturn
+}
+
 // takeSecured returns the target that was secured for the next attempt, or nil.
 func (x *exchange) takeSecured() *balancer.Pick {
 	next := x.secured
--- a/internal/forwarder/move_test.go
+++ b/internal/forwarder/move_test.go
@@ -144,3 +144,19 @@
 		t.Errorf("got %d requests at targets for 3 of callers, want %d", got, want)
 	}
 }
+
+// If the target that an unanswered stream was moved to answers with an error, the
+// silent target must go on before the caller gets the error.
+func TestErrorOfMovedStream(t *testing.T) {
+	for name, header := range map[string]bool{"before header": false, "before first event": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := once(silent(6, 0, 4*time.Second, header), events("first", 1, 6, false))
+			f := newFixture(t, first, respond(http.StatusInternalServerError, signed, "sorry"))
+			a, body, err := f.post("/long/", nil)
+			if err != nil || a.StatusCode != http.StatusOK || body != stream(6) {
+				t.Errorf("got status %d, %q and %v, want the whole stream", a.StatusCode, body, err)
+			}
+		})
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -54,7 +54,7 @@
 	x.recordAnswer()
 	if a.Status >= http.StatusInternalServerError {
 		o = balancer.Failed
-		if x.route.Repeatable() && x.runs < x.route.MaxAttempts && x.deadline.Sub(x.f.cfg.Now()) > minTimeLeft && x.f.retrier(x.pool.Name).AllowRetry() {
+		if x.mayRetryError() {
 			return x.retryAfterError(ctx, a, body, pick)
 		}
 	}
@@ -62,12 +62,19 @@
 	return answered, o, nil
 }
 
+// mayRetryError reports whether a request that failed with a server error may be sent
+// to another target, and takes a retry from the budget.
+func (x *exchange) mayRetryError() bool {
+	return x.route.Repeatable() && (x.runs < x.route.MaxAttempts || x.silentTarget != "") &&
+		x.deadline.Sub(x.f.cfg.Now()) > minTimeLeft && x.takeRetry()
+}
+
 // retryAfterError retries a request that failed with a server error on another
-// target. It relays the original error if the retry fails.
+// target, or on the one that was silent before. It relays the original error if the retry fails.
 func (x *exchange) retryAfterError(ctx context.Context, a *exchanger.Response, body []byte, pick *balancer.Pick) (attemptResult, balancer.Outcome, error) {
 	x.tried[pick.ID()] = true
 	counted := x.f.cfg.Now()
-	next, err := x.f.cfg.Balancer.Choose(x.query())
+	next, err := x.nextTarget()
 	if err != nil {
 		x.f.refund(x.pool.Name, counted, 1)
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -125,10 +125,7 @@
 		return deniedByAttempts
 	case mayHaveRun && !x.route.Repeatable():
 		return deniedByRoute
-	case v == notSent, x.f.retrier(x.pool.Name).AllowRetry():
-		return ""
-	case !x.returnCounted.IsZero():
-		x.mustReturn = true
+	case v == notSent, x.takeRetry():
 		return ""
 	}
 	return deniedByBudget
