Return to a target that was silent beside an error

If one target answered with an error and another one was silent, before or after it, and the target that was tried last refused the request or broke off, the caller got the error, although the silent target could go on. The retry of an error tried the next targets by itself and knew of no return. It also sent a moved request on when its content had been blocked meanwhile; that one isn't shown by a test.

Each further attempt after an error is now allowed by the same rules as all others, and returns to the silent target, with the retry that is held for it, as long as the caller has no header.

Failed before: TestSilenceBesideError, all four cases, "got status 500, "sorry" and <nil>, want the whole stream". They pass three times with -race; all tests of the package pass.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -90,9 +90,11 @@
 	}
 	three := with("/resume3/", route.Stream, true)
 	three.MaxAttempts = 3
+	long := three.WithTimeout(10 * time.Second)
+	long.Name, long.Prefix = "/long3/", "/long3/"
 	f.rules = ruleset.Config{
 		Version: 1, Pools: []pool.Pool{pool.Pool{Name: "p"}.WithEngine(pool.Engine{Batch: 4, CacheTokens: 100000, TokensPerEvent: 5})},
-		Routes:   []route.Route{with("/once/", route.Single, false), with("/again/", route.Idempotent, false), with("/resume/", route.Stream, true), with("/stream/", route.Stream, false), three, with("/long/", route.Stream, true).WithTimeout(10 * time.Second)},
+		Routes:   []route.Route{with("/once/", route.Single, false), with("/again/", route.Idempotent, false), with("/resume/", route.Stream, true), with("/stream/", route.Stream, false), three, with("/long/", route.Stream, true).WithTimeout(10 * time.Second), long},
 		Accounts: []prepaid.Prepaid{{Name: "shop", Keys: []string{"key"}, Tokens: &tokens}},
 	}
 	f.setRules(f.rules)
--- a/internal/forwarder/move_test.go
+++ b/internal/forwarder/move_test.go
@@ -160,3 +160,27 @@
 		})
 	}
 }
+
+// A target that was silent during the retry of an error, or before it, must go on if the
+// targets after it fail, before the caller gets the error.
+func TestSilenceBesideError(t *testing.T) {
+	for name, list := range map[string][]handler{
+		"error, silence, loss":    {respond(500, signed, "sorry"), silent(6, 0, 4*time.Second, false), closeConnection},
+		"error, silence, refusal": {respond(500, signed, "sorry"), silent(6, 0, 4*time.Second, true), respond(503, "X-Refused: 1\r\n", "")},
+		"silence, error, loss":    {silent(6, 0, 4*time.Second, false), respond(500, signed, "sorry"), closeConnection},
+		"silence, error, refusal": {silent(6, 0, 4*time.Second, true), respond(500, signed, "sorry"), respond(503, "X-Refused: 1\r\n", "")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			next := inTurn(append(list, events("last", 1, 6, false))...)
+			f := newFixture(t, next, next, next)
+			a, body, err := f.post("/long3/", nil)
+			if err != nil || a.StatusCode != http.StatusOK || body != stream(6) {
+				t.Errorf("got status %d, %q and %v, want the whole stream", a.StatusCode, body, err)
+			}
+			if got := len(f.requests()); got != 4 {
+				t.Errorf("got %d requests at targets, want 4", got)
+			}
+		})
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -78,11 +78,11 @@
 	if err != nil {
 		x.f.refund(x.pool.Name, counted, 1)
 	}
-	for ; next != nil; next = x.takeSecured() {
+	var v attemptResult
+	for ; next != nil; next = x.nextAfterError(ctx, v) {
 		x.f.cfg.Logger.Info("retrying request after target error", zap.String("request", x.requestID()),
 			zap.String("target", pick.ID()), zap.Int("status", a.Status), zap.String("next", next.ID()))
 		x.tried[next.ID()] = true
-		var v attemptResult
 		if v, err = x.attempt(ctx, next); v == answered || v == callerGone {
 			return v, balancer.Failed, err
 		}
@@ -94,6 +94,24 @@
 	return answered, balancer.Failed, nil
 }
 
+// nextAfterError returns the target of the next attempt after a retry of an error has
+// failed as well, or nil. It is the one that was secured, or the silent one, which has
+// not failed.
+func (x *exchange) nextAfterError(ctx context.Context, v attemptResult) *balancer.Pick {
+	hasNext := x.secured != nil || x.silentTarget != "" && !x.headerSent
+	if !hasNext || !x.mayRetry(ctx, v) {
+		return nil
+	}
+	if next := x.takeSecured(); next != nil {
+		return next
+	}
+	next, err := x.chooseSilent()
+	if err != nil {
+		return nil
+	}
+	return next
+}
+
 // readAll reads a response body that is not a stream.
 func (x *exchange) readAll(a *exchanger.Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxResponseBytes+1))
