Count the targets of a moved stream that returns

A stream could be run by one target more than the route allows. A silent target that drops the request before its first event doesn't count as a run, but the return to it was allowed as if it did. And if the silent target refused the stream on its return, the stream went on to a third target, since a refusal by itself takes no run.

The second one was found by reading.

The attempt on the silent target is remembered as a run or none, and the number of runs limits every further attempt, also one after a refusal.

Failed before: TestAttemptsOfMovedStream, both cases, with the whole stream and 4 requests at targets where 3 are allowed. They pass three times with -race; all tests of the package pass.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -37,6 +37,9 @@
 	t       *testing.T
 	front   *httptest.Server
 	spender *spender.Spender
+	// callers is not the default transport, whose idle connections each
+	// httptest.Server closes at its end, those to other servers too.
+	callers *http.Transport
 
 	forwarder *forwarder.Forwarder
 	balancer  *balancer.Balancer
@@ -62,7 +65,7 @@
 // newFixtureWith is like newFixture, with a modified forwarder configuration.
 func newFixtureWith(t *testing.T, change func(*forwarder.Config), scripts ...handler) *fixture {
 	t.Helper()
-	f := &fixture{t: t}
+	f := &fixture{t: t, callers: &http.Transport{}}
 	f.spender = spender.New(spender.Config{CoresUnreachable: func() bool { return f.silence > time.Second }})
 	limits := regulator.New(regulator.Config{})
 	b := balancer.New(balancer.Config{Zone: "z", Admits: limits.Admits, Take: limits.Take})
@@ -101,6 +104,7 @@
 	f.spender.UpdateLimits([]*wire.Limit{{Account: "shop", Limit: tokens, Lock: tokens, Total: tokens}}, 1)
 	f.front = httptest.NewServer(f.forwarder)
 	t.Cleanup(f.front.Close)
+	t.Cleanup(f.callers.CloseIdleConnections)
 	return f
 }
 
@@ -196,7 +200,7 @@
 	if change != nil {
 		change(r)
 	}
-	a, err := http.DefaultTransport.RoundTrip(r)
+	a, err := f.callers.RoundTrip(r)
 	if err != nil {
 		return response{}, "", err
 	}
--- a/internal/forwarder/move.go
+++ b/internal/forwarder/move.go
@@ -68,7 +68,7 @@
 	}
 	x.releaseSecured()
 	x.releaseReturn()
-	x.stalled, x.silentTarget = true, t.target
+	x.stalled, x.silentTarget, x.silentRan = true, t.target, x.runs > t.runs
 	if next.pick.Fits(x.query()) {
 		x.secured = next
 		return
@@ -94,6 +94,12 @@
 	}
 }
 
+// mayRun reports whether a target may run the request once more: another one, or the
+// silent one, which is no further target if it has run the request.
+func (x *exchange) mayRun() bool {
+	return x.runs < x.route.MaxAttempts || x.silentTarget != "" && x.silentRan
+}
+
 // takeRetry takes a retry from the budget. If there is none, the one that is held for
 // the return to the silent target remains.
 func (x *exchange) takeRetry() bool {
--- a/internal/forwarder/move_test.go
+++ b/internal/forwarder/move_test.go
@@ -184,3 +184,35 @@
 		})
 	}
 }
+
+// No more targets than the route allows may run a stream that was moved: the silent
+// target is a further one if it dropped the request before it began, and no other one may
+// run the stream if the silent one refuses it.
+func TestAttemptsOfMovedStream(t *testing.T) {
+	dropped := func(_ int, w io.Writer, _ *http.Request) bool {
+		_, _ = w.(net.Conn).Read(make([]byte, 1)) // returns when the request is canceled
+		return false
+	}
+	refuse := respond(http.StatusServiceUnavailable, "X-Refused: 1\r\n", "")
+	for _, test := range []struct {
+		name   string
+		first  handler
+		others []handler
+		want   string
+	}{
+		{"silent target has not begun", once(dropped, events("first", 2, 6, false)), []handler{closeConnection, ids(event(1) + "id: 9")}, stream(1)},
+		{"return is refused", once(silent(6, 3, 4*time.Second, true), refuse), []handler{ids(event(4) + event(5) + "id: 9"), ids(event(6))}, stream(5)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			next := inTurn(test.others...)
+			f := newFixture(t, test.first, next, next)
+			f.balancer.SetTargets(f.listings[:1])
+			time.AfterFunc(500*time.Millisecond, func() { f.balancer.SetTargets(f.listings) })
+			_, body, err := f.post("/long/", nil)
+			if body != test.want || err == nil || len(f.requests()) != 3 {
+				t.Errorf("got %q, %v and %d requests at targets, want %q, an error and 3", body, err, len(f.requests()), test.want)
+			}
+		})
+	}
+}
--- a/internal/forwarder/prepare.go
+++ b/internal/forwarder/prepare.go
@@ -77,6 +77,7 @@
 	heard         time.Time          // last event of the last target, or the start of its attempt
 	stalled       bool               // the last attempt was canceled because its target was silent
 	silentTarget  string             // target of that attempt, to which the stream may return
+	silentRan     bool               // that target counts as one that has run the request
 	secured       *replacement       // target that was chosen before that attempt was canceled
 	returnCounted time.Time          // time at which the retry for the return was taken; zero if none is held
 	mustReturn    bool               // the budget has no other retry than that one
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -65,7 +65,7 @@
 // mayRetryError reports whether a request that failed with a server error may be sent
 // to another target, and takes a retry from the budget.
 func (x *exchange) mayRetryError() bool {
-	return x.route.Repeatable() && (x.runs < x.route.MaxAttempts || x.silentTarget != "") &&
+	return x.route.Repeatable() && x.mayRun() &&
 		x.deadline.Sub(x.f.cfg.Now()) > minTimeLeft && x.takeRetry()
 }
 
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -121,7 +121,7 @@
 		return deniedByRoute
 	case x.secured != nil:
 		return ""
-	case x.silentTarget == "" && (x.sends >= maxSends || mayHaveRun && x.runs >= x.route.MaxAttempts):
+	case x.silentTarget == "" && x.sends >= maxSends, !x.mayRun():
 		return deniedByAttempts
 	case mayHaveRun && !x.route.Repeatable():
 		return deniedByRoute
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -33,6 +33,7 @@
 type stallTimer struct {
 	x      *exchange
 	target string
+	runs   int // of the request before the attempt
 	limit  time.Duration
 	cancel context.CancelFunc
 	timer  *time.Timer // nil if the stream can't be moved
@@ -55,7 +56,7 @@
 // newStallTimer returns an active timer for a stream that another target can
 // resume. Other requests are bounded only by their deadline. It must be stopped.
 func (x *exchange) newStallTimer(target string, cancel context.CancelFunc) *stallTimer {
-	t := &stallTimer{x: x, target: target, limit: x.silenceLimit(), cancel: cancel}
+	t := &stallTimer{x: x, target: target, runs: x.runs, limit: x.silenceLimit(), cancel: cancel}
 	x.heard = x.f.cfg.Now()
 	if x.route.Kind == route.Stream && x.route.Resume && x.runs+1 < x.route.MaxAttempts && x.sends+1 < maxSends {
 		t.timer = time.AfterFunc(t.limit, t.check)
