Drop events that come once a stream is being moved

For up to 250 ms after a silent target was canceled, its events were still relayed. An event without an id then left nothing to go on after, and the caller got a part of an answer that the instance itself had ended. A first event bound the stream to a version that the secured target might not have; the check of that target only sent it elsewhere.

Once a replacement is secured, the next event of the canceled attempt isn't relayed: the replacement goes on after the last one that was.

--- a/internal/balancer/spare.go
+++ b/internal/balancer/spare.go
@@ -13,9 +13,8 @@
 	return t
 }
 
-// Fits reports whether a target that was chosen before may still get the request, which
-// may have been bound to a software version since. The target may have said that it is
-// leaving or that it wants no requests for a time.
+// Fits reports whether a target that was chosen before may still get the request: it may
+// have said since that it is leaving or that it wants no requests for a time.
 func (p *Pick) Fits(q Query) bool {
 	p.b.mu.Lock()
 	defer p.b.mu.Unlock()
--- a/internal/forwarder/move.go
+++ b/internal/forwarder/move.go
@@ -59,8 +59,8 @@
 }
 
 // endWait stops the timer of an attempt and keeps the target that it has secured. That
-// one is given back if it may no longer go on with the stream: its notice, or the first
-// event of the silent target, may have come after it was chosen.
+// one is given back if it may no longer go on with the stream: it may have said so after
+// it was chosen.
 func (x *exchange) endWait(t *stallTimer) {
 	next := t.stop()
 	if next == nil {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -182,13 +182,16 @@
 			a.Close(false)
 			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, err
 		}
+		if t.pause() {
+			a.Close(false)
+			return x.unlessCanceled(connectionLost), balancer.ConnectionLost, eris.Wrap(fault.Interrupted, "event came after the stream was moved")
+		}
 		if err := x.sequence.add(s); err != nil {
 			a.Close(false)
 			return connectionLost, balancer.Failed, err
 		}
 		hasContent = hasContent || s.HasContent()
 		pick.MarkPrefilled()
-		t.pause()
 		x.bindVersion(pick)
 		x.sendHeader(a.Header)
 		_ = out.SetWriteDeadline(x.f.cfg.Now().Add(writeTimeout)) // not all writers support deadlines
--- a/internal/forwarder/stall.go
+++ b/internal/forwarder/stall.go
@@ -84,21 +84,26 @@
 }
 
 // pause ends the wait, so that the time in which the caller doesn't read isn't
-// taken for a silence of the target.
-func (t *stallTimer) pause() {
+// taken for a silence of the target. It reports whether the stream is being moved. An
+// event that comes then must not be relayed: it could bind the stream to a software
+// version that the chosen target doesn't have, or be none to go on after.
+func (t *stallTimer) pause() (isMoving bool) {
 	if t.timer == nil {
-		return
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.waiting = false
 	t.timer.Stop()
+	return t.next != nil
 }
 
 // stop ends the timer and returns the target that goes on with the stream, nil if
 // the stream isn't moved.
 func (t *stallTimer) stop() *replacement {
-	t.pause()
+	if !t.pause() {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := t.next
