Don't take the end of canceled chunks for a complete body

The content of a request was blocked 0.5 ms before; that canceled the request at engine-2, which had begun its answer and ended its chunks in good order. The stream without events was relayed as complete. Cause: that the end of a canceled body doesn't show that it is complete held only for bodies that end with their connection. A target may end chunks as well when it sees that the request is canceled: by a block, a silence or the deadline. Change: it holds for all bodies of unknown length. Those whose length was announced are complete by that. TestCanceledBody (TestCanceledUnframedBody with more cases, none changed) failed before: "canceled chunks: got error <nil>, want unexpected EOF".

--- a/internal/exchanger/unframed_test.go
+++ b/internal/exchanger/canceled_test.go
@@ -11,24 +11,30 @@
 	"github.com/papayapond/papayapond/internal/exchanger"
 )
 
-// A target ends the response to a canceled request by closing its connection. If the
-// body is delimited by that close, the part that has come must not look complete.
-func TestCanceledUnframedBody(t *testing.T) {
+// A target may end the response to a canceled request by closing its connection, or
+// end a chunked one in good order. The part that has come must not look complete, unless
+// its length was announced.
+func TestCanceledBody(t *testing.T) {
+	const chunked, sized = "Transfer-Encoding: chunked\r\n", "Content-Length: 3\r\n"
 	for _, test := range []struct {
-		name   string
-		cancel bool
-		want   error
+		name, header, body, end string
+		cancel                  bool
+		want                    error
 	}{
-		{"complete", false, nil},
-		{"canceled", true, io.ErrUnexpectedEOF},
+		{"complete", "", "abc", "", false, nil},
+		{"canceled", "", "abc", "", true, io.ErrUnexpectedEOF},
+		{"complete chunks", chunked, "3\r\nabc\r\n", "0\r\n\r\n", false, nil},
+		{"canceled chunks", chunked, "3\r\nabc\r\n", "0\r\n\r\n", true, io.ErrUnexpectedEOF},
+		{"canceled body of known length", sized, "abc", "", true, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
 				_, _ = readRequest(r)
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\n\r\nabc")
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\n"+test.header+"\r\n"+test.body)
 				if test.cancel {
 					_, _ = r.ReadByte() // until the request is canceled
 				}
+				_, _ = io.WriteString(c, test.end)
 			})
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -83,15 +83,15 @@
 	return c.canceled.Load() && !c.head.begun && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
 }
 
-// unframedReader reads a body that ends with the connection. Once the request has been
-// canceled, that end doesn't show that the body is complete.
-type unframedReader struct {
+// openReader reads a body of unknown length. Once the request has been canceled, its end
+// doesn't show that it is complete: the target may have stopped.
+type openReader struct {
 	io.Reader
 	conn *conn
 }
 
 // Read implements io.Reader.
-func (r *unframedReader) Read(b []byte) (int, error) {
+func (r *openReader) Read(b []byte) (int, error) {
 	n, err := r.Reader.Read(b)
 	if errors.Is(err, io.EOF) && r.conn.canceled.Load() {
 		err = io.ErrUnexpectedEOF
@@ -208,8 +208,8 @@
 		Status: r.StatusCode, Header: r.Header, Body: r.Body, body: r.Body, Identified: identified,
 		Framed: r.ContentLength >= 0 || len(r.TransferEncoding) > 0, closing: r.Close || outOfStep,
 	}
-	if !a.Framed {
-		a.Body = &unframedReader{Reader: r.Body, conn: c}
+	if r.ContentLength < 0 {
+		a.Body = &openReader{Reader: r.Body, conn: c}
 	}
 	return a
 }
