--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -49,48 +49,8 @@
 	// cacheRatio is the fraction of engine memory assumed to hold cached prompt
 	// parts.
 	cacheRatio = 0.6
-	// restartWindow is how long a target gets no request that needs a software
-	// version after a connection to it was lost: it may have started again with
-	// another one, and its announcement takes that long to arrive.
-	restartWindow = time.Second
 )
 
-// Part is a segment of a prompt. The parts of a prompt are in order, from its
-// start.
-type Part struct {
-	ID     string
-	Tokens int64
-}
-
-// Query describes a request that needs a target.
-type Query struct {
-	Pool string
-	// Parts are the parts of the prompt; nil for requests without one.
-	Parts []Part
-	// Tokens is the number of prompt tokens, Output the maximum number of
-	// output tokens.
-	Tokens, Output int64
-	// Retryable requests may probe a target after its ejection.
-	Retryable bool
-	// Spare requests get only a target that is healthy and has room. They are worth
-	// sending only if they are likely to be served at once.
-	Spare bool
-	// Only, if not empty, is the ID of the only target that may be chosen.
-	Only string
-	// Exclude holds the IDs of targets that must not be chosen.
-	Exclude map[string]bool
-	// Version, if not nil, is the software version that the target must have.
-	Version *string
-}
-
-// permits reports whether the query allows a target.
-func (q Query) permits(t *target, now time.Time) bool {
-	if q.Exclude[t.listing.Id] || q.Only != "" && t.listing.Id != q.Only || t.isLeaving() || t.isResting(now) {
-		return false
-	}
-	return q.Version == nil || t.listing.Version == *q.Version && now.Sub(t.lostAt) >= restartWindow
-}
-
 // Config configures a Balancer.
 type Config struct {
 	// Self is the name of this instance, Zone its zone.
@@ -237,10 +197,6 @@
 	return list
 }
 
-// ErrVersionGone is returned if no target has the software version of a query. It
-// wraps fault.Unavailable.
-var ErrVersionGone = eris.Wrap(fault.Unavailable, "no target has the software version")
-
 // Choose returns the target with the lowest expected time to start the request.
 // The error wraps fault.Unavailable if there is none, and fault.Overloaded if
 // targets are left out only because they are at their limits.
@@ -294,26 +250,6 @@
 	return p, nil
 }
 
-// unavailable returns the error for a query that no target of the list can serve.
-func (q Query) unavailable(list []*target, now time.Time) error {
-	same, resting := 0, 0
-	for _, t := range list {
-		if t.isResting(now) {
-			resting++
-		}
-		if q.Version != nil && t.listing.Version == *q.Version {
-			same++
-		}
-	}
-	switch {
-	case q.Version == nil:
-		return eris.Wrapf(fault.Unavailable, "no target of pool %s accepts requests, out of %d, %d of which want none for a time", q.Pool, len(list), resting)
-	case same == 0:
-		return eris.Wrapf(ErrVersionGone, "pool %s has no target of version %q, out of %d", q.Pool, *q.Version, len(list))
-	}
-	return eris.Wrapf(fault.Unavailable, "no target of pool %s with version %q accepts requests, out of %d", q.Pool, *q.Version, same)
-}
-
 // fallback returns the live target whose ejection ends first, for use if all
 // targets are ejected. A momentarily full accept queue must not disable a whole
 // pool, and a request that gets no connection can be retried safely. The caller
