Declare only the accounts that have changed

Cause: each call declared all accounts, so that the log of the core grew with the product of instances, accounts and calls: 24,000 allowances a second at 295 instances and 40 accounts, each applied by every core instance.

Change: an account is declared when its limit or its use has changed since the last answer, when it wants more, and otherwise every 2 s. The demand that the leader tells sinks by the time between two answers, at most 2 s, and no longer in between: otherwise limits would sink with each call without the account, and go back and forth.

--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -23,6 +23,7 @@
 	sequence uint64
 	spender  *spender.Spender
 	lender   *lender.Lender
+	demand   int64 // as last declared, in tokens per second
 }
 
 // fleet simulates a leader and entry instances without a network.
@@ -101,19 +102,23 @@
 		return
 	}
 	demand, fleetDemand := map[string]int64{}, int64(0)
-	limits := map[string]*wire.Limit{}
+	limits := map[string][]*wire.Limit{}
 	for address, e := range f.instances {
 		e.sequence++
 		list := e.spender.Declare()
-		limits[address] = f.budgets.Apply(&wire.Allotment{Instance: e.name, Sequence: e.sequence, Allowances: list}).Limits[0]
-		demand[f.zones[address]] += list[0].Rate
-		fleetDemand += list[0].Rate
+		limits[address] = f.budgets.Apply(&wire.Allotment{Instance: e.name, Sequence: e.sequence, Allowances: list}).Limits
+		for _, w := range list {
+			e.demand = w.Rate
+		}
+		demand[f.zones[address]] += e.demand
+		fleetDemand += e.demand
 	}
 	for address, e := range f.instances {
-		l := limits[address]
-		l.Free, l.Demand, l.Whole = f.budgets.Free(account), demand[f.zones[address]], fleetDemand
-		l.Spare = l.Free
-		e.spender.UpdateLimits([]*wire.Limit{l}, len(f.instances))
+		for _, l := range limits[address] {
+			l.Free, l.Demand, l.Whole = f.budgets.Free(account), demand[f.zones[address]], fleetDemand
+			l.Spare = l.Free
+		}
+		e.spender.UpdateLimits(limits[address], len(f.instances))
 	}
 }
 
--- a/internal/spender/declare.go
+++ b/internal/spender/declare.go
@@ -7,7 +7,8 @@
 	"github.com/papayapond/papayapond/internal/wire"
 )
 
-// Declare returns, for each account, the limit that is kept until the reply and
+// Declare returns, for each account that has changed since it was last answered or
+// that wasn't declared for redeclareTime, the limit that is kept until the reply and
 // the limit that is requested. Whatever exceeds the declared limit is released
 // immediately.
 func (s *Spender) Declare() []*wire.Allowance {
@@ -16,11 +17,20 @@
 	now := s.cfg.Now()
 	var list []*wire.Allowance
 	for name, a := range s.accounts {
-		list = append(list, s.declare(name, a, now))
+		if q := s.declare(name, a, now); a.isDue(q, now) {
+			list = append(list, q)
+			a.declared = q
+		}
 	}
 	return list
 }
 
+// isDue reports whether an allowance must be declared.
+func (a *account) isDue(q *wire.Allowance, now time.Time) bool {
+	return a.answered == nil || now.Sub(a.answeredAt) >= redeclareTime || q.Want > 0 || q.Need > 0 ||
+		q.Limit != a.answered.Limit || q.Used != a.answered.Used
+}
+
 // declare updates the demand of an account and returns its allowance. The
 // caller holds mu.
 func (s *Spender) declare(name string, a *account, now time.Time) *wire.Allowance {
@@ -32,8 +42,6 @@
 		}
 		a.rate += weight * (max(float64(a.localUsed-a.lastLocalUsed), 0)/elapsed - a.rate)
 		a.lastLocalUsed, a.updated = a.localUsed, now
-		a.zoneRate -= weight * a.zoneRate
-		a.fleetRate -= weight * a.fleetRate
 		a.largest -= int64(weight * float64(a.largest) / 8)
 	}
 	need := a.used
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -44,6 +45,10 @@
 	// requestThreshold is the share of the wanted headroom below which more is
 	// requested.
 	requestThreshold = 0.95
+	// redeclareTime is the time after which an account is declared although nothing
+	// has changed, so that the leader hears of its demand and the instance of what is
+	// left of the budget.
+	redeclareTime = 2 * time.Second
 	// maxLoans limits the loans for one request. Concurrent requests may
 	// consume borrowed tokens before the request reserves them.
 	maxLoans = 3
@@ -107,6 +112,10 @@
 	available     int64
 	stranded      bool
 	synced        bool // a reply has set budget and free
+	// declared is the last declaration, answered the last one that was answered,
+	// with the limit that was granted, at answeredAt.
+	declared, answered *wire.Allowance
+	answeredAt         time.Time
 }
 
 // waiter is a request that waits for a limit.
@@ -269,8 +278,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = entries
+	now := s.cfg.Now()
 	for _, l := range limits {
 		a := s.account(l.Account)
+		if a.declared != nil {
+			a.answered = &wire.Allowance{Limit: l.Limit, Used: a.declared.Used}
+		}
+		// Rates that were learnt before sink at each answer by the time since the
+		// last one, but not by a long silence of the leader.
+		rest := math.Exp(-min(now.Sub(a.answeredAt), redeclareTime).Seconds() / averagingTime.Seconds())
+		a.zoneRate, a.fleetRate = a.zoneRate*rest, a.fleetRate*rest
+		a.answeredAt = now
 		a.limit, a.softLimit, a.budget, a.free, a.available, a.stranded, a.synced = l.Limit, l.Lock, l.Total, l.Free, l.Spare, l.Stranded, true
 		// After a partition the leader learns the demand only gradually.
 		a.zoneRate, a.fleetRate = max(a.zoneRate, float64(l.Demand)), max(a.fleetRate, float64(l.Whole))
