Don't take crashes back that were dropped in a storm

Cause: an instance holds 256 crashes and forgot the ids of those that it dropped. When many connections break at once, instances know of more together: what one dropped came back from the others, again and again for a minute, and each exchange was evaluated anew, 4 ms here with all crashes held.

Change: ids of dropped crashes are kept. An exchange holds 64 crashes, the rest follows; blocks never wait. With more than 64 crashes held they are evaluated at most once in 100 ms.

TestBounds takes as many exchanges as the bound needs; that nothing is sent again is checked as before.

--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -40,11 +40,18 @@
 	maxNewBlocks = 4
 	// maxCrashes, maxCrashesPerTarget, maxBlocks, maxCleared and maxAnswered bound
 	// the memory.
+	// A storm of broken connections brings more crashes than are held.
 	maxCrashes          = 256
 	maxCrashesPerTarget = 16
 	maxBlocks           = 256
 	maxCleared          = 2048
 	maxAnswered         = 8192
+	// maxSent limits the crashes in one exchange.
+	maxSent = 64
+	// stormCrashes is the number of crashes held above which they are evaluated at
+	// most once in evaluationInterval: it takes some milliseconds then.
+	stormCrashes       = 64
+	evaluationInterval = 100 * time.Millisecond
 )
 
 // Content is what a request may crash targets with.
@@ -82,13 +89,16 @@
 	version  uint64 // number of the newest fact
 	sequence uint64 // of own crashes
 	crashes  []*crash
-	known    map[string]bool // ids of crashes
-	suspects map[string]int  // number of crashes, by key
+	known    answered       // ids of crashes, those that are no longer held included
+	suspects map[string]int // number of crashes, by key
 	cleared  map[string]*clearance
 	blocks   []*block
 	// answered holds the answered parts, and requests the answered digests: one
 	// must not displace the other.
 	answered, requests answered
+	outdated           bool      // crashes were added since the last evaluation
+	evaluated          time.Time // time of the last evaluation
+	evaluations        int
 }
 
 // crash is a request that was in flight when its target ended.
@@ -132,7 +142,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Detector{cfg: cfg, id: rand.Uint64(), known: map[string]bool{}, suspects: map[string]int{}, cleared: map[string]*clearance{}}
+	return &Detector{cfg: cfg, id: rand.Uint64(), suspects: map[string]int{}, cleared: map[string]*clearance{}}
 }
 
 // RecordCrash records that a target ended before it had answered the content.
@@ -143,7 +153,8 @@
 	id := fmt.Sprintf("%x-%d", d.id, d.sequence)
 	var added []*block
 	if own := (&crash{id: id, target: target, keys: c.keys(), started: started, at: d.cfg.Now()}); d.addCrash(own) && d.isTelling(own) {
-		added = d.evaluate()
+		d.outdated = true
+		added = d.evaluateIfDue()
 	}
 	d.mu.Unlock()
 	d.announce(added)
@@ -175,7 +186,16 @@
 // Blocked returns the keys of the block that refuses the content, or nil.
 func (d *Detector) Blocked(c Content) []string {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	added := d.evaluateIfDue()
+	keys := d.blocked(c)
+	d.mu.Unlock()
+	d.announce(added)
+	return keys
+}
+
+// blocked returns the keys of the block that refuses the content, or nil. The caller
+// holds mu.
+func (d *Detector) blocked(c Content) []string {
 	if len(d.blocks) == 0 {
 		return nil
 	}
@@ -217,7 +237,8 @@
 // addCrash stores a crash and returns false if it is known, too old or too many
 // of its target are. The caller holds mu.
 func (d *Detector) addCrash(c *crash) bool {
-	if d.known[c.id] || d.cfg.Now().Sub(c.at) > crashMemory {
+	now := d.cfg.Now()
+	if _, ok := d.known.last(c.id, now); ok || now.Sub(c.at) > crashMemory {
 		return false
 	}
 	d.expireCrashes()
@@ -235,7 +256,7 @@
 	}
 	c.version = d.nextVersion()
 	d.crashes = append(d.crashes, c)
-	d.known[c.id] = true
+	d.known.add(c.id, now)
 	for _, key := range c.keys {
 		d.suspects[key]++
 		if at, ok := d.lastAnswer(key, d.cfg.Now()); ok {
@@ -263,7 +284,6 @@
 func (d *Detector) removeCrash(i int) {
 	c := d.crashes[i]
 	d.crashes = slices.Delete(d.crashes, i, i+1)
-	delete(d.known, c.id)
 	for _, key := range c.keys {
 		if d.suspects[key]--; d.suspects[key] == 0 {
 			delete(d.suspects, key)
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -307,8 +307,9 @@
 	if len(q.Crashes) > maxCrashes || len(q.Clearances) > maxCleared || len(q.Blocks) > maxBlocks {
 		t.Errorf("got %d crashes, %d clearances, %d blocks", len(q.Crashes), len(q.Clearances), len(q.Blocks))
 	}
-	exchange(s, leader)
-	exchange(s, leader)
+	for range maxCrashes/maxSent + 1 {
+		exchange(s, leader)
+	}
 	if q := s.Request(); len(q.Crashes)+len(q.Clearances)+len(q.Blocks) > 0 {
 		t.Errorf("got %d crashes and %d clearances again", len(q.Crashes), len(q.Clearances))
 	}
--- a/internal/detector/evaluate.go
+++ b/internal/detector/evaluate.go
@@ -6,6 +6,18 @@
 	"time"
 )
 
+// evaluateIfDue evaluates the crashes that were added since the last evaluation, in a
+// storm after a pause, and returns the new blocks. The caller holds mu.
+func (d *Detector) evaluateIfDue() []*block {
+	now := d.cfg.Now()
+	if !d.outdated || len(d.crashes) > stormCrashes && now.Sub(d.evaluated) < evaluationInterval {
+		return nil
+	}
+	d.outdated, d.evaluated = false, now
+	d.evaluations++
+	return d.evaluate()
+}
+
 // evaluate blocks the contents that explain enough crashes, and returns the new
 // blocks. The caller holds mu.
 func (d *Detector) evaluate() []*block {
--- a/internal/detector/evidence.go
+++ b/internal/detector/evidence.go
@@ -32,15 +32,22 @@
 		return e
 	}
 	for _, c := range d.crashes {
-		if c.version > number {
-			e.Crashes = append(e.Crashes, &wire.Crash{Id: c.id, Target: c.target, Keys: c.keys, Started: c.started, Age: age(c.at, now)})
+		if c.version <= number {
+			continue
 		}
+		if len(e.Crashes) == maxSent {
+			// The rest follows with the next exchanges.
+			e.Version = c.version - 1
+			break
+		}
+		e.Crashes = append(e.Crashes, &wire.Crash{Id: c.id, Target: c.target, Keys: c.keys, Started: c.started, Age: age(c.at, now)})
 	}
 	for key, c := range d.cleared {
-		if c.version > number {
+		if c.version > number && c.version <= e.Version {
 			e.Clearances = append(e.Clearances, &wire.Clearance{Key: key, Age: age(c.at, now)})
 		}
 	}
+	// Blocks never wait.
 	for _, b := range d.blocks {
 		if b.version > number {
 			e.Blocks = append(e.Blocks, &wire.Block{
@@ -71,9 +78,8 @@
 			added = append(added, b)
 		}
 	}
-	if changed {
-		added = append(added, d.evaluate()...)
-	}
+	d.outdated = d.outdated || changed
+	added = append(added, d.evaluateIfDue()...)
 	d.mu.Unlock()
 	d.announce(added)
 }
