--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -88,6 +88,7 @@
 	now := c.cfg.Now()
 	if q.Closing {
 		delete(c.entries, q.Instance)
+		delete(c.sequences, q.Instance) // the log refuses what comes after it
 		c.divider.Remove(q.Instance)
 		c.fleet.remove(q.Address)
 		return
