Spread the connections of a busy caller over several instances

Cause: the balancer in front sends all new connections of a caller to one instance. From 55% of its link on that instance ended the connection of each second answer, so that all of them had moved to one other instance before the measured load sank.

Change: an instance takes no new connections from 32% of its link on, and ends 6% of the excess per answer.

--- a/internal/shedder/shedder.go
+++ b/internal/shedder/shedder.go
@@ -13,12 +13,13 @@
 	// averageWindow is the time constant of the moving average.
 	averageWindow = 700 * time.Millisecond
 	// highWatermark is the link utilization above which the instance sheds
-	// load. It leaves room for bursts and for packet headers, which are not
-	// counted.
-	highWatermark = 0.55
+	// load. The balancer in front sends all new connections of a caller to the same
+	// instance while that one is ready, and a thin instance has processor time for
+	// little more than half of its link: answers come late before the link is full.
+	highWatermark = 0.32
 	// lowWatermark is the utilization below which the instance accepts callers
 	// again. The hysteresis keeps readiness from flapping with each burst.
-	lowWatermark = 0.35
+	lowWatermark = 0.21
 	// healthCheckDelay is the time until the load balancer notices: two health
 	// checks, one second apart. Callers disconnected earlier would reconnect to
 	// this instance.
@@ -30,9 +31,10 @@
 	// cooldown is how long callers are accepted after maxSaturatedTime
 	// regardless of load, since all instances may be equally busy.
 	cooldown = 10 * time.Second
-	// closeRatio is the fraction of responses that close their connection.
-	// Closing all would move the whole load to one other instance.
-	closeRatio = 0.5
+	// closeRatio is the fraction of responses that close their connection, times
+	// the excess of the utilization. More at a time would move the whole load to one
+	// other instance before the utilization shows that enough have gone.
+	closeRatio = 0.06
 )
 
 // Config configures a Shedder.
@@ -119,9 +121,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.update()
-	return s.saturated && s.cfg.Now().Sub(s.changed) > healthCheckDelay && s.utilization() > lowWatermark && s.cfg.Random() < closeRatio
+	return s.saturated && s.cfg.Now().Sub(s.changed) > healthCheckDelay && s.cfg.Random() < closeRatio*s.excess()
 }
 
+// excess returns the part of the utilization above the low watermark. The caller
+// holds mu.
+func (s *Shedder) excess() float64 { return max(1-lowWatermark/max(s.utilization(), lowWatermark), 0) }
+
 // update decays the rates and updates the saturation state. The caller holds
 // mu.
 func (s *Shedder) update() {
