Let instances of large zones report less often to their hub

Cause: while the core is silent, each instance reports to the hub of its zone in 0.4 s and gets the loads of all targets: 150 reports a second at 60 instances, to an instance with callers of its own.

Change: the pause grows with the zone above 25 instances, the age at which reports are ignored with it.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -15,13 +15,17 @@
 )
 
 const (
-	// interval is the pause between two reports.
+	// interval is the pause between two reports in a zone of up to manyInstances; it
+	// grows with their number, so that the hub gets a bounded number of reports.
 	interval = 400 * time.Millisecond
+	// manyInstances reports in an interval take about a tenth of the link and the
+	// processor of a thin hub.
+	manyInstances = 25
 	// callTimeout limits one call.
 	callTimeout = 250 * time.Millisecond
-	// maxReportAge is the age above which a report is ignored: three have been
-	// missed.
-	maxReportAge = 1500 * time.Millisecond
+	// maxReportAge is the age above which a report is ignored, in intervals: three
+	// have been missed.
+	maxReportAge = 3.75
 	// hubKey is the hash key that selects the hubs.
 	hubKey = "hub"
 	// maxHubs is the number of hubs that are tried per zone.
@@ -97,13 +101,11 @@
 // Run makes a round per interval while the core instances are unreachable,
 // until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-time.After(g.interval()):
 		}
 		if g.cfg.CoresUnreachable() {
 			g.Round(ctx)
@@ -111,6 +113,18 @@
 	}
 }
 
+// interval returns the pause between two reports.
+func (g *Gossiper) interval() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return intervalOf(len(g.zones[g.cfg.Zone]))
+}
+
+// intervalOf returns the pause between two reports in a zone with n instances.
+func intervalOf(n int) time.Duration {
+	return max(interval, interval*time.Duration(n)/manyInstances)
+}
+
 // Round reports once to the hub or, if this instance is the hub, to the hubs of
 // other zones.
 func (g *Gossiper) Round(ctx context.Context) {
@@ -242,10 +256,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Now()
+	largest := 0
+	for _, list := range g.zones {
+		largest = max(largest, len(list))
+	}
+	maxAge := time.Duration(maxReportAge * float64(intervalOf(largest)))
 	sums := map[string]*wire.Load{}
 	add := func(reports map[string]report, except string) {
 		for name, r := range reports {
-			if now.Sub(r.at) > maxReportAge {
+			if now.Sub(r.at) > maxAge {
 				delete(reports, name)
 				continue
 			}
