Evaluate crashes outside the coordinator's lock, by an index of blocks

Cause: the leader merged evidence under its lock.

Change: the evidence is merged before the lock is taken.

The tests of the detector stay as they were.

--- a/internal/coordinator/batch.go
+++ b/internal/coordinator/batch.go
@@ -98,6 +98,8 @@
 		return reply, nil
 	}
 	c.logListings(listings)
+	// Evaluating crashes takes milliseconds, for which no other call must wait.
+	reply.Evidence = c.evidence.Answer(q.Evidence)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	accepted := 0
@@ -116,7 +118,6 @@
 		reply.Table = c.summarize().table
 	}
 	reply.Fleet, reply.Members = c.fleet.listFor(q.Fleet, c.cfg.Now())
-	reply.Evidence = c.evidence.Answer(q.Evidence)
 	return reply, nil
 }
 
--- a/internal/detector/bench_test.go
+++ b/internal/detector/bench_test.go
@@ -56,3 +56,33 @@
 		d.RecordCrash(fmt.Sprintf("t%d", i), content("pool/part000001 #1"), true)
 	}
 }
+
+// BenchmarkStorm measures one evaluation after many connections of few targets broke,
+// with repeated requests among them, so that many contents are blocked.
+func BenchmarkStorm(b *testing.B) {
+	d := storm(newClock())
+	for b.Loop() {
+		d.mu.Lock()
+		d.evaluate()
+		d.mu.Unlock()
+	}
+	b.ReportMetric(float64(len(d.blocks)), "blocks")
+}
+
+// storm returns a detector after connections of 30 targets broke, with requests that
+// were repeated.
+func storm(c *clock) *Detector {
+	d := c.detector()
+	for i := range 40 {
+		d.RecordAnswer(Content{Parts: []string{fmt.Sprint("pool/first", i%3), fmt.Sprint("pool/second", i)}, Digest: fmt.Sprint("answered", i)})
+	}
+	for i := range 900 {
+		request := i/8%70 + i/280*70
+		d.RecordCrash(fmt.Sprintf("target-%d/1790556488147", i%31), Content{
+			Parts:  []string{fmt.Sprint("pool/first", request%3), fmt.Sprint("pool/second", request%40), fmt.Sprint("pool/last", request)},
+			Digest: fmt.Sprint("digest", request),
+		}, i%3 > 0)
+		c.pass(55 * time.Millisecond)
+	}
+	return d
+}
--- a/internal/detector/evaluate.go
+++ b/internal/detector/evaluate.go
@@ -104,13 +104,14 @@
 // reaches the limit. The caller holds mu.
 func (d *Detector) nextBlock(lifetimes map[string][]*crash, now time.Time) *block {
 	accused := map[string]*accusation{}
+	index := newBlockIndex(d.blocks)
 	for _, target := range slices.Sorted(maps.Keys(lifetimes)) {
-		d.accuse(accused, lifetimes[target], now)
+		d.accuse(accused, lifetimes[target], index, now)
 	}
 	var best *accusation
 	for _, key := range slices.Sorted(maps.Keys(accused)) {
 		a := accused[key]
-		if a.count() >= crashLimit && !d.isCovered(a.common) && (best == nil || a.count() > best.count()) {
+		if len(a.crashes) >= crashLimit && a.count() >= crashLimit && !index.covers(a.common) && (best == nil || a.count() > best.count()) {
 			best = a
 		}
 	}
@@ -122,10 +123,11 @@
 }
 
 // accuse adds one crashed lifetime to the accusations. The caller holds mu.
-func (d *Detector) accuse(accused map[string]*accusation, list []*crash, now time.Time) {
+func (d *Detector) accuse(accused map[string]*accusation, list []*crash, index blockIndex, now time.Time) {
 	here := map[string]*accusation{}
+	explained := explanation(list, index)
 	for _, c := range list {
-		suspects := d.suspectsOf(c, list, now)
+		suspects := d.suspectsOf(c, explained, now)
 		for _, key := range suspects {
 			a := here[key]
 			if a == nil {
@@ -146,16 +148,19 @@
 	}
 }
 
-// suspectsOf returns the keys of a crash that aren't cleared, sorted. If a block
-// explains the crash of the target, only keys of that block remain. The caller
-// holds mu.
-func (d *Detector) suspectsOf(c *crash, lifetime []*crash, now time.Time) []string {
-	var explained []string
-	for _, b := range d.blocks {
-		if slices.ContainsFunc(lifetime, func(o *crash) bool { return includes(o.keys, b.keys) }) {
-			explained = append(explained, b.keys...)
-		}
+// explanation returns the keys of the blocks that explain the crash of a target. The
+// caller holds mu.
+func explanation(lifetime []*crash, index blockIndex) []string {
+	var keys []string
+	for _, c := range lifetime {
+		index.visit(c.keys, func(b *block) { keys = append(keys, b.keys...) })
 	}
+	return keys
+}
+
+// suspectsOf returns the keys of a crash that aren't cleared, sorted. If blocks explain
+// the crash of the target, only their keys remain. The caller holds mu.
+func (d *Detector) suspectsOf(c *crash, explained []string, now time.Time) []string {
 	var list []string
 	for _, key := range c.keys {
 		if !d.isCleared(key, now) && (explained == nil || slices.Contains(explained, key)) {
@@ -184,12 +189,10 @@
 
 // updateBlocks adds crashes to the blocks that explain them. The caller holds mu.
 func (d *Detector) updateBlocks(lifetimes map[string][]*crash) {
-	for _, b := range d.blocks {
-		for target, list := range lifetimes {
-			i := slices.IndexFunc(list, func(c *crash) bool { return includes(c.keys, b.keys) })
-			if i >= 0 {
-				d.addTarget(b, target, list[i].at)
-			}
+	index := newBlockIndex(d.blocks)
+	for target, list := range lifetimes {
+		for _, c := range list {
+			index.visit(c.keys, func(b *block) { d.addTarget(b, target, c.at) })
 		}
 	}
 }
