Bound the calls that crashes and failed rounds cause

Cause: a crash of a target that had begun to answer makes its instance call at once. When a zone is cut off with resets, all instances did so together: batches of 95 to 126 calls from each core instance in place of 10 to 20, and calls beside those that took 250 ms.

Change: at most one such call a second; the least pause is twice as long in large fleets; after a failed round the next instance is called after 500 ms, when an overloaded one would have refused. Entry instances that relay are tried in turn with the core instances.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,10 @@
 	// nothing waits for them and lenders of other zones are asked. It means
 	// that one call has failed.
 	coresUnreachableAfter = 900 * time.Millisecond
+	// crashReportInterval is the least time between two calls that are made at once
+	// because a target has crashed. When a zone is cut off, connections of all
+	// instances break together.
+	crashReportInterval = time.Second
 	// sweepInterval is the time between two checks for expired connections.
 	sweepInterval = time.Second
 )
@@ -115,6 +119,7 @@
 	tracer    *tracer.Tracer // of the versions that began streams
 	finder    *finder.Finder
 	rules     atomic.Pointer[ruleset.Ruleset]
+	reported  atomic.Pointer[time.Time] // when a crash was last reported at once
 	stopping  atomic.Bool
 	abort     atomic.Pointer[time.Time] // of the requests in flight, set after the drain delay
 }
@@ -153,7 +158,7 @@
 		Regulator:  e.regulator,
 		Trace:      e.Trace,
 		Record:     e.RecordOrigin,
-		OnCrash:    func() { e.sync.Trigger() },
+		OnCrash:    e.reportCrash,
 		CountBytes: e.shedder.CountBytes, CloseConnection: func() bool { return e.stopping.Load() || e.shedder.ShouldClose() },
 		Abort: e.abortTime,
 	})
@@ -251,6 +256,16 @@
 	}
 }
 
+// reportCrash calls a core instance at once, unless that was done a moment ago: the
+// crash then goes with the next call.
+func (e *Entry) reportCrash() {
+	now := time.Now()
+	if last := e.reported.Load(); last == nil || now.Sub(*last) >= crashReportInterval {
+		e.reported.Store(&now)
+		e.sync.Trigger()
+	}
+}
+
 // isReady reports whether this instance should receive new callers. It checks for
 // blocked requests first, because the other checks take locks.
 func (e *Entry) isReady() bool {
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -35,6 +35,10 @@
 	// hedgeDelay is how long an instance may take before the next one is called
 	// beside it. Most answers take less than half of it.
 	hedgeDelay = 250 * time.Millisecond
+	// failedHedgeDelay is the same after a failed round. A core instance that is
+	// overloaded refuses before it; calls beside each other would keep the overload
+	// going.
+	failedHedgeDelay = 500 * time.Millisecond
 	// maxRefusals is the number of instances that may refuse in one round. If two
 	// know of no leader, the others hardly do.
 	maxRefusals = 2
@@ -200,7 +204,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	interval = max(s.cfg.Interval, min(s.cfg.Interval*time.Duration(s.entries)/manyEntries, maxInterval))
-	least = max(minPause, min(minPause*time.Duration(s.entries)/manyEntries, interval/2))
+	least = max(minPause, min(2*minPause*time.Duration(s.entries)/manyEntries, interval/2))
 	return interval, least
 }
 
@@ -278,7 +282,7 @@
 	names := s.candidates()
 	r := &round{s: s, q: q, names: names, called: map[string]bool{}, answers: make(chan answer, len(names)+maxRefusals), lastError: eris.Wrap(fault.Unavailable, "no core instance is known")}
 	for r.next(ctx) {
-		hedge := time.NewTimer(hedgeDelay)
+		hedge := time.NewTimer(s.hedgeAfter())
 		select {
 		case a := <-r.answers:
 			if a.err == nil {
@@ -304,6 +308,16 @@
 	return nil, r.lastError
 }
 
+// hedgeAfter returns how long an instance may take before the next one is called.
+func (s *Synchronizer) hedgeAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failures > 0 {
+		return failedHedgeDelay
+	}
+	return hedgeDelay
+}
+
 // next calls the next instance. It returns false if there is none, or if enough
 // have refused.
 func (r *round) next(ctx context.Context) bool {
@@ -411,25 +425,37 @@
 			cores = append(cores, name)
 		}
 	}
-	cores = ranker.New(s.cfg.Machine).Order(cores)
-	if n := len(cores); n > 0 {
-		first := s.failures * maxRefusals % n
-		cores = slices.Concat(cores[first:], cores[:first])
+	cores = rotate(ranker.New(s.cfg.Machine).Order(cores), s.failures*maxRefusals)
+	var peers, names []string
+	if time.Since(s.lastContact) > relaySilence {
+		peers = rotate(s.peers, s.failures)
 	}
-	var names []string
 	if s.current != "" && time.Now().Before(s.currentUntil) {
 		names = append(names, s.current)
 	}
-	names = append(names, cores...)
-	if time.Since(s.lastContact) > relaySilence {
-		names = append(names, s.peers...)
-	}
-	if s.current != "" {
-		names = append(names, s.current)
+	for i := range max(len(cores), len(peers)) {
+		if i < len(cores) {
+			names = append(names, cores[i])
+		}
+		if i == 0 && s.current != "" {
+			names = append(names, s.current)
+		}
+		if i < len(peers) {
+			names = append(names, peers[i])
+		}
 	}
 	return names
 }
 
+// rotate returns the list from position n on, counted around.
+func rotate(list []string, n int) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	n %= len(list)
+	return slices.Concat(list[n:], list[:n])
+}
+
 // apply applies whatever in the reply is newer.
 func (s *Synchronizer) apply(q *wire.SyncRequest, reply *wire.SyncReply) error {
 	s.mu.Lock()
