--- a/internal/coordinator/batch.go
+++ b/internal/coordinator/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -243,13 +244,13 @@
 
 // others returns up to n entry instances other than one, drawn at random. The caller
 // holds mu.
-func (s *shared) others(self string, n int, random func(n int) int) []string {
+func (s *shared) others(self string, n int) []string {
 	var list []string
 	for range n {
 		if len(s.members) == 0 {
 			break
 		}
-		address := s.members[random(len(s.members))].Address
+		address := s.members[rand.IntN(len(s.members))].Address
 		if address != self && !slices.Contains(list, address) {
 			list = append(list, address)
 		}
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -75,7 +74,7 @@
 	if q.Load {
 		reply.Table = s.table
 	}
-	reply.Peers = s.others(q.Address, maxPeers, rand.IntN)
+	reply.Peers = s.others(q.Address, maxPeers)
 	if reply.Fleet = s.fleet; s.fleet != q.Fleet {
 		reply.Members = s.members
 	}
--- a/internal/synchronizer/round.go
+++ b/internal/synchronizer/round.go
@@ -142,7 +142,7 @@
 func (s *Synchronizer) call(ctx context.Context, name string, q *wire.SyncRequest) (*wire.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := s.cfg.Clock()
+	sent, seeds := s.cfg.Clock(), s.cfg.Seeds()
 	reply, err := s.cfg.Peer(name).Sync(ctx, q)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,7 +168,7 @@
 	}
 	if name != s.current || time.Now().After(s.currentUntil) {
 		s.current, s.currentUntil = name, time.Now().Add(preferredTime)
-		if !s.isCore(name) {
+		if !s.isCore(name, seeds) {
 			s.currentUntil = time.Now().Add(relayTime)
 		}
 	}
--- a/internal/synchronizer/synchronizer.go
+++ b/internal/synchronizer/synchronizer.go
@@ -231,9 +231,10 @@
 // Relay forwards the call of another entry instance if this instance is in contact
 // with a core instance.
 func (s *Synchronizer) Relay(ctx context.Context, q *wire.SyncRequest) (*wire.SyncReply, error) {
+	seeds := s.cfg.Seeds()
 	s.mu.Lock()
 	current := s.current
-	contact := time.Since(s.lastContact) < maxRelayContactAge && s.isCore(current)
+	contact := time.Since(s.lastContact) < maxRelayContactAge && s.isCore(current, seeds)
 	s.mu.Unlock()
 	if !contact {
 		return &wire.SyncReply{Fault: wire.NewFault(eris.Wrap(fault.Isolated, "not in contact with a core instance"))}, nil
@@ -243,10 +244,10 @@
 	return s.cfg.Peer(current).Sync(ctx, q)
 }
 
-// isCore reports whether the name is that of a known core instance. The caller holds
-// mu.
-func (s *Synchronizer) isCore(name string) bool {
-	return name != "" && (name == s.leader || slices.Contains(s.cores, name) || slices.Contains(s.cfg.Seeds(), name))
+// isCore reports whether the name is that of a known core instance, or among the seeds.
+// The caller holds mu.
+func (s *Synchronizer) isCore(name string, seeds []string) bool {
+	return name != "" && (name == s.leader || slices.Contains(s.cores, name) || slices.Contains(seeds, name))
 }
 
 // apply applies whatever in the reply is newer.
