Refuse calls in time and shrink batches when the leader is slow

Cause: a call could wait for the batch before its own, 450 ms, and for its own, and its caller closes the connection after 600 ms.

Change: a caller has its answer after 400 ms. A batch that took more than 200 ms halves the number of calls in the next one, down to 8.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -13,9 +13,17 @@
 )
 
 const (
-	// sendTimeout limits one batch. It is shorter than the timeout of the
-	// callers, so that they get an answer and keep their connections.
+	// sendTimeout limits one batch.
 	sendTimeout = 450 * time.Millisecond
+	// answerTimeout limits the wait of a caller, for the batch before its own
+	// included. It is shorter than the caller's timeout, so that the caller gets an
+	// answer and keeps its connection: connections that were closed and opened again
+	// kept an overload going.
+	answerTimeout = 400 * time.Millisecond
+	// slowBatch is the time of a batch above which the next ones hold half as many
+	// calls, at least minCalls, so that a leader with little time answers some of them.
+	slowBatch = 200 * time.Millisecond
+	minCalls  = 8
 	// maxCalls, maxListings and maxAlive bound a batch, so that one command of
 	// the log holds it.
 	maxCalls    = 256
@@ -41,6 +49,7 @@
 	calls    []*pending[*wire.SyncRequest, *wire.BatchResult]
 	listings []*pending[*wire.Listing, struct{}]
 	alive    map[string]struct{}
+	limit    int       // of calls in the next batch
 	answered time.Time // when the last answered batch was sent
 }
 
@@ -82,13 +91,15 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Collector{cfg: cfg, alive: map[string]struct{}{}}
+	return &Collector{cfg: cfg, alive: map[string]struct{}{}, limit: maxCalls}
 }
 
 // Sync passes on the call of an entry instance and returns the part of the reply
 // that only the leader knows. A waiting call of the same incarnation is replaced:
 // its caller has given up.
 func (c *Collector) Sync(ctx context.Context, q *wire.SyncRequest) (*wire.BatchResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
 	p := newPending[*wire.SyncRequest, *wire.BatchResult](ctx, q)
 	c.mu.Lock()
 	for i, old := range c.calls {
@@ -106,6 +117,8 @@
 
 // Enlist passes on an announcement and returns once the leader has accepted it.
 func (c *Collector) Enlist(ctx context.Context, l *wire.Listing) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
 	p := newPending[*wire.Listing, struct{}](ctx, l)
 	c.mu.Lock()
 	c.listings = append(c.listings, p)
@@ -168,10 +181,11 @@
 	for _, p := range listings {
 		q.Listings = append(q.Listings, p.q)
 	}
-	sent := c.cfg.Now()
+	sent, started := c.cfg.Now(), time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	reply, err := c.cfg.Send(ctx, q)
+	c.adapt(time.Since(started))
 	if err == nil {
 		err = reply.Fault.Err()
 	}
@@ -196,12 +210,23 @@
 	return true
 }
 
+// adapt sets the number of calls in the next batch by the time that the last one took.
+func (c *Collector) adapt(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if took > slowBatch {
+		c.limit = max(c.limit/2, minCalls)
+	} else {
+		c.limit = min(c.limit+minCalls, maxCalls)
+	}
+}
+
 // take removes what the next batch holds, and notes whether there is anything.
 // Messages whose senders have given up are dropped.
 func (c *Collector) take() (calls []*pending[*wire.SyncRequest, *wire.BatchResult], listings []*pending[*wire.Listing, struct{}], alive []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	calls, c.calls = split(c.calls, maxCalls)
+	calls, c.calls = split(c.calls, c.limit)
 	listings, c.listings = split(c.listings, maxListings)
 	for id := range c.alive {
 		alive = append(alive, id)
