Make room for clearances all at once, and take back none

Cause: an instance holds 2,048 clearances of suspected keys. When full, each further one was made room for by two searches through all of them, also where the key came from a peer and nobody here suspects it.

Change: making room drops all clearances of keys that are not suspected any more. From half of the room on, a clearance from a peer is taken only for a suspected key.

--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -99,6 +99,7 @@
 	outdated           bool      // crashes were added since the last evaluation
 	evaluated          time.Time // time of the last evaluation
 	evaluations        int
+	sweeps             int // searches for clearances to drop
 }
 
 // crash is a request that was in flight when its target ended.
@@ -178,7 +179,7 @@
 
 // clearSuspect clears a key that is suspected or blocked. The caller holds mu.
 func (d *Detector) clearSuspect(key string, at time.Time) {
-	if d.suspects[key] > 0 || slices.ContainsFunc(d.blocks, func(b *block) bool { return slices.Contains(b.keys, key) }) {
+	if d.isSuspect(key) {
 		d.setCleared(key, at)
 	}
 }
@@ -337,9 +338,14 @@
 	})
 }
 
-// expireCleared makes room for a clearance. The caller holds mu.
+// expireCleared makes room for a clearance. Those of keys that nobody suspects any
+// more go first, all at once: looking for one at a time takes longer than the rest of a
+// storm. The caller holds mu.
 func (d *Detector) expireCleared(now time.Time) {
-	maps.DeleteFunc(d.cleared, func(_ string, c *clearance) bool { return now.Sub(c.at) > answerMemory })
+	d.sweeps++
+	maps.DeleteFunc(d.cleared, func(key string, c *clearance) bool {
+		return now.Sub(c.at) > answerMemory || !d.isSuspect(key)
+	})
 	if len(d.cleared) < maxCleared {
 		return
 	}
@@ -352,6 +358,11 @@
 	delete(d.cleared, oldest)
 }
 
+// isSuspect reports whether a crash or a block has the key. The caller holds mu.
+func (d *Detector) isSuspect(key string) bool {
+	return d.suspects[key] > 0 || slices.ContainsFunc(d.blocks, func(b *block) bool { return slices.Contains(b.keys, key) })
+}
+
 // isCleared reports whether a key counts as harmless. The caller holds mu.
 func (d *Detector) isCleared(key string, now time.Time) bool {
 	if c := d.cleared[key]; c != nil && now.Sub(c.at) <= answerMemory {
--- a/internal/detector/evidence.go
+++ b/internal/detector/evidence.go
@@ -62,8 +62,10 @@
 func (d *Detector) merge(e *wire.Evidence) {
 	d.mu.Lock()
 	now := d.cfg.Now()
+	// Once many are held, those of keys that aren't suspected here are left out: what
+	// one instance dropped would come back from the others without end.
 	for _, c := range e.Clearances {
-		if at := before(now, c.Age); now.Sub(at) <= answerMemory {
+		if at := before(now, c.Age); now.Sub(at) <= answerMemory && (len(d.cleared) < maxCleared/2 || d.isSuspect(c.Key)) {
 			d.setCleared(c.Key, at)
 		}
 	}
