--- a/review/standin/hot.go
+++ b/review/standin/hot.go
@@ -51,7 +51,7 @@
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
 			}
-			c.begun(r.Header.Get(names["attempt"]))
+			plain.begun(r.Header.Get(names["attempt"]))
 			time.Sleep(drawingTime)
 			_, _ = io.WriteString(w, strings.Repeat("x", 800))
 		}
@@ -89,17 +89,17 @@
 		} else {
 			time.Sleep(hotTime)
 		}
-		e.record.printf("%s: at most %d MB of memory, %d kills above %d MB; %d requests, %d run and ended without an answer", m.name, peak.Load()>>20, kills.Load(), memoryLimit, c.sent.Load(), c.lost.Load())
+		e.record.printf("%s: at most %d MB of memory, %d kills above %d MB; %d requests, %d run and ended without an answer", m.name, peak.Load()>>20, kills.Load(), memoryLimit, plain.sent.Load(), plain.lost.Load())
 	}
 	cancel()
 	group.Wait()
 	for _, m := range f.machines() {
 		f.signal(m, syscall.SIGTERM)
 	}
-	if c.sent.Load() < 100 {
+	if plain.sent.Load() < 100 {
 		return false, errors.New("too few requests")
 	}
-	return kills.Load() > 0 && c.lost.Load() > 3, nil
+	return kills.Load() > 0 && plain.lost.Load() > 3, nil
 }
 
 // draw sends drawings to a machine on a kept channel until ctx ends.
@@ -116,7 +116,7 @@
 		r.Header.Set(names["attempt"], attempt)
 		r.Header.Set(names["limit"], "3000")
 		r.Header.Set("Authorization", "Bearer "+key)
-		c.sent.Add(1)
+		plain.sent.Add(1)
 		a, err := client.Do(r)
 		if err == nil {
 			_, err = io.Copy(io.Discard, a.Body)
@@ -124,9 +124,9 @@
 		}
 		switch {
 		case err != nil:
-			ran := c.hasRun(attempt)
+			ran := plain.hasRun(attempt)
 			if ran && i > 0 {
-				c.lost.Add(1)
+				plain.lost.Add(1)
 			}
 			f.e.record.printf("request %s ends without an answer, run %v: %v", attempt, ran, err)
 			time.Sleep(300 * time.Millisecond)
--- a/review/standin/retire.go
+++ b/review/standin/retire.go
@@ -61,7 +61,7 @@
 		g := &runner{e: e, id: fmt.Sprint("i-app-", i), service: "app", zone: fmt.Sprint("z", i), version: "v1", address: fmt.Sprint(f.prefix, 40+i, ":8080")}
 		g.serve = func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
-			c.begun(r.Header.Get(names["attempt"]))
+			plain.begun(r.Header.Get(names["attempt"]))
 			time.Sleep(callTime)
 			_, _ = io.WriteString(w, strings.Repeat("x", 800))
 		}
@@ -79,7 +79,7 @@
 	return f.retire(routes, services)
 }
 
-// calls counts the calls of the plain service.
+// calls counts calls and which of them runners have begun to run.
 type calls struct {
 	mu   sync.Mutex
 	runs map[string]bool
@@ -87,7 +87,8 @@
 	sent atomic.Int64
 }
 
-var c = &calls{runs: map[string]bool{}}
+// plain is the count of the calls of a plain service.
+var plain = &calls{runs: map[string]bool{}}
 
 func (c *calls) begun(attempt string) {
 	c.mu.Lock()
@@ -126,8 +127,8 @@
 		if err := f.round(n, move); err != nil {
 			return false, err
 		}
-		f.e.record.printf("after round %d: processes have ended by themselves %d times; %d calls of the plain service, %d run and ended without an answer", n, ends.Load(), c.sent.Load(), c.lost.Load())
-		if c.lost.Load() > 3 {
+		f.e.record.printf("after round %d: processes have ended by themselves %d times; %d calls of the plain service, %d run and ended without an answer", n, ends.Load(), plain.sent.Load(), plain.lost.Load())
+		if plain.lost.Load() > 3 {
 			break
 		}
 	}
@@ -137,10 +138,10 @@
 	for _, m := range f.machines() {
 		f.signal(m, syscall.SIGTERM)
 	}
-	if c.sent.Load() < 100 {
+	if plain.sent.Load() < 100 {
 		return false, errors.New("too few calls")
 	}
-	return c.lost.Load() > 3, nil
+	return plain.lost.Load() > 3, nil
 }
 
 // supervise restarts the process of a machine that has ended.
@@ -273,16 +274,16 @@
 		r.Header.Set(names["attempt"], attempt)
 		r.Header.Set(names["limit"], "3000")
 		r.Header.Set("Authorization", "Bearer "+key)
-		c.sent.Add(1)
+		plain.sent.Add(1)
 		a, err := client.Do(r)
 		if err == nil {
 			_, err = io.Copy(io.Discard, a.Body)
 			_ = a.Body.Close()
 		}
 		if err != nil {
-			ran := c.hasRun(attempt)
+			ran := plain.hasRun(attempt)
 			if ran && i > 0 {
-				c.lost.Add(1)
+				plain.lost.Add(1)
 			}
 			f.e.record.printf("call %s ends without an answer, run %v: %v", attempt, ran, err)
 			time.Sleep(300 * time.Millisecond)
