Take no version of a stream from a list of unknown age

Cause: finder.copied decided by the instance's own copy of the history of versions, whatever its age. Evidence: each joined stream has the source "copy" in the log; the version recorded by the instance that began it and the version of the target chosen for the look-up were right.

Only records and the history of the leader count now. The history in the replies of the core instances and the versions told by entry instances had no other use and are gone. In a silence of the core instances, entry instances of other zones are asked for records as well.

--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -65,10 +65,6 @@
 	if reply.Roster != q.Roster {
 		c.list(reply, q.Roster)
 	}
-	if reply.Listed || len(reply.Ruleset) > 0 {
-		c.observeTargets()
-		reply.History = c.tracer.History()
-	}
 	s := &c.shared
 	reply.Entries = s.entries
 	if q.Load {
--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -45,12 +45,8 @@
 	}
 }
 
-// applyTargets applies the versions, the list and the loads of the targets. A list must
-// not be in force without the versions of its pools: they tell which streams may go on.
+// applyTargets applies the list and the loads of the targets.
 func (e *Entry) applyTargets(q *wire.SyncRequest, reply *wire.SyncReply) {
-	if reply.Listed || len(reply.Ruleset) > 0 {
-		e.tracer.Inherit(reply.History)
-	}
 	if reply.Listed {
 		e.balancer.SetTargets(reply.Targets)
 		e.exchanger.PruneIdle(e.balancer.HasAddress)
--- a/internal/entry/origin.go
+++ b/internal/entry/origin.go
@@ -20,7 +20,7 @@
 // newFinder returns the finder of the instance.
 func (e *Entry) newFinder() *finder.Finder {
 	return finder.New(finder.Config{
-		Tracer: e.tracer, Cores: e.sync.Cores, Neighbors: e.gossiper.Neighbors,
+		Tracer: e.tracer, Cores: e.sync.Cores, Neighbors: e.gossiper.Neighbors, Remote: e.gossiper.Remote,
 		CoresUnreachable: func() bool { return e.sync.SinceContact() > coresUnreachableAfter },
 		Peer: func(name string) wire.DRPCSteeringClient {
 			return wire.NewDRPCSteeringClient(e.dialer.Conn(name))
@@ -54,7 +54,7 @@
 }
 
 // Trace answers from the records of this instance. Without one, it asks the leader if
-// the caller wants that, or returns the versions of the pool.
+// the caller wants that.
 func (r relayServer) Trace(ctx context.Context, q *wire.TraceRequest) (*wire.TraceReply, error) {
 	if pool, version, ok := r.e.tracer.Find(q.Attempt); ok {
 		return &wire.TraceReply{Found: true, Recorded: true, Pool: pool, Version: version}, nil
@@ -64,7 +64,5 @@
 		defer cancel()
 		return wire.NewDRPCSteeringClient(r.e.dialer.Conn(cores[0])).Trace(ctx, q)
 	}
-	reply := &wire.TraceReply{Fault: wire.NewFault(eris.Wrap(fault.Isolated, "the leader wasn't asked"))}
-	reply.Versions, _ = r.e.tracer.Versions(q.Pool, q.Route, q.Routing, time.Duration(q.Window)*time.Millisecond)
-	return reply, nil
+	return &wire.TraceReply{Fault: wire.NewFault(eris.Wrap(fault.Isolated, "the leader wasn't asked"))}, nil
 }
--- a/internal/finder/doc.go
+++ b/internal/finder/doc.go
@@ -2,7 +2,7 @@
 // stream that a caller takes up again.
 //
 // It looks into the instance's own records, then asks the core instances, whose
-// records and history of targets decide. The instance's own history comes last and
-// only while no core instance answers: a target with another version may have been
-// listed since. The other entry instances of the zone are asked as well then.
+// records and history of targets decide. While no core instance answers, it asks other
+// entry instances for their records. What the instance has heard of targets doesn't
+// count: one of another version may have been listed since, and have begun the stream.
 package finder
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -18,14 +18,16 @@
 const (
 	// askTimeout limits one round of calls.
 	askTimeout = 300 * time.Millisecond
-	// neighborDelay is how long the core instances may take until the other entry
-	// instances of the zone are asked as well.
+	// neighborDelay is how long the core instances may take until other entry
+	// instances are asked as well.
 	neighborDelay = 100 * time.Millisecond
 	// repeatDelay is the time until the leader is asked again about a stream that it
 	// has no record of: within it, records that are on their way arrive.
 	repeatDelay = 250 * time.Millisecond
-	// maxNeighbors limits the entry instances that are asked.
+	// maxNeighbors limits the entry instances of the zone that are asked, maxRemote
+	// those of other zones.
 	maxNeighbors = 64
+	maxRemote    = 64
 	// maxRelays limits the entry instances that ask the leader for this one.
 	maxRelays = 2
 )
@@ -36,7 +38,6 @@
 	fromCore     = "core"     // a record of a core instance
 	fromNeighbor = "neighbor" // a record of an entry instance
 	fromHistory  = "history"  // the pool had one version only, as told by the leader
-	fromCopy     = "copy"     // the same, as this instance has last heard
 	fromNone     = "none"     // nothing is known
 )
 
@@ -47,8 +48,8 @@
 type Config struct {
 	Tracer *tracer.Tracer
 	// Cores returns the core instances, Neighbors the other entry instances of the
-	// zone.
-	Cores, Neighbors func() []string
+	// zone, Remote those of other zones.
+	Cores, Neighbors, Remote func() []string
 	// CoresUnreachable reports whether the core instances are unreachable.
 	CoresUnreachable func() bool
 	// Peer returns a client for the named instance.
@@ -128,41 +129,18 @@
 			a = f.ask(ctx, q, true)
 		case <-ctx.Done():
 		}
-		a.denied = true // unless found
 	}
-	switch {
-	case a.found != nil:
+	if a.found != nil {
 		return a.found, a.source
-	case a.denied:
-		return &wire.TraceReply{}, fromNone
-	}
-	if version, ok := f.copied(q, a.versions); ok {
-		return &wire.TraceReply{Pool: q.Pool, Version: version}, fromCopy
 	}
 	return &wire.TraceReply{}, fromNone
 }
 
-// copied returns the only version of the pool as this instance has last heard, if the
-// neighbors know of no other one.
-func (f *Finder) copied(q *wire.TraceRequest, others []string) (version string, ok bool) {
-	if q.Pool == "" {
-		return "", false
-	}
-	versions, complete := f.cfg.Tracer.Versions(q.Pool, q.Route, q.Routing, time.Duration(q.Window)*time.Millisecond)
-	versions = append(versions, others...)
-	slices.Sort(versions)
-	if versions = slices.Compact(versions); !complete || len(versions) != 1 {
-		return "", false
-	}
-	return versions[0], true
-}
-
 // answer is the outcome of a round of calls.
 type answer struct {
-	found    *wire.TraceReply // nil: none
-	source   string           // of found
-	denied   bool             // the leader knows nothing
-	versions []string         // of the pool, as known to the neighbors
+	found  *wire.TraceReply // nil: none
+	source string           // of found
+	denied bool             // the leader knows nothing
 }
 
 // call is the reply of one instance.
@@ -190,8 +168,7 @@
 func (f *Finder) ask(ctx context.Context, q *wire.TraceRequest, all bool) answer {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	cores, neighbors := f.cfg.Cores(), f.cfg.Neighbors()
-	neighbors = neighbors[:min(len(neighbors), maxNeighbors)]
+	cores, neighbors := f.cfg.Cores(), f.others()
 	r := &round{f: f, q: q, calls: make(chan call), asked: map[string]bool{}}
 	for _, name := range cores {
 		r.send(ctx, name, false, false)
@@ -224,6 +201,12 @@
 	return a
 }
 
+// others returns the entry instances that are asked, those of the zone first.
+func (f *Finder) others() []string {
+	near, far := f.cfg.Neighbors(), f.cfg.Remote()
+	return slices.Concat(near[:min(len(near), maxNeighbors)], far[:min(len(far), maxRemote)])
+}
+
 // send calls an instance unless it has been called.
 func (r *round) send(ctx context.Context, name string, neighbor, relay bool) {
 	if r.asked[name] {
@@ -264,7 +247,6 @@
 	if c.err != nil {
 		return
 	}
-	a.versions = append(a.versions, c.reply.Versions...)
 	switch {
 	case c.reply.Found && !c.reply.Recorded:
 		a.found, a.source = c.reply, fromHistory
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -177,6 +177,23 @@
 	return slices.DeleteFunc(slices.Clone(g.zones[g.cfg.Zone]), func(address string) bool { return address == g.cfg.Self })
 }
 
+// Remote returns the instances of the other zones, one of each zone in turn.
+func (g *Gossiper) Remote() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	zones := slices.Sorted(maps.Keys(g.zones))
+	var list []string
+	for i, more := 0, true; more; i++ {
+		more = false
+		for _, zone := range zones {
+			if zone != g.cfg.Zone && i < len(g.zones[zone]) {
+				list, more = append(list, g.zones[zone][i]), true
+			}
+		}
+	}
+	return list
+}
+
 // otherZones returns all zones but this one.
 func (g *Gossiper) otherZones() []string {
 	g.mu.Lock()
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -91,6 +91,17 @@
 	}
 }
 
+// A look-up asks only some instances of other zones. It must not ask those of one zone
+// only.
+func TestRemote(t *testing.T) {
+	g := gossiper.New(gossiper.Config{Self: "a1", Zone: "a"})
+	g.Update([]*wire.Member{{Address: "a1", Zone: "a"}, {Address: "a2", Zone: "a"}, {Address: "b1", Zone: "b"}, {Address: "b2", Zone: "b"}, {Address: "c1", Zone: "c"}})
+	got := g.Remote()
+	if len(got) != 3 || got[0][0] != 'b' || got[1] != "c1" || got[2][0] != 'b' || got[0] == got[2] {
+		t.Errorf("got %v, want one of zone b, c1 and the other one of zone b", got)
+	}
+}
+
 // The load of an unreachable instance must expire, and losing a hub must not
 // stop the reports of its zone.
 func TestUnreachableHub(t *testing.T) {
