Go on at a target that lost a connection only after a list newer than the loss

A target may have started again with another software version once a connection to it was lost. A request bound to a version avoided it for a second, in which its announcement arrives, but in a silence of the core instances no announcement does: after that second the stream went on at a target listed with a version that it may not have any more.

The balancer is told now when the list was last confirmed, and the second counts up to then.

TestVersionAfterRestartInSilence failed before: it got the target, and an earlier choice still fitted.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -65,8 +65,11 @@
 	// with the lifetime of the target. If nil, targets have no limits.
 	Admits func(lifetime string) bool
 	Take   func(lifetime string)
-	Now    func() time.Time
-	Logger *zap.Logger
+	// Confirmed returns the time up to which the list of targets is known to be
+	// complete: that of the last contact with who lists them. If nil, it always is.
+	Confirmed func() time.Time
+	Now       func() time.Time
+	Logger    *zap.Logger
 }
 
 // Balancer chooses targets and tracks their load. It is safe for concurrent
@@ -95,6 +98,9 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
+	if cfg.Confirmed == nil {
+		cfg.Confirmed = cfg.Now
+	}
 	if cfg.Connected == nil {
 		cfg.Connected = func(string) bool { return true }
 	}
@@ -225,6 +231,7 @@
 // The error wraps fault.Unavailable if there is none, and fault.Overloaded if
 // targets are left out only because they are at their limits.
 func (b *Balancer) Choose(q Query) (*Pick, error) {
+	q.confirmed = b.cfg.Confirmed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.pools[q.Pool]
--- a/internal/balancer/query.go
+++ b/internal/balancer/query.go
@@ -8,8 +8,8 @@
 	"github.com/papayapond/papayapond/internal/fault"
 )
 
-// restartWindow is how long a target gets no request that needs a software
-// version after a connection to it was lost: it may have started again with
+// restartWindow is the time from the loss of a connection to a target until the list
+// names the software version of its next lifetime: it may have started again with
 // another one, and its announcement takes that long to arrive.
 const restartWindow = time.Second
 
@@ -49,6 +49,9 @@
 	Exclude map[string]bool
 	// Version, if not nil, is the software version that the target must have.
 	Version *string
+
+	// confirmed is the time up to which the list of targets is known to be complete.
+	confirmed time.Time
 }
 
 // permits reports whether the query allows a target.
@@ -56,7 +59,7 @@
 	if q.Exclude[t.listing.Id] || q.Only != "" && t.listing.Id != q.Only || t.isLeaving() || t.isResting(now) {
 		return false
 	}
-	return q.Version == nil || t.listing.Version == *q.Version && now.Sub(t.lostAt) >= restartWindow
+	return q.Version == nil || t.listing.Version == *q.Version && q.confirmed.Sub(t.lostAt) >= restartWindow
 }
 
 // ErrVersionGone is returned if no target has the software version of a query. It
--- a/internal/balancer/spare.go
+++ b/internal/balancer/spare.go
@@ -16,6 +16,7 @@
 // Fits reports whether a target that was chosen before may still get the request: it may
 // have said since that it is leaving or that it wants no requests for a time.
 func (p *Pick) Fits(q Query) bool {
+	q.confirmed = p.b.cfg.Confirmed()
 	p.b.mu.Lock()
 	defer p.b.mu.Unlock()
 	return q.permits(p.t, p.b.cfg.Now())
--- a/internal/balancer/version_test.go
+++ b/internal/balancer/version_test.go
@@ -8,6 +8,7 @@
 	"github.com/papayapond/papayapond/internal/balancer"
 	"github.com/papayapond/papayapond/internal/fault"
 	"github.com/papayapond/papayapond/internal/wire"
+	"github.com/papayapond/papayapond/pkg/pool"
 )
 
 // versions lists an engine for each software version.
@@ -68,3 +69,29 @@
 		t.Errorf("the new lifetime has another version: got target %s, want none", p.ID())
 	}
 }
+
+// In a silence of the core instances nothing announces that a target has started again. A
+// stream went on there once a second had passed since its connection was lost, at another
+// software version.
+func TestVersionAfterRestartInSilence(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	confirmed := c.now
+	b := balancer.New(balancer.Config{Zone: "near", Now: func() time.Time { return c.now }, Confirmed: func() time.Time { return confirmed }})
+	b.SetPools([]pool.Pool{pool.Pool{Name: "engines"}.WithEngine(pool.Engine{Batch: 8, CacheTokens: 100000, TokensPerEvent: 1})})
+	b.SetTargets(versions(1, "v1"))
+	wanted := "v1"
+	q := prompt("a", "own")
+	q.Version = &wanted
+	earlier := choose(t, b, q)
+	choose(t, b, q).Done(balancer.ConnectionLost)
+	c.advance(10 * time.Second)
+	if p, err := b.Choose(q); err == nil {
+		t.Errorf("in the silence: got target %s, want none", p.ID())
+	}
+	if earlier.Fits(q) {
+		t.Error("in the silence: got a target that fits, want none")
+	}
+	choose(t, b, prompt("a", "own")).Done(balancer.Served) // bound to no version
+	confirmed = c.now
+	choose(t, b, q).Done(balancer.Served)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,7 +143,8 @@
 	e.limiter = limiter.New(limiter.Config{Bytes: cfg.HeldBytes})
 	e.regulator = regulator.New(regulator.Config{Self: cfg.PeerAddress, Logger: cfg.Logger.Named("regulator")})
 	e.balancer = balancer.New(balancer.Config{
-		Self: cfg.Name, Zone: cfg.Zone, Connected: e.exchanger.HasIdle, Admits: e.regulator.Admits, Take: e.regulator.Take, Logger: cfg.Logger.Named("balancer"),
+		Self: cfg.Name, Zone: cfg.Zone, Connected: e.exchanger.HasIdle, Admits: e.regulator.Admits, Take: e.regulator.Take,
+		Confirmed: func() time.Time { return time.Now().Add(-e.sync.SinceContact()) }, Logger: cfg.Logger.Named("balancer"),
 	})
 	e.spender = spender.New(spender.Config{
 		RequestSync:      func() { e.sync.Trigger() },
