Let any request probe a target after its ejection

Cause: an ejection ended with an answer to a repeatable request, and the pool gets none. The fallback for a pool without targets takes only those whose last connection was refused. Evidence: "target ejected" for each target in the log, and after that nothing but "no target of pool ledger accepts requests".

After an ejection any request may be the probe, one at a time. One that may run once waits 2 s longer for others to go first, because its outcome remains unknown if the target still fails, but not if no other target is left. The same question to the other states showed two more that ended too late: a probe that takes long, or streams for long, kept all others away until its end.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -242,7 +242,7 @@
 	homeCost := math.Inf(1)
 	limited := 0
 	try := func(t *target) {
-		if t == nil || !q.permits(t, now) || !t.isAvailable(now, q.Retryable && !q.Spare) {
+		if t == nil || !q.permits(t, now) || !t.isAvailable(now, q) {
 			return
 		}
 		if !b.cfg.Admits(t.lifetime) {
@@ -284,14 +284,13 @@
 	return p, nil
 }
 
-// fallback returns the live target whose ejection ends first, for use if all
-// targets are ejected. A momentarily full accept queue must not disable a whole
-// pool, and a request that gets no connection can be retried safely. The caller
+// fallback returns the target whose ejection ends first, for use if all targets are
+// ejected. A momentarily full accept queue must not disable a whole pool. The caller
 // holds mu.
 func (b *Balancer) fallback(list []*target, q Query, now time.Time) *target {
 	var best *target
 	for _, t := range list {
-		if !q.permits(t, now) || t.remote.Silence > 0 || !t.connectFailed && !q.Retryable || !b.cfg.Admits(t.lifetime) {
+		if !q.permits(t, now) || !t.isLastResort(now, q) || !b.cfg.Admits(t.lifetime) {
 			continue
 		}
 		if best == nil || t.ejectedUntil.Before(best.ejectedUntil) {
@@ -301,15 +300,6 @@
 	return best
 }
 
-// isAvailable reports whether a target may get a request. After its ejection,
-// one retryable request probes it.
-func (t *target) isAvailable(now time.Time, repeatable bool) bool {
-	if now.Before(t.ejectedUntil) {
-		return false
-	}
-	return t.ejection == 0 || repeatable && !t.probing
-}
-
 // home returns the target that all instances prefer for the shared parts of a
 // prompt, by rendezvous hashing.
 func (b *Balancer) home(list []*target, parts []Part, now time.Time) *target {
@@ -387,7 +377,7 @@
 	pending := max(q.Tokens-t.cached(q.Parts), 0)
 	p := &Pick{b: b, t: t, listing: t.listing, pendingTokens: pending, prefillTokens: pending, reservedTokens: q.Tokens + q.Output, running: t.running + int(t.remote.Running), backlog: t.pendingTokens + t.remote.Unread}
 	if t.ejection > 0 {
-		t.probing, p.probe = true, true
+		t.probes, t.probedAt, p.probe = t.probes+1, b.cfg.Now(), true
 	}
 	t.running++
 	t.pendingTokens += pending
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -145,6 +145,90 @@
 	}
 }
 
+// A pool whose requests may all run only once had no probes, so that each ejection lasted
+// for good, and after one of each target the service was gone.
+func TestProbeBySingleRequest(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		targets int // that lose connections, of two
+		wait    time.Duration
+	}{{"all targets", 2, time.Second}, {"one of two", 1, 3 * time.Second}} {
+		t.Run(test.name, func(t *testing.T) {
+			b, c := newBalancer(0)
+			b.SetTargets([]*wire.Listing{{Id: "a", Pool: "services", Zone: "near"}, {Id: "b", Pool: "services", Zone: "near"}})
+			q := balancer.Query{Pool: "services"}
+			for _, id := range []string{"a", "b"}[:test.targets] {
+				of := q
+				of.Only = id
+				first, second := choose(t, b, of), choose(t, b, of)
+				first.Done(balancer.ConnectionLost)
+				second.Done(balancer.ConnectionLost)
+			}
+			if _, err := b.Choose(balancer.Query{Pool: "services", Only: "a"}); err == nil {
+				t.Error("right after the losses: got target a, want none")
+			}
+			c.advance(test.wait)
+			probes := map[string]*balancer.Pick{}
+			for range 12 { // a target that has failed is taken if the other one is busy
+				if p, err := b.Choose(q); err == nil {
+					probes[p.ID()] = p
+				}
+			}
+			if len(probes) != 2 {
+				t.Fatalf("%v later: got %d targets, want both", test.wait, len(probes))
+			}
+			if _, err := b.Choose(balancer.Query{Pool: "services", Only: "a"}); err == nil {
+				t.Error("during a probe: got target a, want none")
+			}
+			probes["a"].Done(balancer.Served)
+			for range 3 {
+				choose(t, b, balancer.Query{Pool: "services", Only: "a"})
+			}
+		})
+	}
+}
+
+// A probe that takes long kept all other requests away from its target.
+func TestSlowProbe(t *testing.T) {
+	b, c := newBalancer(0)
+	b.SetTargets([]*wire.Listing{{Id: "a", Pool: "services", Zone: "near"}})
+	q := balancer.Query{Pool: "services", Retryable: true}
+	first, second := choose(t, b, q), choose(t, b, q)
+	first.Done(balancer.TimedOut)
+	second.Done(balancer.TimedOut)
+	c.advance(time.Second)
+	single := balancer.Query{Pool: "services"}
+	slow := choose(t, b, single)
+	if p, err := b.Choose(single); err == nil {
+		t.Errorf("right after the probe: got target %s, want none", p.ID())
+	}
+	c.advance(time.Second)
+	choose(t, b, single).Done(balancer.Served)
+	for range 3 {
+		choose(t, b, single)
+	}
+	slow.Done(balancer.Served)
+}
+
+// A probe that streams for long kept all other requests away from its target.
+func TestStreamedProbe(t *testing.T) {
+	b, c := newBalancer(0)
+	b.SetTargets([]*wire.Listing{{Id: "a", Pool: "engines", Zone: "near"}})
+	q := balancer.Query{Pool: "engines", Retryable: true}
+	first, second := choose(t, b, q), choose(t, b, q)
+	first.Done(balancer.TimedOut)
+	second.Done(balancer.TimedOut)
+	c.advance(time.Second)
+	single := balancer.Query{Pool: "engines"}
+	stream := choose(t, b, single)
+	if p, err := b.Choose(single); err == nil {
+		t.Errorf("before the first event: got target %s, want none", p.ID())
+	}
+	stream.MarkPrefilled()
+	choose(t, b, single).Done(balancer.Served)
+	stream.Done(balancer.Canceled)
+}
+
 // Targets that are leaving or excluded must not be chosen.
 func TestExcludedTargets(t *testing.T) {
 	b, _ := newBalancer(1)
--- a/internal/balancer/pick.go
+++ b/internal/balancer/pick.go
@@ -49,11 +49,21 @@
 // Address returns the address of the target.
 func (p *Pick) Address() string { return p.listing.Address }
 
-// MarkPrefilled records that the target has processed the prompt.
+// MarkPrefilled records that the target has processed the prompt. Another request may
+// probe the target then.
 func (p *Pick) MarkPrefilled() {
 	p.b.mu.Lock()
 	defer p.b.mu.Unlock()
 	p.markPrefilled()
+	p.endProbe()
+}
+
+// endProbe ends the probe that the request may be. The caller holds mu.
+func (p *Pick) endProbe() {
+	if p.probe {
+		p.probe = false
+		p.t.probes--
+	}
 }
 
 func (p *Pick) markPrefilled() {
@@ -85,9 +95,7 @@
 	t := p.t
 	t.running--
 	t.reservedTokens -= p.reservedTokens
-	if p.probe {
-		t.probing = false
-	}
+	p.endProbe()
 	p.b.observeZone(t.listing, o)
 	pool := t.listing.Pool
 	before := t.ejectedUntil
--- a/internal/balancer/query.go
+++ b/internal/balancer/query.go
@@ -38,7 +38,8 @@
 	// Tokens is the number of prompt tokens, Output the maximum number of
 	// output tokens.
 	Tokens, Output int64
-	// Retryable requests may probe a target after its ejection.
+	// Retryable requests may probe a target right after its ejection, others some time
+	// later.
 	Retryable bool
 	// Spare requests get only a target that is healthy and has room. They are worth
 	// sending only if they are likely to be served at once.
--- a/internal/balancer/random_test.go
+++ b/internal/balancer/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -130,3 +131,39 @@
 		}
 	})
 }
+
+// No outcomes of requests may take a target out for longer than an ejection and a probe
+// last: the pool may get no request that could show that it is sound.
+func TestEjectionEndsByTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &randomBalancer{now: time.Unix(1000, 0)}
+		r.b = balancer.New(balancer.Config{Self: "e1", Zone: "near", Random: rand.New(rand.NewPCG(1, 1)).IntN, Now: func() time.Time { return r.now }})
+		r.configure(t)
+		r.listed = []*wire.Listing{{Id: "t1", Pool: "p1", Zone: "near"}, {Id: "t2", Pool: "p1", Zone: "far"}, {Id: "t3", Pool: "p1", Zone: "near"}}
+		r.b.SetTargets(r.listed)
+		t.Repeat(map[string]func(*rapid.T){
+			"choose": r.choose, "choose again": r.choose, "load": r.load,
+			"finish": func(t *rapid.T) {
+				if len(r.picks) == 0 {
+					return
+				}
+				p := r.picks[0]
+				r.picks = r.picks[1:]
+				if rapid.Bool().Draw(t, "begun") {
+					p.MarkPrefilled()
+				}
+				p.Done(balancer.Outcome(rapid.IntRange(int(balancer.Served), int(balancer.Misdirected)).Draw(t, "outcome")))
+			},
+			"advance": func(t *rapid.T) {
+				r.now = r.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		r.now = r.now.Add(8 * time.Second)
+		for _, l := range r.listed {
+			q := balancer.Query{Pool: l.Pool, Only: l.Id, Retryable: rapid.Bool().Draw(t, "retryable")}
+			if _, err := r.b.Choose(q); err != nil {
+				t.Fatalf("after 8 s without requests: got %v, want %s", err, l.Id)
+			}
+		}
+	})
+}
--- a/internal/balancer/target.go
+++ b/internal/balancer/target.go
@@ -21,6 +21,13 @@
 	// minEjection and maxEjection bound the duration of an ejection.
 	minEjection = 600 * time.Millisecond
 	maxEjection = 6 * time.Second
+	// probeTimeout is how long a probe keeps other requests away from its target. A
+	// request may take far longer than it takes to see that the target answers.
+	probeTimeout = time.Second
+	// singleProbeDelay is the time after an ejection from which on requests that may
+	// run only once probe the target too. If it is still unsound, the outcome of such a
+	// request remains unknown, so that others go first.
+	singleProbeDelay = 2 * time.Second
 )
 
 // Outcome is the result of a request to a target.
@@ -75,7 +82,8 @@
 	connectionLosses int     // consecutive
 	ejectedUntil     time.Time
 	ejection         time.Duration
-	probing          bool // a probe is in flight
+	probes           int       // in flight, without an answer so far
+	probedAt         time.Time // time of the last one
 	// connectFailed is set if the last request failed to connect.
 	connectFailed bool
 	busySince     time.Time
@@ -89,6 +97,37 @@
 	tokens int64
 }
 
+// isAvailable reports whether a target may get a request. After its ejection, requests
+// probe it one at a time until one is served.
+func (t *target) isAvailable(now time.Time, q Query) bool {
+	switch {
+	case now.Before(t.ejectedUntil):
+		return false
+	case t.ejection == 0:
+		return true
+	case q.Spare, t.isProbed(now):
+		return false
+	}
+	return q.Retryable || now.Sub(t.ejectedUntil) >= singleProbeDelay
+}
+
+// isProbed reports whether a probe is in flight that may soon tell whether the target
+// is sound.
+func (t *target) isProbed(now time.Time) bool {
+	return t.probes > 0 && now.Sub(t.probedAt) < probeTimeout
+}
+
+// isLastResort reports whether a target may get a request that no available target can
+// get. A request that is likely to get no connection can be sent to another target. One
+// that may run only once waits for the end of the ejection otherwise, but not for a probe
+// by another request, because the pool may get none that may be repeated.
+func (t *target) isLastResort(now time.Time, q Query) bool {
+	if t.remote.Silence == 0 && (q.Retryable || t.connectFailed) {
+		return true
+	}
+	return !now.Before(t.ejectedUntil) && !t.isProbed(now)
+}
+
 func newTarget(l *wire.Listing) *target {
 	return &target{listing: l, lifetime: l.Id + "/" + strconv.FormatInt(l.Born, 10), parts: map[string]*list.Element{}, lru: list.New()}
 }
