Bring the frames of a batch into force together

Changes of the configuration were refused or stayed unanswered for good after the disks of the core instances had been full one after another, never two at once, while all processes ran (a report of other operators).

Cause: a batch of proposals above 4 MiB takes several writes. It hits the leader, so that one disk after another takes one member after another, until there is no quorum.

The records of a batch can be read only when all of them are durable, so that Recover finds what the member has.

--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -26,7 +26,8 @@
 // Submit queues the records, in call order, and returns a function that waits
 // until they are durable. The caller must call that function exactly once and
 // must not modify the records. Without records, the function waits for all
-// records submitted earlier.
+// records submitted earlier. The records of calls that share a sync become durable, or
+// fail, together.
 func (j *Journal) Submit(records [][]byte) (wait func() (next uint64, err error)) {
 	for _, r := range records {
 		if len(r) > maxRecordBytes {
@@ -78,35 +79,41 @@
 		b.err = j.failed
 	}
 	j.mu.Unlock()
-	for rest := b.records; len(rest) > 0 && b.err == nil; {
-		n := countForFrame(rest)
-		b.err = j.write(rest[:n])
-		rest = rest[n:]
+	if b.err == nil {
+		b.err = j.write(b.records)
 	}
 	j.mu.Lock()
 	j.syncing = nil
 	j.mu.Unlock()
 }
 
-// write appends one frame and syncs it. The caller holds writeMu.
+// write appends the frames of a batch and syncs each. No record can be read before all
+// of them are durable: after an error none is, and Recover must drop none that was. The
+// caller holds writeMu.
 func (j *Journal) write(records [][]byte) error {
 	j.mu.Lock()
-	file, position := j.file, j.next
+	file, size, next := j.file, j.size, j.next
 	j.mu.Unlock()
-	data := appendFrame(nil, position, records)
-	_, err := j.cfg.Write(file, data)
-	if err == nil {
-		err = j.cfg.Sync(file)
+	var frames []frame
+	for len(records) > 0 {
+		n := countForFrame(records)
+		data := appendFrame(nil, next, records[:n])
+		_, err := j.cfg.Write(file, data)
+		if err == nil {
+			err = j.cfg.Sync(file)
+		}
+		if err != nil {
+			j.mu.Lock()
+			defer j.mu.Unlock()
+			return j.fail(eris.Wrap(err, "append"))
+		}
+		f := frame{offset: size, size: len(data), position: next, count: n}
+		frames, size, next = append(frames, f), size+int64(len(data)), f.end()
+		records = records[n:]
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if err != nil {
-		return j.fail(eris.Wrap(err, "append"))
-	}
-	f := frame{offset: j.size, size: len(data), position: position, count: len(records)}
-	j.frames = append(j.frames, f)
-	j.size += int64(len(data))
-	j.next = f.end()
+	j.frames, j.size, j.next = append(j.frames, frames...), size, next
 	return nil
 }
 
--- a/internal/journal/recover_test.go
+++ b/internal/journal/recover_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -92,6 +93,41 @@
 	verify(t, j, 0, nil, nil)
 }
 
+// A batch may take several writes. If a later one failed, the records of the earlier ones
+// stayed, although the callers of the batch had been told that it failed.
+func TestRecoverDropsPartOfBatch(t *testing.T) {
+	d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
+	j := open(t, d)
+	defer j.Close()
+	if _, err := j.Append([][]byte{[]byte("a")}); err != nil {
+		t.Fatal(err)
+	}
+	j.cfg.Write = func(f *os.File, data []byte) (int, error) {
+		n, err := d.write(f, data)
+		d.writeErr = errDisk // of all later writes
+		return n, err
+	}
+	large := bytes.Repeat([]byte("x"), maxFrameBytes*3/4)
+	if _, err := j.Append([][]byte{large, large}); !errors.Is(err, fault.Corrupt) {
+		t.Errorf("got %v, want %v", err, fault.Corrupt)
+	}
+	if got, want := j.Next(), uint64(1); got != want {
+		t.Errorf("next after the failure: got %d, want %d", got, want)
+	}
+	d.writeErr, j.cfg.Write = nil, d.write
+	if err := j.Recover(0); err != nil {
+		t.Fatal(err)
+	}
+	verify(t, j, 0, [][]byte{[]byte("a")}, nil)
+	if next, err := j.Append([][]byte{large, large}); err != nil || next != 3 {
+		t.Errorf("after the recovery: got position %d and %v, want 3", next, err)
+	}
+	_ = j.Close()
+	j = open(t, d)
+	defer j.Close()
+	verify(t, j, 0, [][]byte{[]byte("a"), large, large}, nil)
+}
+
 // A journal that recovers on a nearly full disk fails again at its next append.
 func TestRecoverNeedsReserve(t *testing.T) {
 	d := newDisk(filepath.Join(t.TempDir(), "journal"), 1)
--- a/internal/replicator/disk_test.go
+++ b/internal/replicator/disk_test.go
@@ -32,6 +32,7 @@
 	opsLeft    int           // operations until a simulated power failure, 0 for none
 	fail       bool          // operations fail, but the process continues
 	full       bool          // writes fail, as on a full disk
+	writesLeft int           // writes until the disk is full, 0 for none
 	space      int           // size of the largest write that succeeds, 0 for any
 	failSync   bool          // syncs fail
 	hang       chan struct{} // if not nil, syncs block until it is closed
@@ -47,6 +48,13 @@
 	d.full = on
 }
 
+// setFullAfter makes the disk full after a number of writes.
+func (d *fakeDisk) setFullAfter(writes int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.writesLeft = writes
+}
+
 // setSpace makes larger writes fail; 0 allows all.
 func (d *fakeDisk) setSpace(space int) {
 	d.mu.Lock()
@@ -156,6 +164,10 @@
 		n, _ := f.Write(data[:len(data)/2])
 		return n, errDisk
 	}
+	if d.writesLeft > 0 {
+		d.writesLeft--
+		d.full = d.writesLeft == 0
+	}
 	return f.Write(data)
 }
 
--- a/internal/replicator/storage_test.go
+++ b/internal/replicator/storage_test.go
@@ -1,7 +1,11 @@
 package replicator
 
 import (
+	"context"
 	"fmt"
+	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,3 +157,41 @@
 	}
 	t.Errorf("leader: got %s after 5 s with a hanging disk, want another member", name)
 }
+
+// A disk may become full within a batch of proposals that takes several writes. The
+// leader could not take part again then, because its journal had more entries than it
+// knew of: with one disk after another, the log had no quorum until a restart.
+func TestLeaderResumesAfterPartOfBatch(t *testing.T) {
+	withCluster(t, 21, func(t *testing.T, c *cluster) {
+		for n := range 3 {
+			name, m := c.leader()
+			m.diskMu.Lock() // both proposals come into one batch
+			var group sync.WaitGroup
+			for i := range 2 {
+				group.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					command := fmt.Sprint("large", n, i, "=", strings.Repeat("x", maxCommandBytes-100))
+					if _, _, err := m.Propose(ctx, []byte(command)); err == nil {
+						t.Error("got a proposal accepted, want an error")
+					}
+				})
+			}
+			for queued := 0; queued < 2; runtime.Gosched() {
+				m.mu.Lock()
+				queued = len(m.queue)
+				m.mu.Unlock()
+			}
+			c.nodes[name].disk.setFullAfter(1)
+			m.diskMu.Unlock()
+			time.Sleep(2 * time.Second)
+			c.nodes[name].disk.setFull(false)
+			time.Sleep(catchUpTime)
+			group.Wait()
+			if m.hasFailed() {
+				t.Errorf("%s, %v after its disk had room again: got %s", name, catchUpTime, c.describe())
+			}
+		}
+		c.awaitApplied()
+	})
+}
