Forget who leads when a member can write again

A member stopped for good after its disk had been full, with "two leaders in term", although there was one leader in each term.

Cause: while a member can't write, it notes who leads, for calls that it sends on, but can't store the term of that leader. It kept the name when it resumed. A late message of the leader of its own term, such as a call that had waited for the disk, then came from a second leader of that term. An invariant that is violated stops a member for the life of its process.

The member forgets the name when it resumes, until the next message names it, and doesn't note the leader of an earlier term than its own. Found by reading, beside the report of disks that are full in turn.

TestLateMessageAfterStorageError failed before: the messages of both leaders were refused. Not seen with processes.

--- a/internal/replicator/follow.go
+++ b/internal/replicator/follow.go
@@ -53,7 +53,7 @@
 func (r *Replicator) acceptLeader(term uint64, leader, to string) (uint64, error) {
 	r.mu.Lock()
 	err := r.checkRecipient(to)
-	if r.failed != nil {
+	if r.failed != nil && term >= r.ballot.Term {
 		// A failed member still tracks the leader so it can redirect clients.
 		r.leader, r.lastContact = leader, r.cfg.Now()
 	}
--- a/internal/replicator/storage.go
+++ b/internal/replicator/storage.go
@@ -124,6 +124,8 @@
 		return r.failed // Run has ended
 	}
 	r.ballot, r.failed, r.suspended = b, nil, false
+	// It may lead a later term than that of the ballot.
+	r.leader = ""
 	// The leader, if there is one, has the time to make contact.
 	r.electionReset = r.cfg.Now()
 	r.notify()
--- a/internal/replicator/storage_test.go
+++ b/internal/replicator/storage_test.go
@@ -195,3 +195,37 @@
 		c.awaitApplied()
 	})
 }
+
+// While a member can't write, it still notes who leads. A late message of the leader of
+// its own term, after the one of a later term, looked like a second leader of its term
+// and stopped the member for good.
+func TestLateMessageAfterStorageError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 22, "a", "b", "c")
+		c.nodes["a"].disk.ballot = storedBallot(t, &wire.Ballot{Member: "a", Disk: "1", Started: true, Disks: map[string]string{"b": "2", "c": "3"}})
+		c.start("a")
+		defer c.stopAll()
+		m := c.nodes["a"].member
+		first := &wire.AppendRequest{Term: 9, Leader: "b", To: "a", Entries: []*wire.Entry{{Term: 9, Index: 1}}}
+		if _, err := m.Append(t.Context(), first); err != nil {
+			t.Fatal(err)
+		}
+		c.nodes["a"].disk.setFull(true)
+		later := &wire.AppendRequest{Term: 10, Leader: "c", To: "a", Index: 1, Last: 9}
+		for _, q := range []*wire.AppendRequest{{Term: 9, Leader: "b", To: "a", Index: 1, Last: 9, Entries: []*wire.Entry{{Term: 9, Index: 2}}}, later} {
+			if _, err := m.Append(t.Context(), q); err == nil {
+				t.Fatal("on a full disk: got no error")
+			}
+		}
+		if got, want := m.Leader(), "c"; got != want {
+			t.Errorf("on a full disk: got leader %q, want %q", got, want)
+		}
+		c.nodes["a"].disk.setFull(false)
+		time.Sleep(time.Second)
+		for _, q := range []*wire.AppendRequest{first, later} {
+			if _, err := m.Append(t.Context(), q); err != nil {
+				t.Errorf("after the disk has room, message of term %d: got %v, want none", q.Term, err)
+			}
+		}
+	})
+}
