--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -188,15 +188,22 @@
 	}
 }
 
-// A probe that takes long kept all other requests away from its target.
-func TestSlowProbe(t *testing.T) {
+// newEjected returns a balancer with one target of a pool, whose ejection is over.
+func newEjected(t *testing.T, pool string) (*balancer.Balancer, *clock) {
+	t.Helper()
 	b, c := newBalancer(0)
-	b.SetTargets([]*wire.Listing{{Id: "a", Pool: "services", Zone: "near"}})
-	q := balancer.Query{Pool: "services", Retryable: true}
+	b.SetTargets([]*wire.Listing{{Id: "a", Pool: pool, Zone: "near"}})
+	q := balancer.Query{Pool: pool, Retryable: true}
 	first, second := choose(t, b, q), choose(t, b, q)
 	first.Done(balancer.TimedOut)
 	second.Done(balancer.TimedOut)
 	c.advance(time.Second)
+	return b, c
+}
+
+// A probe that takes long kept all other requests away from its target.
+func TestSlowProbe(t *testing.T) {
+	b, c := newEjected(t, "services")
 	single := balancer.Query{Pool: "services"}
 	slow := choose(t, b, single)
 	if p, err := b.Choose(single); err == nil {
@@ -212,13 +219,7 @@
 
 // A probe that streams for long kept all other requests away from its target.
 func TestStreamedProbe(t *testing.T) {
-	b, c := newBalancer(0)
-	b.SetTargets([]*wire.Listing{{Id: "a", Pool: "engines", Zone: "near"}})
-	q := balancer.Query{Pool: "engines", Retryable: true}
-	first, second := choose(t, b, q), choose(t, b, q)
-	first.Done(balancer.TimedOut)
-	second.Done(balancer.TimedOut)
-	c.advance(time.Second)
+	b, _ := newEjected(t, "engines")
 	single := balancer.Query{Pool: "engines"}
 	stream := choose(t, b, single)
 	if p, err := b.Choose(single); err == nil {
--- a/internal/tracer/doc.go
+++ b/internal/tracer/doc.go
@@ -10,5 +10,5 @@
 // Without a record, the history of a pool may tell: if all targets that were listed
 // since a stream can have begun had the same version, that version began it, unless
 // requests for its host went to other pools then. Only the core instances see each
-// listed target and each ruleset, so entry instances take over their history.
+// listed target and each ruleset, so only they keep a history.
 package tracer
