Let a request to join claim the change of members at once

Cause: the place for a new voter was checked when an instance asked to join, and the change was claimed by the goroutine that makes it. With two requests, the second goroutine could begin after the first had ended its change, and took a place that was no longer free.

The request claims the change while it holds the lock of the check. TestJoinTakesOnePlace failed before.

--- a/internal/replicator/join_test.go
+++ b/internal/replicator/join_test.go
@@ -135,3 +135,19 @@
 		}
 	})
 }
+
+// Two instances that ask to join at the same time passed the check for a free place both.
+// If the second change began after the first had ended, the log grew beyond its number of
+// voters.
+func TestJoinTakesOnePlace(t *testing.T) {
+	withJoiningCluster(t, 7, 4, []string{"a", "b", "c"}, func(t *testing.T, c *cluster) {
+		_, m := c.leader()
+		m.mu.Lock()
+		m.handleJoin("d#1")
+		changing := m.leading.changing
+		m.mu.Unlock()
+		if !changing {
+			t.Error("after a request to join: got no change in progress, want one before the next request")
+		}
+	})
+}
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -90,8 +90,9 @@
 		return
 	}
 	ls := r.leading
+	ls.changing = true // before another member asks, which may then be one too many
 	r.group.Go(func() {
-		if err := r.replaceVoter(ls.ctx, ls, old, member); err != nil {
+		if err := r.changeVoter(ls.ctx, ls, old, member); err != nil {
 			r.cfg.Logger.Warn("failed to replace member", zap.String("old", old), zap.String("new", member), zap.Error(err))
 		}
 	})
@@ -109,7 +110,7 @@
 	return oldest
 }
 
-// replaceVoter performs the remaining steps of Replace.
+// replaceVoter performs the remaining steps of Replace unless a change is in progress.
 func (r *Replicator) replaceVoter(ctx context.Context, ls *leaderState, old, next string) error {
 	r.mu.Lock()
 	changing := ls.changing
@@ -118,6 +119,12 @@
 	if changing {
 		return eris.Wrap(fault.Overloaded, "another membership change is in progress")
 	}
+	return r.changeVoter(ctx, ls, old, next)
+}
+
+// changeVoter lets next take the place of old, or a free one if old is "". The caller has
+// set changing, which it ends.
+func (r *Replicator) changeVoter(ctx context.Context, ls *leaderState, old, next string) error {
 	defer r.endChange(ls)
 	if err := r.changeMembers(ctx, ls, func(m *wire.Members) { addLearner(m, old, next) }); err != nil {
 		return err
